Frame the project: tools, layers, data model, outside interfaces

Cause: nothing stands yet; every later module needs the same messages, tables and error kinds. Ruled out: dataclasses with a codec of our own, since msgspec structs are slotted, typed and name the path of a bad field.

--- /dev/null
+++ b/masticdrum/__init__.py
@@ -0,0 +1,1 @@
+"""masticdrum serves prompts that return after long gaps, across data centres."""
--- /dev/null
+++ b/masticdrum/model/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data shared by every layer: messages, tables, events, effects, errors."""
--- /dev/null
+++ b/masticdrum/model/telemetry.py
@@ -0,0 +1,75 @@
+"""Numbered log events, counters and histograms, as effects that are plain data."""
+
+from enum import IntEnum, StrEnum
+
+from msgspec import Struct
+
+
+class LogNumber(IntEnum):
+    """The number of each log event; docs/EVENTS.md says what each one means."""
+
+    STARTED = 1
+    READY = 2
+    SHUTDOWN_BEGUN = 3
+    SHUTDOWN_DONE = 4
+    TABLES_INSTALLED = 10
+    TABLES_REJECTED = 11
+    PLATFORM_FAILED = 12
+    REQUEST_REFUSED = 20
+    REQUEST_FINISHED = 21
+    REQUEST_FAILED = 22
+    ATTEMPT_DISPATCHED = 23
+    ATTEMPT_REFUSED = 24
+    ATTEMPT_FAILED = 25
+    ATTEMPT_RESUMED = 26
+    FRAME_DROPPED = 27
+    CALLER_GONE = 28
+    RUN_STARTED = 40
+    RUN_FINISHED = 41
+    RUN_FAILED = 42
+    RUN_CANCELLED = 43
+
+
+class Counter(StrEnum):
+    """Counters; each is split by a reason."""
+
+    REQUESTS = "requests"
+    REFUSALS = "refusals"
+    RETRIES = "retries"
+    FRAMES_DROPPED = "frames_dropped"
+    PLATFORM_CALLS = "platform_calls"
+    LINK_BYTES = "link_bytes"
+    BLOCKS = "blocks"
+
+
+class Histogram(StrEnum):
+    """Histograms; times are seconds."""
+
+    FIRST_TOKEN = "first_token_seconds"
+    BETWEEN_TOKENS = "between_tokens_seconds"
+    QUEUE_WAIT = "queue_wait_seconds"
+
+
+class Log(Struct, frozen=True):
+    """Writes one numbered log event."""
+
+    number: LogNumber
+    request: str = ""
+    attempt: str = ""
+    detail: str = ""
+
+
+class Count(Struct, frozen=True):
+    """Adds ``amount`` to a counter under ``reason``."""
+
+    counter: Counter
+    reason: str
+    amount: int = 1
+
+
+class Observe(Struct, frozen=True):
+    """Puts ``value`` into a histogram under ``label``."""
+
+    histogram: Histogram
+    value: float
+    label: str = ""
--- /dev/null
+++ b/masticdrum/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines and the wiring of one process each."""
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,58 @@
+"""Imports between the product's layers point downwards only."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1] / "masticdrum"
+LAYERS = ["model", "core", "shell", "programs"]
+FORBIDDEN_BELOW_SHELL = {
+    "click",
+    "httpcore",
+    "hypercorn",
+    "logging",
+    "os",
+    "prometheus_client",
+    "socket",
+    "time",
+    "trio",
+    "zmq",
+}
+
+
+def list_modules() -> list[Path]:
+    return sorted(ROOT.glob("*/*.py"))
+
+
+def find_imports(path: Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        if isinstance(node, ast.ImportFrom):
+            assert node.level == 0, f"{path}: relative import"
+            names.add(node.module or "")
+    return names
+
+
+@pytest.mark.parametrize(
+    "path", list_modules(), ids=lambda p: f"{p.parent.name}.{p.stem}"
+)
+def test_imports_point_downwards(path: Path) -> None:
+    own = LAYERS.index(path.parent.name)
+    for name in find_imports(path):
+        parts = name.split(".")
+        if parts[0] != "masticdrum" or len(parts) < 2:
+            continue
+        assert LAYERS.index(parts[1]) <= own, f"{path} imports {name}"
+
+
+@pytest.mark.parametrize(
+    "path", list_modules(), ids=lambda p: f"{p.parent.name}.{p.stem}"
+)
+def test_core_and_model_do_no_input_or_output(path: Path) -> None:
+    if path.parent.name not in {"model", "core"}:
+        return
+    roots = {name.split(".")[0] for name in find_imports(path)}
+    assert not roots & FORBIDDEN_BELOW_SHELL, path
