--- /dev/null
+++ b/masticdrum/core/agent.py
@@ -0,0 +1,143 @@
+"""The agent's reducer: every event in, effects as data out."""
+
+from masticdrum.core.agentstate import AgentState, EngineView
+from masticdrum.core.entrystate import TimerName
+from masticdrum.core.runs import (
+    CHECK,
+    DEADLINE,
+    FORGET,
+    cancel_run,
+    check_run,
+    forget_run,
+    pass_run_deadline,
+    refuse_all_waiting,
+    report_load,
+    start_waiting,
+    take_begun,
+    take_dispatch,
+    take_received,
+    take_resume,
+    take_run_ended,
+    take_run_failed,
+    take_run_tokens,
+)
+from masticdrum.model.agent_events import (
+    AgentEffect,
+    AgentEvent,
+    LoadReported,
+    ReplyFrame,
+    RunBegun,
+    RunEnded,
+    RunFailed,
+    RunTokens,
+)
+from masticdrum.model.entry_events import Exit, FrameReceived, ShutdownAsked, Woken
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.messages import (
+    AnyMessage,
+    Cancel,
+    Dispatch,
+    Hello,
+    Received,
+    Resume,
+    Welcome,
+)
+from masticdrum.model.telemetry import Log, LogNumber
+
+
+def reduce_agent(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
+    """Take one event at time ``now``, in seconds, and return what is to be done.
+
+    The state changes in place. The same state, event and time always give the same
+    effects.
+    """
+    match event:
+        case FrameReceived():
+            effects = _take_message(state, event.link, event.envelope.message, now)
+        case RunBegun() | RunTokens() | RunEnded() | RunFailed():
+            effects = _take_run_event(state, event, now)
+        case LoadReported():
+            effects = _take_load(state, event, now)
+        case Woken():
+            effects = _take_woken(state, now)
+        case ShutdownAsked():
+            effects = _begin_shutdown(state, event, now)
+        case _:
+            effects = []
+    return effects + _exit_if_done(state, now)
+
+
+def _take_message(
+    state: AgentState, link: str, message: AnyMessage, now: float
+) -> list[AgentEffect]:
+    match message:
+        case Hello():
+            options = state.options
+            welcome = Welcome(options.pool, options.upstream, report_load(state))
+            return [ReplyFrame(link, welcome)]
+        case Dispatch():
+            return take_dispatch(state, link, message, now)
+        case Resume():
+            return take_resume(state, link, message, now)
+        case Received():
+            take_received(state, message, now)
+            return []
+        case Cancel():
+            return cancel_run(state, message.attempt, now)
+        case _:
+            return []
+
+
+def _take_run_event(
+    state: AgentState, event: RunBegun | RunTokens | RunEnded | RunFailed, now: float
+) -> list[AgentEffect]:
+    match event:
+        case RunTokens():
+            return take_run_tokens(state, event, now)
+        case RunBegun():
+            return take_begun(state, event, now)
+        case RunEnded():
+            return take_run_ended(state, event, now)
+        case RunFailed():
+            return take_run_failed(state, event, now)
+
+
+def _take_load(state: AgentState, event: LoadReported, now: float) -> list[AgentEffect]:
+    state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
+    return start_waiting(state, now)
+
+
+def _take_woken(state: AgentState, now: float) -> list[AgentEffect]:
+    effects: list[AgentEffect] = []
+    for name in state.timers.pop_due(now):
+        effects += _take_timer(state, name, now)
+    return effects
+
+
+def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
+    run = state.runs.get(name.owner)
+    if run is None:
+        return []
+    if name.purpose == CHECK:
+        return check_run(state, run, now)
+    if name.purpose == DEADLINE:
+        return pass_run_deadline(state, run, now)
+    if name.purpose == FORGET:
+        forget_run(state, run)
+    return []
+
+
+def _begin_shutdown(
+    state: AgentState, event: ShutdownAsked, now: float
+) -> list[AgentEffect]:
+    state.shutdown_by = now + event.grace_s
+    begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
+    return [begun, *refuse_all_waiting(state, ErrorKind.SHUTTING_DOWN, now)]
+
+
+def _exit_if_done(state: AgentState, now: float) -> list[AgentEffect]:
+    if state.shutdown_by is None:
+        return []
+    if state.running and now < state.shutdown_by:
+        return []
+    return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- /dev/null
+++ b/masticdrum/core/agentstate.py
@@ -0,0 +1,69 @@
+"""What one agent knows and remembers."""
+
+from collections import deque
+from random import Random
+
+from msgspec import Struct
+
+from masticdrum.core.entrystate import TimerName
+from masticdrum.core.run import Run
+from masticdrum.core.tableview import TableView
+from masticdrum.core.timers import Timers
+from masticdrum.model.tables import Tables
+
+
+class AgentOptions(Struct, frozen=True):
+    """An agent's settings that its decisions need; times are seconds.
+
+    ``orphan_s`` is how long a run goes on with no word from its entry,
+    ``keepalive_s`` how long the agent lets an attempt's link be quiet, and
+    ``forget_s`` how long an ended attempt is kept for an entry that may resume.
+    """
+
+    name: str
+    data_centre: str
+    pool: str
+    upstream: str
+    incarnation: str
+    orphan_s: float = 15.0
+    keepalive_s: float = 1.0
+    forget_s: float = 30.0
+    max_resumes: int = 3
+
+
+class EngineView(Struct):
+    """What the agent believes of its engine, from reports that lag."""
+
+    reachable: bool = False
+    boot: str = ""
+    version: str = ""
+    running: int = 0
+
+
+class AgentState:
+    """The whole state of one agent's reducer."""
+
+    __slots__ = (
+        "engine",
+        "leaving",
+        "options",
+        "rng",
+        "running",
+        "runs",
+        "shutdown_by",
+        "timers",
+        "view",
+        "waiting",
+    )
+
+    def __init__(self, options: AgentOptions, seed: int) -> None:
+        self.options = options
+        self.rng = Random(seed)
+        self.view = TableView(Tables())
+        self.timers: Timers[TimerName] = Timers()
+        self.engine = EngineView()
+        self.runs: dict[str, Run] = {}
+        self.waiting: deque[str] = deque()
+        self.running: set[str] = set()
+        self.leaving = False
+        self.shutdown_by: float | None = None
--- /dev/null
+++ b/masticdrum/core/completion.py
@@ -0,0 +1,51 @@
+"""One caller's completion and its current attempt."""
+
+from msgspec import Struct, field
+
+from masticdrum.core.digests import TokenDigest
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.tables import Route
+
+
+class Attempt(Struct):
+    """One try of a completion at one upstream.
+
+    ``base`` is the sequence number of its first token, ``acked`` the count that the
+    agent was told it may forget. ``heard_at`` is in seconds.
+    """
+
+    id: str
+    upstream: str
+    base: int
+    heard_at: float
+    digest: TokenDigest = field(default_factory=TokenDigest)
+    accepted: bool = False
+    acked: int = 0
+    acked_at: float = 0.0
+    resumes: int = 0
+    gap_asked_at: float = 0.0
+
+
+class Completion(Struct):
+    """A caller's request for a completion, from its arrival to its end.
+
+    ``delivered`` holds every token given to the caller, in order. ``version`` is the
+    weight version that gave the first of them; later attempts must use it too.
+    ``may_have_run`` is set once any attempt ended in another way than by a refusal.
+    """
+
+    request: str
+    workspace: str
+    route: Route
+    prompt: str
+    max_tokens: int
+    arrived_at: float
+    deadline: float
+    fingerprint: str
+    delivered: list[str] = field(default_factory=list)
+    version: str = ""
+    attempt: Attempt | None = None
+    tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    last_kind: ErrorKind = ErrorKind.NO_UPSTREAM
+    last_retry_after_s: float = 0.0
--- /dev/null
+++ b/masticdrum/core/completions.py
@@ -0,0 +1,364 @@
+"""The life of a completion at an entry: attempts, streams, resumption, the end."""
+
+from returns.result import Failure
+
+from masticdrum.core.candidates import choose_upstream
+from masticdrum.core.completion import Attempt, Completion
+from masticdrum.core.digests import fingerprint_text
+from masticdrum.core.entrance import check_completion
+from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.invariants import require
+from masticdrum.model.entry_events import (
+    CompletionAsked,
+    EntryEffect,
+    GiveEnd,
+    GiveRefusal,
+    GiveTokens,
+    SendFrame,
+)
+from masticdrum.model.errors import ANSWERS, ErrorKind, Outcome
+from masticdrum.model.messages import (
+    Accepted,
+    Cancel,
+    Dispatch,
+    Failed,
+    Finished,
+    Received,
+    Refused,
+    Resume,
+    Tokens,
+)
+from masticdrum.model.tables import Upstream
+from masticdrum.model.telemetry import (
+    Count,
+    Counter,
+    Histogram,
+    Log,
+    LogNumber,
+    Observe,
+)
+
+DEADLINE = "completion deadline"
+SILENCE = "completion silence"
+GAP_RETRY_S = 0.2
+
+
+def begin_completion(
+    state: EntryState, asked: CompletionAsked, now: float
+) -> list[EntryEffect]:
+    """Start a caller's completion, or refuse it."""
+    checked = check_completion(state, asked)
+    if isinstance(checked, Failure):
+        return refuse_request(asked.request, checked.failure(), Outcome.NOT_RUN)
+    route = checked.unwrap()
+    completion = Completion(
+        request=asked.request,
+        workspace=asked.workspace,
+        route=route,
+        prompt=asked.prompt,
+        max_tokens=min(asked.max_tokens, route.max_tokens),
+        arrived_at=now,
+        deadline=now + route.deadline_s,
+        fingerprint=fingerprint_text(asked.workspace, route.name, asked.prompt),
+    )
+    state.completions[asked.request] = completion
+    state.open_requests.add(asked.workspace, route.name)
+    state.timers.set(TimerName(DEADLINE, asked.request), completion.deadline)
+    counted = Count(Counter.REQUESTS, route.urgency.value)
+    return [counted, *_try_next(state, completion, now)]
+
+
+def refuse_request(
+    request: str, kind: ErrorKind, outcome: Outcome, *, retry_after_s: float = 0.0
+) -> list[EntryEffect]:
+    """Answer a request with an error of the closed list, counted and logged."""
+    hint = max(retry_after_s, ANSWERS[kind].retry_after_s)
+    return [
+        GiveRefusal(request, kind, outcome, hint),
+        Count(Counter.REFUSALS, kind.value),
+        Log(LogNumber.REQUEST_REFUSED, request=request, detail=kind.value),
+    ]
+
+
+def abandon_completion(
+    state: EntryState, completion: Completion, now: float
+) -> list[EntryEffect]:
+    """End a completion whose caller is gone."""
+    effects = _cancel_attempt(state, completion)
+    _forget(state, completion)
+    effects.append(Log(LogNumber.CALLER_GONE, request=completion.request))
+    effects.append(Count(Counter.REFUSALS, ErrorKind.CALLER_GONE.value))
+    return effects
+
+
+def pass_deadline(
+    state: EntryState, completion: Completion, now: float
+) -> list[EntryEffect]:
+    """End a completion whose time is up."""
+    effects = _cancel_attempt(state, completion)
+    return effects + _fail(state, completion, ErrorKind.DEADLINE_EXCEEDED)
+
+
+def take_accepted(
+    state: EntryState, completion: Completion, message: Accepted, now: float
+) -> list[EntryEffect]:
+    """Note that the attempt is alive, and which weight version serves it."""
+    attempt = _hear(completion, now)
+    attempt.accepted = True
+    if not completion.version:
+        completion.version = message.version
+    return []
+
+
+def take_tokens(
+    state: EntryState, completion: Completion, message: Tokens, now: float
+) -> list[EntryEffect]:
+    """Hand the caller those tokens that are next, each once and in order."""
+    attempt = _hear(completion, now)
+    expected = len(completion.delivered)
+    if message.first > expected:
+        return _ask_for_gap(state, completion, attempt, now)
+    fresh = message.tokens[expected - message.first :]
+    if not fresh:
+        return [Count(Counter.FRAMES_DROPPED, "duplicate")]
+    effects: list[EntryEffect] = []
+    if expected == 0:
+        waited = now - completion.arrived_at
+        urgency = completion.route.urgency.value
+        effects.append(Observe(Histogram.FIRST_TOKEN, waited, urgency))
+    completion.delivered.extend(fresh)
+    attempt.digest.add(fresh)
+    effects.append(GiveTokens(completion.request, tuple(fresh)))
+    if len(completion.delivered) - attempt.acked >= state.options.ack_every:
+        effects += _acknowledge(state, completion, attempt, now)
+    return effects
+
+
+def take_finished(
+    state: EntryState, completion: Completion, message: Finished, now: float
+) -> list[EntryEffect]:
+    """End the answer if every token is there; ask for what is missing if not."""
+    attempt = _hear(completion, now)
+    count = len(completion.delivered)
+    if message.count > count:
+        return _ask_for_gap(state, completion, attempt, now)
+    if message.count < count or message.digest != attempt.digest.read():
+        return _fail(state, completion, ErrorKind.UPSTREAM_FAILED)
+    require(
+        attempt.base <= count,
+        f"request '{completion.request}' has all tokens at its end",
+    )
+    effects = _acknowledge(state, completion, attempt, now)
+    _forget(state, completion)
+    effects.append(GiveEnd(completion.request, count, message.reason, message.usage))
+    effects.append(
+        Log(
+            LogNumber.REQUEST_FINISHED,
+            request=completion.request,
+            attempt=attempt.id,
+            detail=f"{count} tokens from {attempt.upstream}",
+        )
+    )
+    return effects
+
+
+def take_refused(
+    state: EntryState, completion: Completion, message: Refused, now: float
+) -> list[EntryEffect]:
+    """Try another upstream if that can help, or pass the refusal on."""
+    completion.last_kind = message.kind
+    completion.last_retry_after_s = message.retry_after_s
+    _end_attempt(state, completion, may_have_run=False)
+    if not ANSWERS[message.kind].elsewhere:
+        return _fail(state, completion, message.kind)
+    return _retry(state, completion, message.kind, now)
+
+
+def take_failed(
+    state: EntryState, completion: Completion, message: Failed, now: float
+) -> list[EntryEffect]:
+    """Go on at another upstream behind the tokens already delivered."""
+    completion.last_kind = message.kind
+    may_have_run = message.outcome is not Outcome.NOT_RUN
+    _end_attempt(state, completion, may_have_run=may_have_run)
+    if not ANSWERS[message.kind].elsewhere:
+        return _fail(state, completion, message.kind)
+    return _retry(state, completion, message.kind, now)
+
+
+def check_silence(
+    state: EntryState, completion: Completion, now: float
+) -> list[EntryEffect]:
+    """Resume over a new connection, or elsewhere, when an attempt shows no life."""
+    attempt = completion.attempt
+    if attempt is None:
+        return []
+    quiet_until = attempt.heard_at + state.options.silence_s
+    effects: list[EntryEffect] = []
+    if now < quiet_until:
+        if now - attempt.acked_at >= state.options.ack_after_s:
+            effects += _acknowledge(state, completion, attempt, now)
+        _arm_silence(state, completion, quiet_until)
+        return effects
+    if attempt.resumes >= state.options.max_resumes:
+        completion.last_kind = ErrorKind.UPSTREAM_SILENT
+        effects += _cancel_attempt(state, completion)
+        _end_attempt(state, completion, may_have_run=True)
+        return effects + _retry(state, completion, ErrorKind.UPSTREAM_SILENT, now)
+    _arm_silence(state, completion, now + state.options.silence_s)
+    return renew_link(state, attempt.upstream, now)
+
+
+def renew_link(state: EntryState, upstream: str, now: float) -> list[EntryEffect]:
+    """Open a new connection to an upstream's agent and resume its attempts there."""
+    peer = state.links.find(upstream)
+    if peer is None:
+        return []
+    fresh, opened = state.links.renew(peer.upstream)
+    effects = list(opened)
+    for completion in list(state.completions.values()):
+        attempt = completion.attempt
+        if attempt is None or attempt.upstream != upstream:
+            continue
+        attempt.resumes += 1
+        resume = Resume(attempt.id, len(completion.delivered))
+        effects.append(SendFrame(fresh.link, resume))
+        effects.append(Count(Counter.RETRIES, "resumed"))
+        effects.append(
+            Log(
+                LogNumber.ATTEMPT_RESUMED,
+                request=completion.request,
+                attempt=attempt.id,
+                detail=upstream,
+            )
+        )
+    return effects
+
+
+def _hear(completion: Completion, now: float) -> Attempt:
+    attempt = completion.attempt
+    assert attempt is not None
+    attempt.heard_at = now
+    attempt.resumes = 0
+    return attempt
+
+
+def _ask_for_gap(
+    state: EntryState, completion: Completion, attempt: Attempt, now: float
+) -> list[EntryEffect]:
+    if now < attempt.gap_asked_at + GAP_RETRY_S:
+        return [Count(Counter.FRAMES_DROPPED, "after a gap")]
+    attempt.gap_asked_at = now
+    resume = Resume(attempt.id, len(completion.delivered))
+    return [
+        Count(Counter.FRAMES_DROPPED, "after a gap"),
+        *_send(state, attempt.upstream, resume),
+    ]
+
+
+def _acknowledge(
+    state: EntryState, completion: Completion, attempt: Attempt, now: float
+) -> list[EntryEffect]:
+    attempt.acked = len(completion.delivered)
+    attempt.acked_at = now
+    return _send(state, attempt.upstream, Received(attempt.id, attempt.acked))
+
+
+def _send(
+    state: EntryState, upstream: str, message: Received | Resume | Cancel
+) -> list[EntryEffect]:
+    peer = state.links.find(upstream)
+    if peer is None:
+        return []
+    return [SendFrame(peer.link, message)]
+
+
+def _try_next(
+    state: EntryState, completion: Completion, now: float
+) -> list[EntryEffect]:
+    if len(completion.tried) >= state.options.max_attempts:
+        return _fail(state, completion, completion.last_kind)
+    upstream = choose_upstream(state, completion, now)
+    if upstream is None:
+        return _fail(state, completion, completion.last_kind)
+    return _dispatch(state, completion, upstream, now)
+
+
+def _dispatch(
+    state: EntryState, completion: Completion, upstream: Upstream, now: float
+) -> list[EntryEffect]:
+    peer, effects = state.links.reach(upstream)
+    base = len(completion.delivered)
+    attempt = Attempt(state.make_id(), upstream.name, base, now, acked=base)
+    attempt.acked_at = now
+    completion.attempt = attempt
+    completion.tried.append(upstream.name)
+    state.by_attempt[attempt.id] = completion.request
+    _arm_silence(state, completion, now + state.options.silence_s)
+    message = Dispatch(
+        attempt=attempt.id,
+        request=completion.request,
+        workspace=completion.workspace,
+        pool=completion.route.pool,
+        urgency=completion.route.urgency,
+        ttl_s=completion.deadline - now,
+        prompt=completion.prompt,
+        max_tokens=completion.max_tokens,
+        delivered=list(completion.delivered),
+        version=completion.version if base else "",
+        fingerprint=completion.fingerprint,
+    )
+    logged = Log(
+        LogNumber.ATTEMPT_DISPATCHED,
+        request=completion.request,
+        attempt=attempt.id,
+        detail=upstream.name,
+    )
+    return [*effects, SendFrame(peer.link, message), logged]
+
+
+def _retry(
+    state: EntryState, completion: Completion, kind: ErrorKind, now: float
+) -> list[EntryEffect]:
+    counted = Count(Counter.RETRIES, kind.value)
+    return [counted, *_try_next(state, completion, now)]
+
+
+def _fail(
+    state: EntryState, completion: Completion, kind: ErrorKind
+) -> list[EntryEffect]:
+    retry_after_s = completion.last_retry_after_s
+    _forget(state, completion)
+    outcome = Outcome.UNKNOWN if completion.may_have_run else Outcome.NOT_RUN
+    return refuse_request(
+        completion.request, kind, outcome, retry_after_s=retry_after_s
+    )
+
+
+def _cancel_attempt(state: EntryState, completion: Completion) -> list[EntryEffect]:
+    attempt = completion.attempt
+    if attempt is None:
+        return []
+    return _send(state, attempt.upstream, Cancel(attempt.id))
+
+
+def _end_attempt(
+    state: EntryState, completion: Completion, *, may_have_run: bool
+) -> None:
+    if completion.attempt is None:
+        return
+    completion.may_have_run |= may_have_run
+    state.by_attempt.pop(completion.attempt.id, None)
+    state.timers.clear(TimerName(SILENCE, completion.request))
+    completion.attempt = None
+
+
+def _forget(state: EntryState, completion: Completion) -> None:
+    _end_attempt(state, completion, may_have_run=True)
+    state.timers.clear(TimerName(DEADLINE, completion.request))
+    del state.completions[completion.request]
+    state.open_requests.remove(completion.workspace, completion.route.name)
+
+
+def _arm_silence(state: EntryState, completion: Completion, at: float) -> None:
+    state.timers.set(TimerName(SILENCE, completion.request), at)
--- /dev/null
+++ b/masticdrum/core/entrystate.py
@@ -0,0 +1,68 @@
+"""What one entry knows and remembers."""
+
+from random import Random
+
+from msgspec import Struct
+
+from masticdrum.core.completion import Completion
+from masticdrum.core.links import Links
+from masticdrum.core.openrequests import OpenRequests
+from masticdrum.core.tableview import TableView
+from masticdrum.core.timers import Timers
+from masticdrum.model.tables import Tables
+
+
+class EntryOptions(Struct, frozen=True):
+    """An entry's settings that its decisions need; times are seconds.
+
+    ``max_attempts`` bounds how many upstreams one completion may be given to, and
+    ``max_resumes`` how often one attempt may go on over a new connection.
+    ``ack_every`` is the number of tokens after which receipt is acknowledged.
+    """
+
+    name: str
+    data_centre: str
+    incarnation: str
+    silence_s: float = 3.0
+    max_attempts: int = 4
+    max_resumes: int = 3
+    ack_every: int = 64
+    ack_after_s: float = 3.0
+
+
+class TimerName(Struct, frozen=True):
+    """What a timer is for, and whose it is."""
+
+    purpose: str
+    owner: str
+
+
+class EntryState:
+    """The whole state of one entry's reducer."""
+
+    __slots__ = (
+        "by_attempt",
+        "completions",
+        "links",
+        "open_requests",
+        "options",
+        "rng",
+        "shutdown_by",
+        "timers",
+        "view",
+    )
+
+    def __init__(self, options: EntryOptions, seed: int) -> None:
+        self.options = options
+        self.rng = Random(seed)
+        self.view = TableView(Tables())
+        self.links = Links(options.name)
+        self.timers: Timers[TimerName] = Timers()
+        self.completions: dict[str, Completion] = {}
+        self.by_attempt: dict[str, str] = {}
+        self.open_requests = OpenRequests()
+        self.shutdown_by: float | None = None
+
+    def make_id(self) -> str:
+        """Return a name that no other attempt of any entry has."""
+        return f"{self.options.incarnation}-{self.rng.getrandbits(64):016x}"
--- /dev/null
+++ b/masticdrum/core/runs.py
@@ -0,0 +1,356 @@
+"""The life of a completion's attempt at an agent: admission, tokens, the end."""
+
+from masticdrum.core.agentstate import AgentState
+from masticdrum.core.entrystate import TimerName
+from masticdrum.core.invariants import require
+from masticdrum.core.run import Run, RunStage
+from masticdrum.model.agent_events import (
+    AgentEffect,
+    CancelRun,
+    ReplyFrame,
+    ResumeRun,
+    RunBegun,
+    RunEnded,
+    RunFailed,
+    RunTokens,
+    StartRun,
+)
+from masticdrum.model.errors import ANSWERS, ErrorKind, Outcome
+from masticdrum.model.messages import (
+    Accepted,
+    Dispatch,
+    Failed,
+    Finished,
+    Load,
+    Received,
+    Refused,
+    Resume,
+    Tokens,
+    Usage,
+)
+from masticdrum.model.telemetry import (
+    Count,
+    Counter,
+    Histogram,
+    Log,
+    LogNumber,
+    Observe,
+)
+
+CHECK = "run check"
+FORGET = "run forget"
+DEADLINE = "run deadline"
+
+
+def report_load(state: AgentState) -> Load:
+    """Return the hint that goes out with answers and refusals."""
+    pool = state.view.find_pool(state.options.pool)
+    return Load(
+        running=len(state.running),
+        queued=len(state.waiting),
+        limit=0 if pool is None else pool.max_running,
+        leaving=state.leaving or state.shutdown_by is not None,
+    )
+
+
+def find_refusal(state: AgentState, version: str) -> ErrorKind | None:
+    """Return why this agent takes no new work, or None if it does."""
+    if state.view.serial == 0:
+        return ErrorKind.TABLES_MISSING
+    if state.shutdown_by is not None:
+        return ErrorKind.SHUTTING_DOWN
+    if state.leaving:
+        return ErrorKind.LEAVING
+    if state.view.is_out(state.options.data_centre):
+        return ErrorKind.DATA_CENTRE_OUT
+    if state.view.find_upstream(state.options.pool, state.options.upstream) is None:
+        return ErrorKind.LEAVING
+    if not state.engine.reachable:
+        return ErrorKind.COLD_START
+    if version and version != state.engine.version:
+        return ErrorKind.WRONG_VERSION
+    return None
+
+
+def take_dispatch(
+    state: AgentState, link: str, message: Dispatch, now: float
+) -> list[AgentEffect]:
+    """Admit an attempt or refuse it; a repeated dispatch starts nothing new."""
+    known = state.runs.get(message.attempt)
+    if known is not None:
+        return take_resume(state, link, Resume(message.attempt, known.kept_from), now)
+    refusal = find_refusal(state, message.version)
+    pool = state.view.find_pool(state.options.pool)
+    if refusal is None and pool is not None and len(state.waiting) >= pool.max_queued:
+        refusal = ErrorKind.QUEUE_FULL
+    if refusal is not None:
+        return _refuse(state, link, message.attempt, refusal)
+    run = Run(message, link, now, now, len(message.delivered), sent_at=now)
+    state.runs[run.attempt] = run
+    state.waiting.append(run.attempt)
+    state.timers.set(TimerName(DEADLINE, run.attempt), now + message.ttl_s)
+    _arm_check(state, run, now)
+    accepted = Accepted(run.attempt, state.engine.version, report_load(state))
+    return [ReplyFrame(link, accepted), *start_waiting(state, now)]
+
+
+def start_waiting(state: AgentState, now: float) -> list[AgentEffect]:
+    """Start as many waiting attempts as the upstream bears."""
+    effects: list[AgentEffect] = []
+    pool = state.view.find_pool(state.options.pool)
+    limit = 0 if pool is None else pool.max_running
+    while state.waiting and len(state.running) < limit:
+        run = state.runs[state.waiting.popleft()]
+        effects += _start(state, run, now)
+    return effects
+
+
+def take_resume(
+    state: AgentState, link: str, message: Resume, now: float
+) -> list[AgentEffect]:
+    """Send an attempt's tokens from a sequence number on over the asking link."""
+    run = state.runs.get(message.attempt)
+    if run is None:
+        return [ReplyFrame(link, _make_lost(state, message.attempt))]
+    run.link = link
+    run.heard_at = now
+    run.sent_at = now
+    if message.first < run.kept_from:
+        return [ReplyFrame(link, _make_lost(state, message.attempt))]
+    if run.stage is RunStage.WAITING:
+        accepted = Accepted(run.attempt, run.version, report_load(state))
+        return [ReplyFrame(link, accepted)]
+    effects: list[AgentEffect] = []
+    missing = run.kept[message.first - run.kept_from :]
+    if missing:
+        effects.append(ReplyFrame(link, Tokens(run.attempt, message.first, missing)))
+    if run.end is not None:
+        effects.append(ReplyFrame(link, run.end))
+    if not effects:
+        accepted = Accepted(run.attempt, run.version, report_load(state))
+        effects.append(ReplyFrame(link, accepted))
+    return effects
+
+
+def take_received(state: AgentState, message: Received, now: float) -> None:
+    """Forget tokens that the entry has, and the attempt once it has them all."""
+    run = state.runs.get(message.attempt)
+    if run is None:
+        return
+    run.heard_at = now
+    if message.count > run.kept_from:
+        del run.kept[: message.count - run.kept_from]
+        run.kept_from = message.count
+    if isinstance(run.end, Finished) and message.count >= run.end.count:
+        _forget(state, run)
+
+
+def cancel_run(state: AgentState, attempt: str, now: float) -> list[AgentEffect]:
+    """End an attempt that nobody wants any more."""
+    run = state.runs.get(attempt)
+    if run is None:
+        return []
+    effects: list[AgentEffect] = []
+    if run.stage is RunStage.RUNNING:
+        effects.append(CancelRun(attempt))
+    effects.append(Log(LogNumber.RUN_CANCELLED, attempt=attempt))
+    _leave(state, run)
+    _forget(state, run)
+    return effects + start_waiting(state, now)
+
+
+def take_begun(state: AgentState, event: RunBegun, now: float) -> list[AgentEffect]:
+    """Note which weight version serves the run and what of its prompt was cached."""
+    run = state.runs.get(event.attempt)
+    if run is None or run.stage is not RunStage.RUNNING:
+        return []
+    require(
+        not run.dispatch.version or run.dispatch.version == event.version,
+        f"attempt '{run.attempt}' runs on version '{run.dispatch.version}' only",
+    )
+    run.version = event.version
+    run.sent_at = now
+    imported = run.usage.imported
+    run.usage = Usage(
+        prompt_blocks=len(run.blocks),
+        cached=max(0, event.cached - imported),
+        imported=imported,
+        recomputed=event.recomputed,
+        link_bytes=run.usage.link_bytes,
+    )
+    accepted = Accepted(run.attempt, run.version, report_load(state))
+    return [ReplyFrame(run.link, accepted)]
+
+
+def take_run_tokens(
+    state: AgentState, event: RunTokens, now: float
+) -> list[AgentEffect]:
+    """Pass on those tokens that are next; keep them until they are acknowledged."""
+    run = state.runs.get(event.attempt)
+    if run is None or run.stage is not RunStage.RUNNING:
+        return []
+    if event.first > run.count:
+        return [ResumeRun(run.attempt, run.count)]
+    fresh = list(event.tokens[run.count - event.first :])
+    if not fresh:
+        return []
+    first = run.count
+    run.kept += fresh
+    run.digest.add(fresh)
+    run.resumes = 0
+    run.sent_at = now
+    return [ReplyFrame(run.link, Tokens(run.attempt, first, fresh))]
+
+
+def take_run_ended(state: AgentState, event: RunEnded, now: float) -> list[AgentEffect]:
+    """Tell the entry that the answer is whole, and start what waited."""
+    run = state.runs.get(event.attempt)
+    if run is None or run.stage is not RunStage.RUNNING:
+        return []
+    _leave(state, run)
+    end = Finished(
+        attempt=run.attempt,
+        count=run.count,
+        digest=run.digest.read(),
+        reason=event.reason,
+        usage=run.usage,
+        load=report_load(state),
+    )
+    logged = Log(LogNumber.RUN_FINISHED, attempt=run.attempt)
+    return [*_end(state, run, end, now), logged, *start_waiting(state, now)]
+
+
+def take_run_failed(
+    state: AgentState, event: RunFailed, now: float
+) -> list[AgentEffect]:
+    """Resume a silent run over a new connection, or tell the entry of the failure."""
+    run = state.runs.get(event.attempt)
+    if run is None or run.stage is not RunStage.RUNNING:
+        return []
+    if event.silent and run.resumes < state.options.max_resumes:
+        run.resumes += 1
+        return [
+            ResumeRun(run.attempt, run.count),
+            Count(Counter.RETRIES, "engine silent"),
+        ]
+    _leave(state, run)
+    outcome = Outcome.UNKNOWN if event.ran else Outcome.NOT_RUN
+    end = Failed(run.attempt, ErrorKind.UPSTREAM_FAILED, outcome, report_load(state))
+    logged = Log(LogNumber.RUN_FAILED, attempt=run.attempt, detail=event.detail)
+    return [*_end(state, run, end, now), logged, *start_waiting(state, now)]
+
+
+def check_run(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
+    """Show life on a quiet attempt, and end one whose entry shows none."""
+    if run.end is not None:
+        return []
+    if now - run.heard_at >= state.options.orphan_s:
+        return cancel_run(state, run.attempt, now)
+    _arm_check(state, run, now)
+    if now - run.sent_at < state.options.keepalive_s:
+        return []
+    run.sent_at = now
+    accepted = Accepted(run.attempt, run.version, report_load(state))
+    return [ReplyFrame(run.link, accepted)]
+
+
+def pass_run_deadline(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
+    """Refuse a waiting attempt whose time is up; a running one is its entry's."""
+    if run.stage is not RunStage.WAITING:
+        return []
+    return _refuse_waiting(state, run, ErrorKind.DEADLINE_EXCEEDED, now)
+
+
+def refuse_all_waiting(
+    state: AgentState, kind: ErrorKind, now: float
+) -> list[AgentEffect]:
+    """Refuse every attempt that has not started, so that it can go elsewhere."""
+    effects: list[AgentEffect] = []
+    for attempt in list(state.waiting):
+        effects += _refuse_waiting(state, state.runs[attempt], kind, now)
+    return effects
+
+
+def forget_run(state: AgentState, run: Run) -> None:
+    """Forget an ended attempt that its entry never asked for again."""
+    if run.stage is RunStage.ENDED:
+        _forget(state, run)
+
+
+def _start(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
+    run.stage = RunStage.RUNNING
+    run.started_at = now
+    state.running.add(run.attempt)
+    pool = state.view.find_pool(state.options.pool)
+    require(
+        pool is not None and len(state.running) <= pool.max_running,
+        f"upstream '{state.options.upstream}' runs no more than its limit",
+    )
+    message = run.dispatch
+    waited = now - run.arrived_at
+    return [
+        StartRun(
+            attempt=run.attempt,
+            workspace=message.workspace,
+            prompt=message.prompt,
+            delivered=tuple(message.delivered),
+            max_tokens=message.max_tokens,
+            urgency=message.urgency,
+            version=message.version,
+            blocks=run.blocks,
+        ),
+        Observe(Histogram.QUEUE_WAIT, waited, message.urgency.value),
+        Log(LogNumber.RUN_STARTED, request=message.request, attempt=run.attempt),
+    ]
+
+
+def _refuse(
+    state: AgentState, link: str, attempt: str, kind: ErrorKind
+) -> list[AgentEffect]:
+    hint = ANSWERS[kind].retry_after_s
+    refused = Refused(attempt, kind, hint, report_load(state))
+    return [ReplyFrame(link, refused), Count(Counter.REFUSALS, kind.value)]
+
+
+def _refuse_waiting(
+    state: AgentState, run: Run, kind: ErrorKind, now: float
+) -> list[AgentEffect]:
+    _leave(state, run)
+    hint = ANSWERS[kind].retry_after_s
+    refused = Refused(run.attempt, kind, hint, report_load(state))
+    counted = Count(Counter.REFUSALS, kind.value)
+    return [*_end(state, run, refused, now), counted]
+
+
+def _end(
+    state: AgentState, run: Run, end: Finished | Failed | Refused, now: float
+) -> list[AgentEffect]:
+    run.stage = RunStage.ENDED
+    run.end = end
+    state.timers.clear(TimerName(CHECK, run.attempt))
+    state.timers.clear(TimerName(DEADLINE, run.attempt))
+    state.timers.set(TimerName(FORGET, run.attempt), now + state.options.forget_s)
+    return [ReplyFrame(run.link, end)]
+
+
+def _leave(state: AgentState, run: Run) -> None:
+    state.running.discard(run.attempt)
+    if run.stage is RunStage.WAITING and run.attempt in state.waiting:
+        state.waiting.remove(run.attempt)
+
+
+def _forget(state: AgentState, run: Run) -> None:
+    for purpose in (CHECK, DEADLINE, FORGET):
+        state.timers.clear(TimerName(purpose, run.attempt))
+    state.runs.pop(run.attempt, None)
+
+
+def _make_lost(state: AgentState, attempt: str) -> Failed:
+    return Failed(
+        attempt, ErrorKind.UPSTREAM_FAILED, Outcome.UNKNOWN, report_load(state)
+    )
+
+
+def _arm_check(state: AgentState, run: Run, now: float) -> None:
+    name = TimerName(CHECK, run.attempt)
+    state.timers.set(name, now + state.options.keepalive_s)
--- /dev/null
+++ b/masticdrum/core/tableview.py
@@ -0,0 +1,48 @@
+"""Look-ups in the tables that are in force."""
+
+from masticdrum.model.tables import Pool, Route, Tables, Upstream
+
+
+class TableView:
+    """The tables in force, indexed by name.
+
+    A view is never changed; installing other tables makes a new one.
+    """
+
+    __slots__ = ("_out", "_pools", "_routes", "_stores", "tables")
+
+    def __init__(self, tables: Tables) -> None:
+        self.tables = tables
+        self._routes = {route.name: route for route in tables.routes}
+        self._pools = {pool.name: pool for pool in tables.pools}
+        self._stores = {store.name: store for store in tables.stores}
+        self._out = frozenset(dc.name for dc in tables.data_centres if dc.out)
+
+    @property
+    def serial(self) -> int:
+        """The serial of the tables; zero means that none are in force."""
+        return self.tables.serial
+
+    def find_route(self, name: str) -> Route | None:
+        """Return the route, or None if the tables don't hold it."""
+        return self._routes.get(name)
+
+    def find_pool(self, name: str) -> Pool | None:
+        """Return the pool, or None if the tables don't hold it."""
+        return self._pools.get(name)
+
+    def find_upstream(self, pool: str, name: str) -> Upstream | None:
+        """Return one upstream of a pool, or None."""
+        found = self._pools.get(pool)
+        if found is None:
+            return None
+        return next((up for up in found.upstreams if up.name == name), None)
+
+    def is_out(self, data_centre: str) -> bool:
+        """Tell whether operators took the data centre out."""
+        return data_centre in self._out
+
+    def list_store_addresses(self, pool: Pool) -> list[tuple[str, str]]:
+        """Return name and address of the pool's stores outside the data centres out."""
+        stores = [self._stores[name] for name in pool.stores if name in self._stores]
+        return [(s.name, s.address) for s in stores if s.data_centre not in self._out]
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -43,12 +43,12 @@
 class RunFailed(Struct, frozen=True):
     """The engine refused or broke off a run.
 
-    ``sent`` false means that the request never left this process. ``silent`` means
-    that the connection showed no life, so that a new one may resume the run.
+    ``ran`` false means that the engine never began it, surely. ``silent`` means that
+    the connection showed no life, so that a new one may resume the run.
     """
 
     attempt: str
-    sent: bool
+    ran: bool
     silent: bool = False
     detail: str = ""
 
