--- /dev/null
+++ b/masticdrum/core/addresses.py
@@ -0,0 +1,38 @@
+"""Addresses by IP number, checked before they are used."""
+
+from ipaddress import ip_address
+from urllib.parse import urlsplit
+
+HIGHEST_PORT = 65535
+
+
+def is_socket_address(text: str) -> bool:
+    """Tells whether ``text`` is ``IP:PORT``, with an IPv6 number in brackets."""
+    return is_address(f"tcp://{text}", "tcp")
+
+
+def is_address(text: str, scheme: str) -> bool:
+    """Tells whether ``text`` is ``SCHEME://IP:PORT`` and nothing more.
+
+    For example ``tcp://127.0.0.1:7101`` is one and ``tcp://localhost:7101`` is not,
+    since processes talk by IP numbers.
+    """
+    try:
+        parts = urlsplit(text)
+        host, port = parts.hostname, parts.port
+    except ValueError:
+        return False
+    if parts.scheme != scheme or host is None or port is None:
+        return False
+    if parts.path or parts.query or parts.fragment or parts.username is not None:
+        return False
+    return is_ip(host) and 0 < port <= HIGHEST_PORT
+
+
+def is_ip(text: str) -> bool:
+    """Tells whether ``text`` is an IP number."""
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/masticdrum/core/decoding.py
@@ -0,0 +1,29 @@
+"""JSON decoded into a struct, with the path of a fault in the project's form."""
+
+import re
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from masticdrum.model.faults import Fault
+
+T = TypeVar("T")
+
+PATH = re.compile(r"^(?P<text>.*) - at `\$\.?(?P<path>.*)`$", re.DOTALL)
+
+
+def decode_json(body: bytes, kind: type[T]) -> Result[T, Fault]:
+    """Decodes ``body`` as JSON of ``kind``, or names the first fault's path."""
+    try:
+        return Success(msgspec.json.decode(body, type=kind))
+    except (msgspec.DecodeError, RecursionError) as error:
+        return Failure(read_fault(str(error)))
+
+
+def read_fault(text: str) -> Fault:
+    """Splits a decoder's message into the path and what is wrong there."""
+    found = PATH.match(text)
+    if found is None:
+        return Fault("", text)
+    return Fault(found["path"], found["text"])
--- /dev/null
+++ b/masticdrum/core/settingscheck.py
@@ -0,0 +1,49 @@
+"""Checks of the programs' settings beyond what their types say."""
+
+from collections.abc import Iterator
+
+from msgspec import Struct
+from msgspec.structs import fields
+
+from masticdrum.core.addresses import is_address, is_socket_address
+from masticdrum.model.faults import Fault
+from masticdrum.model.settings import AgentSettings, CtlSettings, EntrySettings
+
+AnySettings = EntrySettings | AgentSettings | CtlSettings
+
+ADDRESS_SCHEMES = {
+    "listen": "tcp",
+    "object_api": "http",
+    "instance_list": "http",
+    "upstream_url": "http",
+}
+
+
+def find_settings_faults(settings: AnySettings) -> Iterator[Fault]:
+    """Yields every fault of a program's settings, with its path."""
+    yield from check_values("", settings)
+
+
+def check_values(path: str, values: Struct) -> Iterator[Fault]:
+    """Yields every fault of a struct of settings and of the structs inside it."""
+    for entry in fields(values):
+        value = getattr(values, entry.name)
+        where = f"{path}{entry.name}"
+        if isinstance(value, Struct):
+            yield from check_values(f"{where}.", value)
+        if isinstance(value, int | float) and value <= 0:
+            yield Fault(where, f"{value} is not above 0")
+        if isinstance(value, str):
+            yield from check_text(where, entry.name, value)
+
+
+def check_text(path: str, name: str, text: str) -> Iterator[Fault]:
+    """Yields a fault if a text is empty or an address does not parse."""
+    if not text:
+        yield Fault(path, "it is empty")
+        return
+    scheme = ADDRESS_SCHEMES.get(name)
+    if scheme is not None and not is_address(text, scheme):
+        yield Fault(path, f"{text!r} is not {scheme}://IP:PORT")
+    if name == "http" and not is_socket_address(text):
+        yield Fault(path, f"{text!r} is not IP:PORT")
--- /dev/null
+++ b/masticdrum/model/settings.py
@@ -0,0 +1,92 @@
+"""The settings of each program, one JSON file each.
+
+Every time is in seconds and every size in bytes; the ending of a name says which.
+"""
+
+from msgspec import Struct, field
+
+KIB = 1024  # bytes
+
+
+class EntryLimits(Struct, frozen=True, forbid_unknown_fields=True):
+    """What an entry bears from callers."""
+
+    max_body_bytes: int = 1024 * KIB
+    max_header_bytes: int = 16 * KIB
+    read_timeout_s: float = 10.0
+    write_timeout_s: float = 10.0
+
+
+class PlatformTimeouts(Struct, frozen=True, forbid_unknown_fields=True):
+    """How long a process waits for the platform, and how often it reads the list.
+
+    ``call_s`` bounds one call; a watch has its own wait on top.
+    """
+
+    call_s: float = 2.0
+    instances_every_s: float = 2.0
+
+
+class EntrySettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of ``masticdrum-entry``.
+
+    ``http`` is the ``IP:PORT`` for callers, metrics and health. ``credentials_file``
+    holds a JSON object from the SHA-256 of each bearer token, in hexadecimal, to its
+    workspace. ``grace_s`` bounds a shutdown.
+    """
+
+    name: str
+    data_centre: str
+    http: str
+    object_api: str
+    instance_list: str
+    credentials_file: str
+    limits: EntryLimits = field(default_factory=EntryLimits)
+    platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    grace_s: float = 30.0
+
+
+class UpstreamTimeouts(Struct, frozen=True, forbid_unknown_fields=True):
+    """How long an agent waits for its upstream.
+
+    ``silence_s`` is how long a stream may show no life before the agent resumes it
+    over a new connection; ``service_s`` bounds one call of a plain service.
+    """
+
+    connect_s: float = 1.0
+    silence_s: float = 5.0
+    service_s: float = 30.0
+    load_every_s: float = 0.5
+
+
+class AgentSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of ``masticdrum-agent``.
+
+    ``listen`` is the address for entries, ``tcp://IP:PORT``; ``http`` is the
+    ``IP:PORT`` for metrics and health.
+    """
+
+    name: str
+    data_centre: str
+    pool: str
+    upstream: str
+    listen: str
+    upstream_url: str
+    object_api: str
+    instance_list: str
+    http: str
+    timeouts: UpstreamTimeouts = field(default_factory=UpstreamTimeouts)
+    platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    grace_s: float = 30.0
+
+
+class CtlSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of ``masticdrumctl``.
+
+    ``apply_timeout_s`` is how long an edit may take to be in force everywhere.
+    """
+
+    object_api: str
+    instance_list: str
+    platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    apply_timeout_s: float = 18.0
--- a/masticdrum/model/tables.py
+++ b/masticdrum/model/tables.py
@@ -96,14 +96,23 @@
     address: str
 
 
+class Edit(Struct, frozen=True, forbid_unknown_fields=True):
+    """One accepted edit; ``digest`` covers the tables that it put in force."""
+
+    serial: int
+    digest: str
+
+
 class Tables(Struct, frozen=True, forbid_unknown_fields=True):
     """One configuration, installed whole or not at all.
 
     ``serial`` grows by one with every accepted edit; a process never installs a
-    lower one than it has.
+    lower one than it has. ``edits`` holds the newest edits, oldest first, so that an
+    operator whose answer was lost can recognise the own edit below later ones.
     """
 
     serial: int = 0
+    edits: list[Edit] = field(default_factory=list)
     data_centres: list[DataCentre] = field(default_factory=list)
     stores: list[Store] = field(default_factory=list)
     pools: list[Pool] = field(default_factory=list)
--- /dev/null
+++ b/masticdrum/shell/journal.py
@@ -0,0 +1,66 @@
+"""Log events written as JSON lines through ``logging``."""
+
+import logging
+from datetime import UTC, datetime
+from typing import TextIO
+
+import msgspec
+
+from masticdrum.model.telemetry import Log
+
+LOGGER = "masticdrum"
+
+
+class JsonLines(logging.Formatter):
+    """Formats each record as one JSON object on one line."""
+
+    def __init__(self, program: str, instance: str) -> None:
+        super().__init__()
+        self.program = program
+        self.instance = instance
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Writes the time, the process and the event of a record."""
+        line: dict[str, object] = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(),
+            "level": record.levelname.lower(),
+            "program": self.program,
+            "instance": self.instance,
+        }
+        event = getattr(record, "event", None)
+        if isinstance(event, Log):
+            line |= describe_event(event)
+        else:
+            line |= {"logger": record.name, "detail": record.getMessage()}
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line).decode()
+
+
+def describe_event(event: Log) -> dict[str, object]:
+    """Turns a log event into the keys of its line, without the empty ones."""
+    keys: dict[str, object] = {
+        "event": int(event.number),
+        "name": event.number.name.lower(),
+    }
+    texts = {
+        "request": event.request,
+        "attempt": event.attempt,
+        "detail": event.detail,
+    }
+    return keys | {key: text for key, text in texts.items() if text}
+
+
+def open_journal(program: str, instance: str, stream: TextIO | None = None) -> None:
+    """Sends all logging of this process to ``stream``, standard error by default."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(JsonLines(program, instance))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.WARNING)
+    logging.getLogger(LOGGER).setLevel(logging.INFO)
+
+
+def write_event(event: Log) -> None:
+    """Carries out the effect ``Log``."""
+    logging.getLogger(LOGGER).info("%s", event.number.name, extra={"event": event})
--- /dev/null
+++ b/masticdrum/shell/settings.py
@@ -0,0 +1,62 @@
+"""Settings and credentials read from files, checked before a program starts."""
+
+import re
+from pathlib import Path
+from typing import TypeVar
+
+from returns.result import Failure, Result, Success
+
+from masticdrum.core.decoding import decode_json
+from masticdrum.core.settingscheck import find_settings_faults
+from masticdrum.model.settings import AgentSettings, CtlSettings, EntrySettings
+
+S = TypeVar("S", EntrySettings, AgentSettings, CtlSettings)
+
+TOKEN_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+def load_settings(path: Path, kind: type[S]) -> Result[S, str]:
+    """Reads one JSON file of settings.
+
+    The failure is a text for the operator that names the file and the path of the
+    fault in it, for example ``entry.json: limits.max_body_bytes: 0 is not above 0``.
+    """
+    body = read_file(path)
+    if not isinstance(body, Success):
+        return Failure(body.failure())
+    decoded = decode_json(body.unwrap(), kind)
+    if not isinstance(decoded, Success):
+        return Failure(f"{path}: {decoded.failure()}")
+    settings = decoded.unwrap()
+    faults = [f"{path}: {fault}" for fault in find_settings_faults(settings)]
+    if faults:
+        return Failure("\n".join(faults))
+    return Success(settings)
+
+
+def load_credentials(path: Path) -> Result[dict[str, str], str]:
+    """Reads the workspaces of callers, by the SHA-256 of their bearer tokens.
+
+    A failure names the file and the row by its number, never a digest.
+    """
+    body = read_file(path)
+    if not isinstance(body, Success):
+        return Failure(body.failure())
+    decoded = decode_json(body.unwrap(), dict[str, str])
+    if not isinstance(decoded, Success):
+        return Failure(f"{path}: it is not a JSON object from digests to workspaces")
+    credentials = decoded.unwrap()
+    for number, (digest, workspace) in enumerate(credentials.items(), start=1):
+        if not TOKEN_DIGEST.fullmatch(digest):
+            return Failure(f"{path}: row {number}: the key is not a SHA-256 in hex")
+        if not workspace:
+            return Failure(f"{path}: row {number}: the workspace is empty")
+    return Success(credentials)
+
+
+def read_file(path: Path) -> Result[bytes, str]:
+    """Reads a whole file, or says which one can't be read and why."""
+    try:
+        return Success(path.read_bytes())
+    except OSError as error:
+        return Failure(f"{path}: can't be read: {error.strerror}")
--- /dev/null
+++ b/tests/shell/test_settings.py
@@ -0,0 +1,70 @@
+"""Settings are checked at the start, and secrets stay out of every message."""
+
+from hashlib import sha256
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from masticdrum.model.settings import AgentSettings, EntrySettings
+from masticdrum.shell.settings import load_credentials, load_settings
+
+ENTRY = {
+    "name": "entry-0",
+    "data_centre": "a",
+    "http": "127.0.0.1:8000",
+    "object_api": "http://127.0.0.1:1",
+    "instance_list": "http://127.0.0.1:2",
+    "credentials_file": "credentials.json",
+}
+
+
+def write(path: Path, value: object) -> Path:
+    path.write_bytes(msgspec.json.encode(value))
+    return path
+
+
+def test_sound_settings_load(tmp_path: Path) -> None:
+    path = write(tmp_path / "entry.json", ENTRY)
+    assert load_settings(path, EntrySettings).unwrap().name == "entry-0"
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        ({"colour": 1}, "Object contains unknown field `colour`"),
+        ({"http": "localhost:8000"}, "http: 'localhost:8000' is not IP:PORT"),
+        ({"name": ""}, "name: it is empty"),
+        ({"grace_s": 0}, "grace_s: 0.0 is not above 0"),
+        (
+            {"limits": {"max_body_bytes": 0}},
+            "limits.max_body_bytes: 0 is not above 0",
+        ),
+        (
+            {"object_api": "127.0.0.1:1"},
+            "object_api: '127.0.0.1:1' is not http://IP:PORT",
+        ),
+        ({"data_centre": 3}, "data_centre: Expected `str`, got `int`"),
+    ],
+)
+def test_fault_names_file_and_path(
+    tmp_path: Path, change: dict[str, object], text: str
+) -> None:
+    path = write(tmp_path / "entry.json", ENTRY | change)
+    assert load_settings(path, EntrySettings).failure() == f"{path}: {text}"
+
+
+def test_missing_file_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "none.json"
+    failure = load_settings(path, AgentSettings).failure()
+    assert failure == f"{path}: can't be read: No such file or directory"
+
+
+def test_credentials_never_appear_in_messages(tmp_path: Path) -> None:
+    digest = sha256(b"token").hexdigest()
+    sound = write(tmp_path / "sound.json", {digest: "w"})
+    assert load_credentials(sound).unwrap() == {digest: "w"}
+    for value in ({"s3cret": "w"}, {digest: ""}, {digest: 7}, ["s3cret"]):
+        failure = load_credentials(write(tmp_path / "bad.json", value)).failure()
+        assert "s3cret" not in failure
+        assert digest not in failure
