Add stand-ins for the outside systems

The product needs partners to run against before the real ones can be had: object API, instance list, model engine, store instance, weight store and plain service, each as a process, as an ASGI app and, where decisions are made, as a class without I/O. Faults are switched through POST /control.

A broken connection is made by an answer that ends before its stated length, since hypercorn gives an app no way to close the socket unanswered.

--- /dev/null
+++ b/tests/standins/enginemodel.py
@@ -0,0 +1,398 @@
+"""A model engine without I/O: batches, prefix cache, priorities, cold starts."""
+
+from collections import OrderedDict, deque
+from math import inf
+from typing import Any
+
+from msgspec import Struct, field
+from xxhash import xxh64_hexdigest, xxh64_intdigest
+
+from tests.standins.server import Faults
+
+RUN_RETENTION = 60.0  # seconds that an ended run's tokens can still be read
+MAX_EVENTS = 10_000
+
+
+class EngineFaults(Faults):
+    """Settings and faults of an engine; times are seconds, sizes bytes.
+
+    A prompt's block that is not held costs ``block_s``, then tokens come every
+    ``token_s``; one prefill runs at a time. ``batch`` runs share the engine, others
+    wait. A cold engine bears ``cold_ceiling`` runs and ``cold_growth`` more for each
+    second of work, and is warm after ``warm_after_s`` of work; past the ceiling it
+    falls over and needs ``restart_s``. Every ``events_gap``-th cache event is lost.
+    A prompt that holds ``crash_text`` crashes it. An answer is ``stop_after`` tokens
+    long, where that is above zero and within its limit.
+    """
+
+    version: str = "v1"
+    token_s: float = 0.044
+    block_s: float = 0.2
+    batch: int = 16
+    max_waiting: int = 64
+    capacity_blocks: int = 64
+    payload_bytes: int = 4096
+    cold_ceiling: int = 1000
+    cold_growth: float = 0.0
+    warm_after_s: float = 0.0
+    restart_s: float = 1.0
+    report_lag_s: float = 0.0
+    events_lag_s: float = 0.0
+    events_gap: int = 0
+    checks_fence: bool = True
+    load_s: float = 1.0
+    weights: str = ""
+    crash_text: str = ""
+    stop_after: int = 0
+
+
+class RunBody(Struct):
+    """The body of ``POST /runs``; ``max_tokens`` counts the delivered ones too."""
+
+    run: str
+    prompt: str
+    max_tokens: int
+    delivered: list[str] = field(default_factory=list)
+    priority: int = 0
+    version: str = ""
+    blocks: list[str] = field(default_factory=list)
+
+
+class OrderBody(Struct):
+    """The body of ``POST /orders``."""
+
+    order: str
+    action: str
+    target: str
+    fence: int = 0
+
+
+class Run(Struct, eq=False):
+    """One run; its tokens are ``first`` up to and without ``last``."""
+
+    body: RunBody
+    version: str
+    first: int
+    last: int
+    reason: str
+    begun_at: float = inf
+    ready_at: float = inf
+    ended_at: float = inf
+    cached: int = 0
+    recomputed: int = 0
+    cut: bool = False
+
+    def make_tokens(self, first: int, last: int) -> list[str]:
+        """Makes the run's tokens ``first`` up to and without ``last``."""
+        return make_tokens(self.body.prompt, first, last, self.version)
+
+
+class LoadReport(Struct):
+    """The answer to ``GET /load``."""
+
+    boot: str
+    version: str
+    running: int
+    waiting: int
+    cold: bool
+
+
+def make_token(prompt: str, number: int, version: str) -> str:
+    """Makes token ``number`` of a prompt, the same on every engine of a version."""
+    name = f"{version}/{number}".encode()
+    return xxh64_hexdigest(name, seed=xxh64_intdigest(prompt.encode()))[:5] + " "
+
+
+def make_tokens(prompt: str, first: int, last: int, version: str) -> list[str]:
+    """Makes tokens ``first`` up to and without ``last``."""
+    return [make_token(prompt, number, version) for number in range(first, last)]
+
+
+def make_payload(key: str, size: int) -> bytes:
+    """Makes the payload of a block, the same on every engine."""
+    seed = xxh64_hexdigest(key.encode()).encode()
+    return (seed * (size // len(seed) + 1))[:size]
+
+
+class PrefixCache:
+    """Blocks in limited memory, the least recently used evicted first."""
+
+    def __init__(self) -> None:
+        self._payloads: OrderedDict[str, bytes] = OrderedDict()
+        self._events: deque[tuple[int, float, str, bool]] = deque(maxlen=MAX_EVENTS)
+        self.number = 0
+
+    def __len__(self) -> int:
+        return len(self._payloads)
+
+    def reuse(self, keys: list[str]) -> int:
+        """Counts the leading keys that are held, and marks them as used."""
+        for count, key in enumerate(keys):
+            if key not in self._payloads:
+                return count
+            self._payloads.move_to_end(key)
+        return len(keys)
+
+    def get(self, key: str) -> bytes | None:
+        """Reads a block's payload."""
+        return self._payloads.get(key)
+
+    def put(self, key: str, payload: bytes, capacity: int, now: float) -> None:
+        """Holds a block and evicts what no longer fits."""
+        if key not in self._payloads:
+            self._note(key, True, now)
+        self._payloads[key] = payload
+        self._payloads.move_to_end(key)
+        self.shrink(capacity, now)
+
+    def shrink(self, capacity: int, now: float) -> None:
+        """Evicts down to ``capacity`` blocks."""
+        while len(self._payloads) > capacity:
+            key, _ = self._payloads.popitem(last=False)
+            self._note(key, False, now)
+
+    def list_events(self, after: int, until: float, gap: int) -> dict[str, Any]:
+        """Lists changes behind number ``after``; each ``gap``-th one is left out."""
+        number = after
+        changes: dict[str, bool] = {}
+        for event, time, key, held in self._events:
+            if event <= after or time > until:
+                continue
+            number = event
+            if not gap or event % gap:
+                changes[key] = held
+        held = [key for key, is_held in changes.items() if is_held]
+        evicted = [key for key, is_held in changes.items() if not is_held]
+        return {"number": number, "held": held, "evicted": evicted}
+
+    def _note(self, key: str, held: bool, now: float) -> None:
+        self.number += 1
+        self._events.append((self.number, now, key, held))
+
+
+class EngineModel:
+    """An engine without I/O; every method takes the time ``now`` in seconds."""
+
+    def __init__(self, name: str, faults: EngineFaults, now: float = 0.0) -> None:
+        self.name = name
+        self.faults = faults
+        self.version = faults.version
+        self.cache = PrefixCache()
+        self.runs: dict[str, Run] = {}
+        self.boots = 1
+        self.falls = 0
+        self.peak = 0
+        self.bad_imports = 0
+        self.fence = 0
+        self.role = ""
+        self.adapter = ""
+        self._waiting: list[Run] = []
+        self._prefill: Run | None = None
+        self._decoding: list[Run] = []
+        self._now = now
+        self._starting_until = now
+        self._worked_s = 0.0
+        self._reports: deque[tuple[float, LoadReport]] = deque(maxlen=1000)
+        self._report()
+
+    @property
+    def boot(self) -> str:
+        """The name of this life of the engine."""
+        return f"{self.name}-{self.boots}"
+
+    @property
+    def is_cold(self) -> bool:
+        """Tells whether the engine can't bear its full load yet."""
+        return self._worked_s < self.faults.warm_after_s
+
+    def is_starting(self, now: float) -> bool:
+        """Tells whether the engine answers nothing yet."""
+        return now < self._starting_until
+
+    def start(self, body: RunBody, now: float) -> int:
+        """Takes a run; gives 200, 409 (version), 429 (full) or 503 (starting)."""
+        self.advance(now)
+        if self.is_starting(now):
+            return 503
+        if body.run in self.runs:
+            return 200
+        if body.version not in ("", self.version):
+            return 409
+        present = len(self._waiting) + self.count_running()
+        if present >= self.faults.batch + self.faults.max_waiting:
+            return 429
+        self.peak = max(self.peak, present + 1)
+        if self.is_cold and present + 1 > self._find_ceiling():
+            self.falls += 1
+            self.crash(now)
+            return 503
+        self.runs[body.run] = run = self._make_run(body)
+        self._waiting.append(run)
+        self._waiting.sort(key=lambda run: run.body.priority)
+        self._begin_next(now)
+        self._report()
+        return 200
+
+    def cancel(self, name: str, now: float) -> None:
+        """Cancels a run."""
+        self.advance(now)
+        run = self.runs.pop(name, None)
+        if run is None:
+            return
+        run.cut = True
+        self._waiting = [other for other in self._waiting if other is not run]
+        self._decoding = [other for other in self._decoding if other is not run]
+        self._prefill = None if self._prefill is run else self._prefill
+        self._begin_next(now)
+        self._report()
+
+    def crash(self, now: float) -> None:
+        """Cuts all runs, loses all blocks and starts anew."""
+        for run in self.runs.values():
+            run.cut = True
+        self.runs, self._waiting, self._decoding = {}, [], []
+        self._prefill = None
+        self.cache = PrefixCache()
+        self.boots += 1
+        self._worked_s = 0.0
+        self._now = now
+        self._starting_until = now + self.faults.restart_s
+        self._report()
+
+    def turn_cold(self) -> None:
+        """Makes the engine cold without a word."""
+        self._worked_s = 0.0
+
+    def order(self, body: OrderBody, now: float) -> int:
+        """Judges an order; gives 200, or 409 for an old fence."""
+        if self.faults.checks_fence and body.fence < self.fence:
+            return 409
+        self.fence = max(self.fence, body.fence)
+        if body.action == "role":
+            self.role = body.target
+        if body.action == "adapter":
+            self.adapter = body.target
+        return 200
+
+    def load(self, version: str, now: float) -> None:
+        """Serves ``version`` from now on; runs in progress keep their own."""
+        self.advance(now)
+        self.cache.shrink(0, now)
+        self.version = version
+        self._report()
+
+    def import_block(self, key: str, payload: bytes, version: str, now: float) -> int:
+        """Takes a block into the cache; gives 204, or 409 for another version."""
+        self.advance(now)
+        if version != self.version:
+            return 409
+        if payload != make_payload(key, self.faults.payload_bytes):
+            self.bad_imports += 1
+        self.cache.put(key, payload, self.faults.capacity_blocks, now)
+        return 204
+
+    def report(self, now: float) -> LoadReport:
+        """Reports load as it was ``report_lag_s`` ago."""
+        self.advance(now)
+        self._report()
+        until = now - self.faults.report_lag_s
+        seen = [report for time, report in self._reports if time <= until]
+        return seen[-1] if seen else self._reports[0][1]
+
+    def list_events(self, after: int, now: float) -> dict[str, Any]:
+        """Lists cache events behind ``after``, late and with gaps."""
+        self.advance(now)
+        until = now - self.faults.events_lag_s
+        return self.cache.list_events(after, until, self.faults.events_gap)
+
+    def count_ready(self, run: Run, now: float) -> int:
+        """Gives the number behind the last token that a run has made."""
+        if now < run.ready_at:
+            return run.first
+        if not self.faults.token_s:
+            return run.last
+        made = 1 + int((now - run.ready_at) / self.faults.token_s + 1e-6)
+        return min(run.last, run.first + made)
+
+    def find_next(self, run: Run, number: int) -> float:
+        """Gives the time at which token ``number`` is made."""
+        return run.ready_at + (number - run.first) * self.faults.token_s
+
+    def advance(self, now: float) -> None:
+        """Carries out all that happens up to ``now``."""
+        while (step := self._find_step()) is not None and step[0] <= now:
+            time, run = step
+            self._work_until(time)
+            if run is self._prefill:
+                self._finish_prefill(run, time)
+            else:
+                self._decoding.remove(run)
+            self._begin_next(time)
+            self._report()
+        self._work_until(now)
+        self._forget_ended(now)
+
+    def count_running(self) -> int:
+        """Counts the runs that have begun and not ended."""
+        return len(self._decoding) + (self._prefill is not None)
+
+    def _find_step(self) -> tuple[float, Run] | None:
+        steps = [(run.ended_at, run) for run in self._decoding]
+        if self._prefill is not None:
+            steps.append((self._prefill.ready_at, self._prefill))
+        return min(steps, key=lambda step: step[0], default=None)
+
+    def _begin_next(self, now: float) -> None:
+        is_busy = self._prefill is not None or self.count_running() >= self.faults.batch
+        if is_busy or not self._waiting:
+            return
+        run = self._prefill = self._waiting.pop(0)
+        crash_text = self.faults.crash_text
+        if crash_text and crash_text in run.body.prompt:
+            self.crash(now)
+            return
+        run.begun_at = now
+        run.cached = self.cache.reuse(run.body.blocks)
+        run.recomputed = len(run.body.blocks) - run.cached
+        run.ready_at = now + run.recomputed * self.faults.block_s
+
+    def _finish_prefill(self, run: Run, now: float) -> None:
+        for key in run.body.blocks if run.version == self.version else []:
+            payload = make_payload(key, self.faults.payload_bytes)
+            self.cache.put(key, payload, self.faults.capacity_blocks, now)
+        run.ended_at = max(now, self.find_next(run, run.last - 1))
+        self._prefill = None
+        self._decoding.append(run)
+
+    def _forget_ended(self, now: float) -> None:
+        old = now - RUN_RETENTION
+        ended = [name for name, run in self.runs.items() if run.ended_at < old]
+        for name in ended:
+            del self.runs[name]
+
+    def _work_until(self, now: float) -> None:
+        if self.count_running():
+            self._worked_s += now - self._now
+        self._now = now
+
+    def _find_ceiling(self) -> int:
+        grown = int(self._worked_s * self.faults.cold_growth)
+        return self.faults.cold_ceiling + grown
+
+    def _report(self) -> None:
+        report = LoadReport(
+            self.boot,
+            self.version,
+            self.count_running(),
+            len(self._waiting),
+            self.is_cold,
+        )
+        if not self._reports or self._reports[-1][1] != report:
+            self._reports.append((self._now, report))
+
+    def _make_run(self, body: RunBody) -> Run:
+        stop = self.faults.stop_after
+        first = len(body.delivered)
+        stops = 0 < stop <= body.max_tokens
+        last = max(first, stop if stops else body.max_tokens)
+        return Run(body, self.version, first, last, "stop" if stops else "length")
--- /dev/null
+++ b/tests/standins/objects.py
@@ -0,0 +1,218 @@
+"""A stand-in for the platform's object API."""
+
+from bisect import bisect_left, bisect_right, insort
+from typing import Any
+
+import trio
+from msgspec.structs import replace
+
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectDelete,
+    ObjectGet,
+    ObjectList,
+    ObjectPut,
+    ObjectStatus,
+)
+from tests.standins.server import (
+    Broken,
+    Faults,
+    RateCeiling,
+    Reply,
+    Request,
+    StandIn,
+    make_json,
+    run_standin,
+)
+
+MAX_BODY = 1_000_000  # bytes
+MAX_NAMES = 1000
+STATUSES = {
+    ObjectStatus.OK: 200,
+    ObjectStatus.MISSING: 404,
+    ObjectStatus.CONFLICT: 412,
+    ObjectStatus.UNCHANGED: 304,
+    ObjectStatus.REJECTED: 429,
+}
+
+
+class ObjectFaults(Faults):
+    """Faults of the object API.
+
+    Rates are calls a second, zero for none. ``lose_answers`` is how many writes to
+    come take effect and then break the connection; -1 is all of them.
+    """
+
+    read_rate: float = 2000.0
+    write_rate: float = 500.0
+    lose_answers: int = 0
+
+
+class ObjectTable:
+    """Objects, their versions and the rate ceilings, without I/O.
+
+    Each method is one call at time ``now`` (seconds); ``call`` goes into the answer.
+    """
+
+    def __init__(self, faults: ObjectFaults | None = None) -> None:
+        self.faults = faults or ObjectFaults()
+        self.version = 0
+        self._objects: dict[str, tuple[int, bytes]] = {}
+        self._names: list[str] = []
+        self._reads = RateCeiling()
+        self._writes = RateCeiling()
+
+    def apply(
+        self, call: ObjectGet | ObjectPut | ObjectDelete | ObjectList, now: float
+    ) -> ObjectAnswer:
+        """Carries out an effect of a reducer; a waiting get answers at once."""
+        match call:
+            case ObjectGet():
+                answer = self.get(call.path, call.known, now)
+            case ObjectPut():
+                answer = self.put(call.path, call.body, call.expected, now)
+            case ObjectDelete():
+                answer = self.delete(call.path, call.expected, now)
+            case ObjectList():
+                answer = self.list(call.prefix, call.after, now)
+        return replace(answer, call=call.call)
+
+    def get(self, path: str, known: int, now: float) -> ObjectAnswer:
+        """Reads an object; unchanged where its version is at most ``known``."""
+        if not self.admit_read(now):
+            return ObjectAnswer("", ObjectStatus.REJECTED)
+        return self.peek(path, known)
+
+    def peek(self, path: str, known: int = 0) -> ObjectAnswer:
+        """Reads an object without counting a call."""
+        if path not in self._objects:
+            return ObjectAnswer("", ObjectStatus.MISSING)
+        version, body = self._objects[path]
+        if known and version <= known:
+            return ObjectAnswer("", ObjectStatus.UNCHANGED, version)
+        return ObjectAnswer("", ObjectStatus.OK, version, body)
+
+    def put(self, path: str, body: bytes, expected: int, now: float) -> ObjectAnswer:
+        """Writes an object whose version is ``expected``; zero creates it."""
+        if len(body) > MAX_BODY or not self.admit_write(now):
+            return ObjectAnswer("", ObjectStatus.REJECTED)
+        standing = self._objects.get(path, (0, b""))[0]
+        if standing != expected:
+            return ObjectAnswer("", ObjectStatus.CONFLICT, standing)
+        if not standing:
+            insort(self._names, path)
+        self.version += 1
+        self._objects[path] = (self.version, body)
+        return ObjectAnswer("", ObjectStatus.OK, self.version)
+
+    def delete(self, path: str, expected: int, now: float) -> ObjectAnswer:
+        """Deletes an object whose version is ``expected``."""
+        if not self.admit_write(now):
+            return ObjectAnswer("", ObjectStatus.REJECTED)
+        if path not in self._objects:
+            return ObjectAnswer("", ObjectStatus.MISSING)
+        standing = self._objects[path][0]
+        if standing != expected:
+            return ObjectAnswer("", ObjectStatus.CONFLICT, standing)
+        self.version += 1
+        del self._objects[path]
+        self._names.remove(path)
+        return ObjectAnswer("", ObjectStatus.OK, self.version)
+
+    def list(self, prefix: str, after: str, now: float) -> ObjectAnswer:
+        """Lists names below ``prefix`` that sort after ``after``, a page at most."""
+        if not self.admit_read(now):
+            return ObjectAnswer("", ObjectStatus.REJECTED)
+        place = max(bisect_left(self._names, prefix), bisect_right(self._names, after))
+        page = self._names[place : place + MAX_NAMES]
+        names = tuple(name for name in page if name.startswith(prefix))
+        return ObjectAnswer("", ObjectStatus.OK, names=names)
+
+    def admit_read(self, now: float) -> bool:
+        """Counts a read; false in an outage or past the ceiling."""
+        if self.faults.outage:
+            return False
+        return self._reads.allow(self.faults.read_rate, now)
+
+    def admit_write(self, now: float) -> bool:
+        """Counts a write; false in an outage or past the ceiling."""
+        if self.faults.outage:
+            return False
+        return self._writes.allow(self.faults.write_rate, now)
+
+
+class ObjectApi(StandIn):
+    """The object API as an app."""
+
+    def __init__(self, faults: ObjectFaults | None = None) -> None:
+        super().__init__(faults or ObjectFaults())
+        self.table = ObjectTable(self.faults)
+        self._changed = trio.Event()
+
+    def control(self, changes: dict[str, Any]) -> None:
+        super().control(changes)
+        self.table.faults = self.faults
+
+    async def answer(self, request: Request) -> Reply:
+        match request.kind:
+            case "GET objects":
+                return await self._answer_read(request)
+            case "PUT objects" | "DELETE objects":
+                return self._answer_write(request)
+        return make_json({"error": "no such call"}, 404)
+
+    async def _answer_read(self, request: Request) -> Reply:
+        query = request.query
+        if not request.name:
+            prefix, after = query.get("prefix", ""), query.get("after", "")
+            answer = self.table.list(prefix, after, trio.current_time())
+            if answer.status is not ObjectStatus.OK:
+                return Reply(STATUSES[answer.status])
+            return make_json({"names": answer.names})
+        known = int(query.get("known", 0))
+        answer = self.table.get(request.name, known, trio.current_time())
+        with trio.move_on_after(float(query.get("wait", 0))):
+            while answer.status is ObjectStatus.UNCHANGED:
+                await self._changed.wait()
+                answer = self.table.peek(request.name, known)
+        if self.faults.outage:
+            return Reply(503)
+        return make_reply(answer)
+
+    def _answer_write(self, request: Request) -> Reply:
+        if len(request.body) > MAX_BODY:
+            return Reply(413)
+        now = trio.current_time()
+        expected = int(request.headers.get("if-match", '"0"').strip('"'))
+        if request.method == "PUT":
+            answer = self.table.put(request.name, request.body, expected, now)
+        else:
+            answer = self.table.delete(request.name, expected, now)
+        if answer.status is ObjectStatus.OK:
+            self._announce_change()
+            self._lose_answer()
+        return make_reply(answer, request.method, expected)
+
+    def _announce_change(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _lose_answer(self) -> None:
+        if not self.faults.lose_answers:
+            return
+        self.faults.lose_answers -= 1 if self.faults.lose_answers > 0 else 0
+        raise Broken
+
+
+def make_reply(answer: ObjectAnswer, method: str = "GET", expected: int = 0) -> Reply:
+    """Makes the HTTP answer to one call."""
+    if answer.status is not ObjectStatus.OK:
+        return Reply(STATUSES[answer.status])
+    if method == "DELETE":
+        return Reply(204)
+    status = 201 if method == "PUT" and not expected else 200
+    return Reply(status, answer.body, {"etag": f'"{answer.version}"'})
+
+
+if __name__ == "__main__":
+    run_standin(ObjectApi)
