--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -21,6 +21,7 @@
     take_run_failed,
     take_run_tokens,
 )
+from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.agent_events import (
     AgentEffect,
     AgentEvent,
@@ -42,6 +43,7 @@
     Resume,
     Welcome,
 )
+from masticdrum.model.platform import ObjectAnswer
 from masticdrum.model.telemetry import Log, LogNumber
 
 
@@ -58,6 +60,8 @@
             effects = _take_run_event(state, event, now)
         case LoadReported():
             effects = _take_load(state, event, now)
+        case ObjectAnswer():
+            effects = list(take_tables(state, event))
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
@@ -115,6 +119,8 @@
 
 
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
+    if name.purpose == POLL:
+        return list(poll_tables(state, now))
     run = state.runs.get(name.owner)
     if run is None:
         return []
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -61,9 +61,14 @@
         self.rng = Random(seed)
         self.view = TableView(Tables())
         self.timers: Timers[TimerName] = Timers()
+        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.engine = EngineView()
         self.runs: dict[str, Run] = {}
         self.waiting: deque[str] = deque()
         self.running: set[str] = set()
         self.leaving = False
         self.shutdown_by: float | None = None
+
+    def find_next_timer(self) -> float | None:
+        """Return when the reducer wants to be woken, in seconds, or None."""
+        return self.timers.find_next()
--- a/masticdrum/core/candidates.py
+++ b/masticdrum/core/candidates.py
@@ -2,7 +2,8 @@
 
 from masticdrum.core.completion import Completion
 from masticdrum.core.entrystate import EntryState
-from masticdrum.model.tables import Upstream
+from masticdrum.core.placement import hash_prompt, order_upstreams
+from masticdrum.model.tables import Pool, Upstream
 
 
 def choose_upstream(
@@ -12,10 +13,21 @@
     pool = state.view.find_pool(completion.route.pool)
     if pool is None:
         return None
-    for upstream in pool.upstreams:
-        if upstream.name in completion.tried:
-            continue
-        if state.view.is_out(upstream.data_centre):
-            continue
-        return upstream
-    return None
+    key = hash_prompt(completion.workspace, completion.prompt, pool.block_bytes)
+    names = order_upstreams(
+        state.view.find_ranking(pool.name),
+        key,
+        completion.route.urgency,
+        state.links.hints,
+        list_excluded(state, pool) | set(completion.tried),
+        now,
+        most=1,
+    )
+    if not names:
+        return None
+    return state.view.find_upstream(pool.name, names[0])
+
+
+def list_excluded(state: EntryState, pool: Pool) -> frozenset[str]:
+    """Return the names of a pool's upstreams that may get no new work."""
+    return state.view.list_out(pool.name) | state.leaving
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -14,6 +14,7 @@
     take_tokens,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.entry_events import (
     CallAsked,
     CallerGone,
@@ -58,7 +59,9 @@
             return _take_woken(state, now)
         case ShutdownAsked():
             return _begin_shutdown(state, event, now)
-        case ObjectAnswer() | InstancesListed():
+        case ObjectAnswer():
+            return list(take_tables(state, event))
+        case InstancesListed():
             return []
 
 
@@ -120,6 +123,8 @@
 
 
 def _take_timer(state: EntryState, name: TimerName, now: float) -> list[EntryEffect]:
+    if name.purpose == POLL:
+        return list(poll_tables(state, now))
     completion = state.completions.get(name.owner)
     if completion is None:
         return []
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -43,6 +43,7 @@
     __slots__ = (
         "by_attempt",
         "completions",
+        "leaving",
         "links",
         "open_requests",
         "options",
@@ -58,11 +59,17 @@
         self.view = TableView(Tables())
         self.links = Links(options.name)
         self.timers: Timers[TimerName] = Timers()
+        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
         self.open_requests = OpenRequests()
+        self.leaving: set[str] = set()
         self.shutdown_by: float | None = None
 
     def make_id(self) -> str:
         """Return a name that no other attempt of any entry has."""
         return f"{self.options.incarnation}-{self.rng.getrandbits(64):016x}"
+
+    def find_next_timer(self) -> float | None:
+        """Return when the reducer wants to be woken, in seconds, or None."""
+        return self.timers.find_next()
--- a/masticdrum/core/links.py
+++ b/masticdrum/core/links.py
@@ -2,8 +2,9 @@
 
 from msgspec import Struct
 
+from masticdrum.core.placement import Hint
 from masticdrum.model.entry_events import CloseLink, EntryEffect, OpenLink, SendFrame
-from masticdrum.model.messages import Envelope, Hello, Load
+from masticdrum.model.messages import Envelope, Hello
 from masticdrum.model.tables import Upstream
 
 
@@ -17,20 +18,20 @@
     link: str
     incarnation: str = ""
     serial: int = 0
-    load: Load = Load()
     heard_at: float = 0.0
 
 
 class Links:
     """At most one current link to each agent, opened when first needed."""
 
-    __slots__ = ("_by_link", "_entry", "_opened", "_peers")
+    __slots__ = ("_by_link", "_entry", "_opened", "_peers", "hints")
 
     def __init__(self, entry: str) -> None:
         self._entry = entry
         self._opened = 0
         self._peers: dict[str, Peer] = {}
         self._by_link: dict[str, str] = {}
+        self.hints: dict[str, Hint] = {}
 
     def find(self, upstream: str) -> Peer | None:
         """Return what is known of an upstream's agent, or None."""
@@ -64,7 +65,6 @@
         peer = Peer(upstream, link)
         if old is not None:
             peer.incarnation = old.incarnation
-            peer.load = old.load
         self._peers[upstream.name] = peer
         self._by_link[link] = upstream.name
         effects.append(OpenLink(link, upstream.agent))
@@ -89,5 +89,5 @@
         peer.heard_at = now
         load = getattr(envelope.message, "load", None)
         if load is not None:
-            peer.load = load
+            self.hints[peer.upstream.name] = Hint(load, now)
         return peer
--- a/masticdrum/core/tableview.py
+++ b/masticdrum/core/tableview.py
@@ -1,5 +1,7 @@
 """Look-ups in the tables that are in force."""
 
+from masticdrum.core.placement import build_ranking
+from masticdrum.core.rendezvous import Ranking
 from masticdrum.model.tables import Pool, Route, Tables, Upstream
 
 
@@ -9,7 +11,16 @@
     A view is never changed; installing other tables makes a new one.
     """
 
-    __slots__ = ("_out", "_pools", "_routes", "_stores", "tables")
+    __slots__ = (
+        "_out",
+        "_pools",
+        "_rankings",
+        "_routes",
+        "_stores",
+        "_upstreams",
+        "_upstreams_out",
+        "tables",
+    )
 
     def __init__(self, tables: Tables) -> None:
         self.tables = tables
@@ -17,6 +28,18 @@
         self._pools = {pool.name: pool for pool in tables.pools}
         self._stores = {store.name: store for store in tables.stores}
         self._out = frozenset(dc.name for dc in tables.data_centres if dc.out)
+        self._rankings = {pool.name: build_ranking(pool) for pool in tables.pools}
+        self._upstreams = {
+            (pool.name, upstream.name): upstream
+            for pool in tables.pools
+            for upstream in pool.upstreams
+        }
+        self._upstreams_out = {
+            pool.name: frozenset(
+                up.name for up in pool.upstreams if up.data_centre in self._out
+            )
+            for pool in tables.pools
+        }
 
     @property
     def serial(self) -> int:
@@ -33,10 +56,15 @@
 
     def find_upstream(self, pool: str, name: str) -> Upstream | None:
         """Return one upstream of a pool, or None."""
-        found = self._pools.get(pool)
-        if found is None:
-            return None
-        return next((up for up in found.upstreams if up.name == name), None)
+        return self._upstreams.get((pool, name))
+
+    def find_ranking(self, pool: str) -> Ranking:
+        """Return the placement order of a pool that the tables hold."""
+        return self._rankings[pool]
+
+    def list_out(self, pool: str) -> frozenset[str]:
+        """Return the names of a pool's upstreams whose data centre is out."""
+        return self._upstreams_out[pool]
 
     def is_out(self, data_centre: str) -> bool:
         """Tell whether operators took the data centre out."""
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct, field
 
+from masticdrum.model.tables import PoolKind
+
 KIB = 1024  # bytes
 
 
@@ -63,7 +65,7 @@
     """Settings of ``masticdrum-agent``.
 
     ``listen`` is the address for entries, ``tcp://IP:PORT``; ``http`` is the
-    ``IP:PORT`` for metrics and health.
+    ``IP:PORT`` for metrics and health. ``kind`` says what the upstream is.
     """
 
     name: str
@@ -75,6 +77,7 @@
     object_api: str
     instance_list: str
     http: str
+    kind: PoolKind = PoolKind.ENGINE
     timeouts: UpstreamTimeouts = field(default_factory=UpstreamTimeouts)
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
     grace_s: float = 30.0
--- /dev/null
+++ b/masticdrum/programs/agent.py
@@ -0,0 +1,190 @@
+"""``masticdrum-agent``: stands beside one upstream and owns every way into it."""
+
+import secrets
+from pathlib import Path
+
+import click
+import trio
+
+from masticdrum.core.agent import reduce_agent
+from masticdrum.core.agentstate import AgentOptions, AgentState
+from masticdrum.model.agent_events import (
+    AgentEffect,
+    AgentEvent,
+    CallService,
+    CancelRun,
+    FetchBlocks,
+    GiveOrder,
+    KeepBlock,
+    ReplyFrame,
+    ResumeRun,
+    StartRun,
+)
+from masticdrum.model.entry_events import Exit, ShutdownAsked, Woken
+from masticdrum.model.messages import Envelope
+from masticdrum.model.platform import ObjectDelete, ObjectGet, ObjectList, ObjectPut
+from masticdrum.model.settings import AgentSettings
+from masticdrum.model.tables import PoolKind
+from masticdrum.model.telemetry import Count, Log, LogNumber, Observe
+from masticdrum.programs.commands import (
+    check_option,
+    settings_argument,
+    unwrap_or_exit,
+)
+from masticdrum.shell.agentlinks import AgentLinks
+from masticdrum.shell.asgi import Receive, Scope, Send, send_json
+from masticdrum.shell.engineclient import EngineClient
+from masticdrum.shell.instanceclient import InstanceClient
+from masticdrum.shell.journal import open_journal, write_event
+from masticdrum.shell.loop import Loop
+from masticdrum.shell.meters import Meters
+from masticdrum.shell.objectclient import ObjectClient
+from masticdrum.shell.probes import Probes
+from masticdrum.shell.serviceclient import ServiceClient
+from masticdrum.shell.settings import load_settings
+from masticdrum.shell.signals import watch_signals
+from masticdrum.shell.telemetry import carry_out_telemetry
+from masticdrum.shell.webserver import run_webserver
+
+INCARNATION_BYTES = 6
+MAX_HEADER_BYTES = 16 * 1024
+
+
+class AgentProcess:
+    """Everything one agent process is made of."""
+
+    def __init__(self, settings: AgentSettings, nursery: trio.Nursery) -> None:
+        self.settings = settings
+        self.meters = Meters()
+        self.ended = trio.Event()
+        options = AgentOptions(
+            name=settings.name,
+            data_centre=settings.data_centre,
+            pool=settings.pool,
+            upstream=settings.upstream,
+            incarnation=secrets.token_hex(INCARNATION_BYTES),
+        )
+        self.state = AgentState(options, secrets.randbits(64))
+        self.loop: Loop[AgentEvent, AgentEffect] = Loop(
+            self.state, self._reduce, self._carry_out, Woken(), self._settle
+        )
+        submit = self.loop.submit
+        url = settings.upstream_url
+        self.links = AgentLinks(nursery, submit)
+        self.engine = EngineClient(nursery, submit, url, settings.timeouts)
+        self.service = ServiceClient(nursery, submit, url, settings.timeouts)
+        self.objects = ObjectClient(
+            nursery,
+            submit,
+            settings.object_api,
+            timeout_s=settings.platform.call_s,
+        )
+        self.instances = InstanceClient(
+            submit,
+            settings.instance_list,
+            every_s=settings.platform.instances_every_s,
+            timeout_s=settings.platform.call_s,
+        )
+        self.probes = Probes(self.meters, self._is_ready, self._describe)
+
+    async def answer(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request of a probe."""
+        if await self.probes.answer(scope, send):
+            return
+        await send_json(send, 404, {"error": f"{scope['path']} does not exist"})
+
+    def ask_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        self.loop.submit(ShutdownAsked(self.settings.grace_s))
+
+    async def poll_load(self) -> None:
+        """Read the upstream's load report for ever."""
+        if self.settings.kind is PoolKind.SERVICE:
+            await self.service.poll_load()
+        await self.engine.poll_load()
+
+    def _reduce(self, event: AgentEvent, now: float) -> list[AgentEffect]:
+        return reduce_agent(self.state, event, now)
+
+    def _settle(self) -> None:
+        self.links.settle()
+
+    def _carry_out(self, effect: AgentEffect) -> None:
+        match effect:
+            case ReplyFrame():
+                self.links.send(effect.link, self._make_envelope(effect))
+            case StartRun():
+                self.engine.start(effect)
+            case ResumeRun():
+                self.engine.resume(effect)
+            case CancelRun():
+                self.engine.cancel(effect)
+            case CallService():
+                self.service.call(effect)
+            case Log() | Count() | Observe():
+                carry_out_telemetry(self.meters, effect)
+            case ObjectGet() | ObjectPut() | ObjectDelete() | ObjectList():
+                self.objects.start(effect)
+            case FetchBlocks() | KeepBlock() | GiveOrder():
+                raise NotImplementedError(f"effect '{type(effect).__name__}'")
+            case Exit():
+                self.ended.set()
+
+    def _make_envelope(self, effect: ReplyFrame) -> Envelope:
+        options = self.state.options
+        return Envelope(
+            options.name, options.incarnation, self.state.view.serial, effect.message
+        )
+
+    def _is_ready(self) -> bool:
+        ready = self.state.view.serial > 0 and self.state.engine.reachable
+        return ready and self.state.shutdown_by is None
+
+    def _describe(self) -> dict[str, object]:
+        return {
+            "name": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "upstream": self.settings.upstream,
+            "incarnation": self.state.options.incarnation,
+            "serial": self.state.view.serial,
+            "running": len(self.state.running),
+            "waiting": len(self.state.waiting),
+        }
+
+
+async def run_agent(settings: AgentSettings) -> None:
+    """Run one agent until it is told to end and its runs are done."""
+    write_event(Log(LogNumber.STARTED, detail=f"listen {settings.listen}"))
+    async with trio.open_nursery() as nursery:
+        process = AgentProcess(settings, nursery)
+        process.links.listen(settings.listen)
+        nursery.start_soon(process.loop.run_timers)
+        nursery.start_soon(process.instances.run)
+        nursery.start_soon(process.poll_load)
+        nursery.start_soon(watch_signals, process.ask_shutdown)
+        process.loop.submit(Woken())
+        await run_webserver(
+            process.answer,
+            settings.http,
+            max_header_bytes=MAX_HEADER_BYTES,
+            grace_s=settings.grace_s,
+            until=process.ended.wait,
+        )
+        nursery.cancel_scope.cancel()
+
+
+@click.command()
+@settings_argument
+@check_option
+def main(settings: Path, check: bool) -> None:
+    """Run an agent with the SETTINGS in a JSON file."""
+    loaded = unwrap_or_exit(load_settings(settings, AgentSettings))
+    if check:
+        click.echo(f"{settings}: ok")
+        return
+    open_journal("masticdrum-agent", loaded.name)
+    trio.run(run_agent, loaded)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/masticdrum/programs/entry.py
@@ -0,0 +1,172 @@
+"""``masticdrum-entry``: takes callers' requests and passes them to agents."""
+
+import secrets
+from pathlib import Path
+
+import click
+import trio
+
+from masticdrum.core.entry import reduce_entry
+from masticdrum.core.entrystate import EntryOptions, EntryState
+from masticdrum.model.entry_events import (
+    CloseLink,
+    EntryEffect,
+    EntryEvent,
+    Exit,
+    GiveAnswer,
+    GiveEnd,
+    GiveRefusal,
+    GiveTokens,
+    OpenLink,
+    SendFrame,
+    ShutdownAsked,
+    Woken,
+)
+from masticdrum.model.messages import Envelope
+from masticdrum.model.platform import ObjectDelete, ObjectGet, ObjectList, ObjectPut
+from masticdrum.model.settings import EntrySettings
+from masticdrum.model.telemetry import Count, Log, LogNumber, Observe
+from masticdrum.programs.commands import (
+    check_option,
+    settings_argument,
+    unwrap_or_exit,
+)
+from masticdrum.shell.asgi import Receive, Scope, Send
+from masticdrum.shell.callers import Callers
+from masticdrum.shell.entrylinks import EntryLinks
+from masticdrum.shell.instanceclient import InstanceClient
+from masticdrum.shell.journal import open_journal, write_event
+from masticdrum.shell.loop import Loop
+from masticdrum.shell.meters import Meters
+from masticdrum.shell.objectclient import ObjectClient
+from masticdrum.shell.probes import Probes
+from masticdrum.shell.settings import load_credentials, load_settings
+from masticdrum.shell.signals import watch_signals
+from masticdrum.shell.telemetry import carry_out_telemetry
+from masticdrum.shell.webserver import run_webserver
+
+INCARNATION_BYTES = 6
+
+
+class EntryProcess:
+    """Everything one entry process is made of."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        credentials: dict[str, str],
+        nursery: trio.Nursery,
+    ) -> None:
+        self.settings = settings
+        self.meters = Meters()
+        self.ended = trio.Event()
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        options = EntryOptions(settings.name, settings.data_centre, incarnation)
+        self.state = EntryState(options, secrets.randbits(64))
+        self.loop: Loop[EntryEvent, EntryEffect] = Loop(
+            self.state, self._reduce, self._carry_out, Woken(), self._settle
+        )
+        submit = self.loop.submit
+        self.links = EntryLinks(nursery, submit)
+        self.callers = Callers(submit, credentials, settings.limits, self.meters)
+        self.objects = ObjectClient(
+            nursery,
+            submit,
+            settings.object_api,
+            timeout_s=settings.platform.call_s,
+        )
+        self.instances = InstanceClient(
+            submit,
+            settings.instance_list,
+            every_s=settings.platform.instances_every_s,
+            timeout_s=settings.platform.call_s,
+        )
+        self.probes = Probes(self.meters, self._is_ready, self._describe)
+
+    async def answer(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request, of a probe or of a caller."""
+        if await self.probes.answer(scope, send):
+            return
+        await self.callers.answer(scope, receive, send)
+
+    def ask_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        self.loop.submit(ShutdownAsked(self.settings.grace_s))
+
+    def _reduce(self, event: EntryEvent, now: float) -> list[EntryEffect]:
+        return reduce_entry(self.state, event, now)
+
+    def _settle(self) -> None:
+        self.links.settle()
+
+    def _carry_out(self, effect: EntryEffect) -> None:
+        match effect:
+            case SendFrame():
+                self.links.send(effect.link, self._make_envelope(effect))
+            case GiveTokens() | GiveEnd() | GiveAnswer() | GiveRefusal():
+                self.callers.give(effect)
+            case Log() | Count() | Observe():
+                carry_out_telemetry(self.meters, effect)
+            case OpenLink():
+                self.links.open(effect.link, effect.address)
+            case CloseLink():
+                self.links.close(effect.link)
+            case ObjectGet() | ObjectPut() | ObjectDelete() | ObjectList():
+                self.objects.start(effect)
+            case Exit():
+                self.ended.set()
+
+    def _make_envelope(self, effect: SendFrame) -> Envelope:
+        options = self.state.options
+        return Envelope(
+            options.name, options.incarnation, self.state.view.serial, effect.message
+        )
+
+    def _is_ready(self) -> bool:
+        return self.state.view.serial > 0 and self.state.shutdown_by is None
+
+    def _describe(self) -> dict[str, object]:
+        return {
+            "name": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "incarnation": self.state.options.incarnation,
+            "serial": self.state.view.serial,
+            "open_requests": len(self.state.completions),
+        }
+
+
+async def run_entry(settings: EntrySettings, credentials: dict[str, str]) -> None:
+    """Run one entry until it is told to end and its requests are done."""
+    write_event(Log(LogNumber.STARTED, detail=f"http {settings.http}"))
+    async with trio.open_nursery() as nursery:
+        process = EntryProcess(settings, credentials, nursery)
+        nursery.start_soon(process.loop.run_timers)
+        nursery.start_soon(process.instances.run)
+        nursery.start_soon(watch_signals, process.ask_shutdown)
+        process.loop.submit(Woken())
+        await run_webserver(
+            process.answer,
+            settings.http,
+            max_header_bytes=settings.limits.max_header_bytes,
+            grace_s=settings.grace_s,
+            until=process.ended.wait,
+        )
+        nursery.cancel_scope.cancel()
+
+
+@click.command()
+@settings_argument
+@check_option
+def main(settings: Path, check: bool) -> None:
+    """Run an entry with the SETTINGS in a JSON file."""
+    loaded = unwrap_or_exit(load_settings(settings, EntrySettings))
+    credentials = unwrap_or_exit(load_credentials(Path(loaded.credentials_file)))
+    if check:
+        click.echo(f"{settings}: ok")
+        return
+    open_journal("masticdrum-entry", loaded.name)
+    trio.run(run_entry, loaded, credentials)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/masticdrum/shell/answers.py
@@ -0,0 +1,61 @@
+"""A completion's answer in the completions form, streamed or whole."""
+
+from typing import Any
+
+import msgspec
+
+from masticdrum.model.entry_events import GiveEnd
+from masticdrum.model.errors import ANSWERS, ErrorKind, Outcome
+from masticdrum.model.messages import Usage
+
+DONE = b"data: [DONE]\n\n"
+
+
+def describe_error(
+    kind: ErrorKind, outcome: Outcome, retry_after_s: float, detail: str = ""
+) -> dict[str, Any]:
+    """Return the JSON value of a refusal or of a broken answer."""
+    return {
+        "error": {
+            "kind": kind.value,
+            "message": detail or ANSWERS[kind].text,
+            "outcome": outcome.value,
+            "retry_after_s": retry_after_s,
+        }
+    }
+
+
+def describe_piece(
+    request: str, route: str, text: str, end: GiveEnd | None = None
+) -> dict[str, Any]:
+    """Return the JSON value of a piece of an answer, or of a whole one."""
+    choice = {
+        "index": 0,
+        "text": text,
+        "finish_reason": None if end is None else end.reason,
+    }
+    piece: dict[str, Any] = {
+        "id": request,
+        "object": "text_completion",
+        "model": route,
+        "choices": [choice],
+    }
+    if end is not None:
+        piece["usage"] = describe_usage(end.count, end.usage)
+    return piece
+
+
+def describe_usage(count: int, usage: Usage) -> dict[str, int]:
+    """Return the JSON value of a finished run's usage."""
+    return {
+        "completion_tokens": count,
+        "prompt_blocks": usage.prompt_blocks,
+        "cached_blocks": usage.cached,
+        "imported_blocks": usage.imported,
+        "recomputed_blocks": usage.recomputed,
+    }
+
+
+def encode_event(value: dict[str, Any]) -> bytes:
+    """Return a server-sent event that carries a JSON value."""
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
--- /dev/null
+++ b/masticdrum/shell/asgi.py
@@ -0,0 +1,54 @@
+"""Small helpers for answering HTTP over ASGI."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+Scope = dict[str, Any]
+Message = dict[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+JSON = "application/json"
+Headers = list[tuple[bytes, bytes]]
+
+
+async def send_head(send: Send, status: int, headers: Headers) -> None:
+    """Send status and headers."""
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+
+
+async def send_chunk(send: Send, body: bytes, *, more: bool) -> None:
+    """Send a piece of the body."""
+    await send({"type": "http.response.body", "body": body, "more_body": more})
+
+
+async def send_whole(
+    send: Send,
+    status: int,
+    body: bytes,
+    *,
+    content_type: str = JSON,
+    extra: Headers | None = None,
+) -> None:
+    """Send a whole answer."""
+    headers = [
+        (b"content-type", content_type.encode("latin-1")),
+        (b"content-length", str(len(body)).encode()),
+        *(extra or []),
+    ]
+    await send_head(send, status, headers)
+    await send_chunk(send, body, more=False)
+
+
+async def send_json(
+    send: Send, status: int, value: object, *, extra: Headers | None = None
+) -> None:
+    """Send a whole answer as JSON."""
+    await send_whole(send, status, msgspec.json.encode(value), extra=extra)
+
+
+def find_header(scope: Scope, name: bytes) -> list[bytes]:
+    """Return every value of a header, whose name is given in lower case."""
+    return [value for key, value in scope["headers"] if key.lower() == name]
--- /dev/null
+++ b/masticdrum/shell/callers.py
@@ -0,0 +1,296 @@
+"""The entry's HTTP application for callers."""
+
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from math import ceil
+from uuid import uuid4
+
+import trio
+from returns.result import Failure
+
+from masticdrum.model.entry_events import (
+    CallAsked,
+    CallerGone,
+    CompletionAsked,
+    GiveAnswer,
+    GiveEnd,
+    GiveRefusal,
+    GiveTokens,
+)
+from masticdrum.model.errors import ANSWERS, ErrorKind, Outcome
+from masticdrum.model.settings import EntryLimits
+from masticdrum.model.telemetry import Count, Counter
+from masticdrum.shell.answers import (
+    DONE,
+    describe_error,
+    describe_piece,
+    encode_event,
+)
+from masticdrum.shell.asgi import (
+    Headers,
+    Receive,
+    Scope,
+    Send,
+    find_header,
+    send_chunk,
+    send_head,
+    send_json,
+    send_whole,
+)
+from masticdrum.shell.callerchannel import CallerChannel, Given
+from masticdrum.shell.meters import Meters
+from masticdrum.shell.requestbody import Refusal, parse_completion, read_body
+
+EVENT_STREAM: Headers = [
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-store"),
+]
+MAX_KEY_BYTES = 255
+Asked = CompletionAsked | CallAsked | CallerGone
+
+
+class CallerStalled(Exception):
+    """A caller did not take what was sent to it in time."""
+
+
+class Callers:
+    """Turns callers' requests into events, and what is given back into answers."""
+
+    def __init__(
+        self,
+        submit: Callable[[Asked], None],
+        credentials: dict[str, str],
+        limits: EntryLimits,
+        meters: Meters,
+    ) -> None:
+        self._submit = submit
+        self._credentials = credentials
+        self._limits = limits
+        self._meters = meters
+        self._channels: dict[str, CallerChannel] = {}
+
+    def give(self, given: Given) -> None:
+        """Pass an effect to the caller's task; a caller that is gone gets nothing."""
+        channel = self._channels.get(given.request)
+        if channel is not None:
+            channel.give(given)
+
+    async def answer(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request of a caller."""
+        refusal = self._check_headers(scope)
+        if refusal is not None:
+            await self._refuse(send, refusal)
+            return
+        path = str(scope["path"])
+        if scope["method"] == "POST" and path == "/v1/completions":
+            await self._answer_completion(scope, receive, send)
+            return
+        route = find_call_route(path)
+        if scope["method"] == "POST" and route:
+            await self._answer_call(scope, receive, send, route)
+            return
+        detail = f"{scope['method']} {path} does not exist"
+        await self._refuse(send, Refusal(ErrorKind.ROUTE_UNKNOWN, detail))
+
+    async def _answer_completion(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        body = await read_body(receive, self._limits)
+        parsed = body.bind(parse_completion)
+        if isinstance(parsed, Failure):
+            await self._refuse(send, parsed.failure())
+            return
+        asked = parsed.unwrap()
+        request = uuid4().hex
+        event = CompletionAsked(
+            request=request,
+            workspace=self._find_workspace(scope),
+            route=asked.model,
+            prompt=asked.prompt,
+            max_tokens=asked.max_tokens,
+            stream=asked.stream,
+        )
+        write = self._write_stream if asked.stream else self._write_whole
+        await self._serve(event, receive, send, write)
+
+    async def _answer_call(
+        self, scope: Scope, receive: Receive, send: Send, route: str
+    ) -> None:
+        body = await read_body(receive, self._limits)
+        if isinstance(body, Failure):
+            await self._refuse(send, body.failure())
+            return
+        keys = find_header(scope, b"idempotency-key")
+        key = keys[0].decode("latin-1") if keys else ""
+        event = CallAsked(
+            request=uuid4().hex,
+            workspace=self._find_workspace(scope),
+            route=route,
+            key=key,
+            body=body.unwrap(),
+        )
+        await self._serve(event, receive, send, self._write_whole)
+
+    async def _serve(
+        self,
+        event: CompletionAsked | CallAsked,
+        receive: Receive,
+        send: Send,
+        write: Callable[..., Awaitable[None]],
+    ) -> None:
+        channel = CallerChannel()
+        self._channels[event.request] = channel
+        ended = False
+
+        async def write_answer(scope: trio.CancelScope) -> None:
+            nonlocal ended
+            try:
+                await write(event, channel, send)
+                ended = True
+            except CallerStalled:
+                ended = False
+            scope.cancel()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                self._submit(event)
+                nursery.start_soon(write_answer, nursery.cancel_scope)
+                await wait_until_gone(receive)
+                nursery.cancel_scope.cancel()
+        finally:
+            del self._channels[event.request]
+            if not ended:
+                self._submit(CallerGone(event.request))
+
+    async def _write_stream(
+        self, event: CompletionAsked, channel: CallerChannel, send: Send
+    ) -> None:
+        begun = False
+        while True:
+            given = await channel.take()
+            last = given[-1]
+            if not begun and isinstance(last, GiveRefusal) and len(given) == 1:
+                await self._write_refusal(send, last)
+                return
+            if not begun:
+                await send_head(send, 200, EVENT_STREAM)
+                begun = True
+            body = b"".join(encode_given(event, given))
+            more = isinstance(last, GiveTokens)
+            await self._send_in_time(send, body, more=more)
+            if not more:
+                return
+
+    async def _write_whole(
+        self, event: CompletionAsked | CallAsked, channel: CallerChannel, send: Send
+    ) -> None:
+        texts: list[str] = []
+        while True:
+            for given in await channel.take():
+                match given:
+                    case GiveTokens():
+                        texts += given.tokens
+                    case GiveEnd():
+                        piece = describe_piece(
+                            event.request, event.route, "".join(texts), given
+                        )
+                        await send_json(send, 200, piece)
+                        return
+                    case GiveAnswer():
+                        await self._write_answer(send, given)
+                        return
+                    case GiveRefusal():
+                        await self._write_refusal(send, given)
+                        return
+
+    async def _send_in_time(self, send: Send, body: bytes, *, more: bool) -> None:
+        with trio.move_on_after(self._limits.write_timeout_s) as scope:
+            await send_chunk(send, body, more=more)
+        if scope.cancelled_caught:
+            raise CallerStalled
+
+    async def _write_answer(self, send: Send, given: GiveAnswer) -> None:
+        replayed = b"true" if given.replayed else b"false"
+        await send_whole(
+            send,
+            given.status,
+            given.body,
+            content_type=given.content_type,
+            extra=[(b"idempotent-replayed", replayed)],
+        )
+
+    async def _write_refusal(self, send: Send, given: GiveRefusal) -> None:
+        value = describe_error(given.kind, given.outcome, given.retry_after_s)
+        extra: Headers = []
+        if given.retry_after_s > 0:
+            extra = [(b"retry-after", str(ceil(given.retry_after_s)).encode())]
+        await send_json(send, ANSWERS[given.kind].status, value, extra=extra)
+
+    async def _refuse(self, send: Send, refusal: Refusal) -> None:
+        self._meters.count(Count(Counter.REFUSALS, refusal.kind.value))
+        value = describe_error(refusal.kind, Outcome.NOT_RUN, 0.0, refusal.detail)
+        extra: Headers = []
+        if refusal.kind is ErrorKind.BODY_TOO_LARGE:
+            extra = [(b"connection", b"close")]
+        await send_json(send, ANSWERS[refusal.kind].status, value, extra=extra)
+
+    def _check_headers(self, scope: Scope) -> Refusal | None:
+        headers = scope["headers"]
+        size = sum(len(name) + len(value) for name, value in headers)
+        if size > self._limits.max_header_bytes:
+            detail = f"the headers are over {self._limits.max_header_bytes} bytes"
+            return Refusal(ErrorKind.HEADERS_TOO_LARGE, detail)
+        for name in (b"authorization", b"idempotency-key", b"content-type"):
+            if len(find_header(scope, name)) > 1:
+                detail = f"the header '{name.decode()}' stands twice"
+                return Refusal(ErrorKind.MALFORMED_REQUEST, detail)
+        for key in find_header(scope, b"idempotency-key"):
+            if not 0 < len(key) <= MAX_KEY_BYTES or not key.isascii():
+                detail = f"the header 'idempotency-key' is not 1-{MAX_KEY_BYTES} ASCII"
+                return Refusal(ErrorKind.MALFORMED_REQUEST, detail)
+        if not self._find_workspace(scope):
+            return Refusal(ErrorKind.UNAUTHENTICATED)
+        return None
+
+    def _find_workspace(self, scope: Scope) -> str:
+        for value in find_header(scope, b"authorization"):
+            scheme, _, token = value.partition(b" ")
+            if scheme.lower() == b"bearer":
+                return self._credentials.get(sha256(token).hexdigest(), "")
+        return ""
+
+
+def find_call_route(path: str) -> str:
+    """Return the route in a path ``/v1/routes/ROUTE/calls``, or an empty string."""
+    parts = path.split("/")
+    if len(parts) != 5 or parts[:3] != ["", "v1", "routes"] or parts[4] != "calls":
+        return ""
+    return parts[3]
+
+
+def encode_given(event: CompletionAsked, given: list[Given]) -> list[bytes]:
+    """Return the events for what was given, all tokens in one."""
+    tokens = [t for item in given if isinstance(item, GiveTokens) for t in item.tokens]
+    events: list[bytes] = []
+    if tokens:
+        piece = describe_piece(event.request, event.route, "".join(tokens))
+        events.append(encode_event(piece))
+    last = given[-1]
+    match last:
+        case GiveEnd():
+            piece = describe_piece(event.request, event.route, "", last)
+            events += [encode_event(piece), DONE]
+        case GiveRefusal():
+            error = describe_error(last.kind, last.outcome, last.retry_after_s)
+            events.append(encode_event(error))
+        case _:
+            pass
+    return events
+
+
+async def wait_until_gone(receive: Receive) -> None:
+    """Return once the caller has closed its connection."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
--- /dev/null
+++ b/masticdrum/shell/entrylinks.py
@@ -0,0 +1,57 @@
+"""An entry's connections to agents."""
+
+from collections.abc import Callable
+
+import trio
+import zmq
+
+from masticdrum.model.entry_events import FrameReceived
+from masticdrum.model.messages import Envelope
+from masticdrum.shell.sockets import Socket, make_context
+from masticdrum.shell.wire import decode_envelope, encode_envelope
+
+
+class EntryLinks:
+    """One DEALER socket for each open link."""
+
+    def __init__(
+        self, nursery: trio.Nursery, submit: Callable[[FrameReceived], None]
+    ) -> None:
+        self._nursery = nursery
+        self._submit = submit
+        self._context = make_context()
+        self._sockets: dict[str, Socket] = {}
+        self._sent: list[Socket] = []
+
+    def open(self, link: str, address: str) -> None:
+        """Connect a new link; frames may be sent at once."""
+
+        def receive(frames: list[bytes]) -> None:
+            envelope = decode_envelope(frames[-1])
+            if envelope is not None:
+                self._submit(FrameReceived(link, envelope))
+
+        socket = Socket(self._context, zmq.DEALER, receive)
+        socket.connect(address, link)
+        self._sockets[link] = socket
+        self._nursery.start_soon(socket.run)
+
+    def send(self, link: str, envelope: Envelope) -> None:
+        """Send on a link; a closed or full link drops the frame."""
+        socket = self._sockets.get(link)
+        if socket is None:
+            return
+        socket.send([encode_envelope(envelope)])
+        self._sent.append(socket)
+
+    def close(self, link: str) -> None:
+        """Close a link."""
+        socket = self._sockets.pop(link, None)
+        if socket is not None:
+            socket.close()
+
+    def settle(self) -> None:
+        """Receive what arrived while frames were sent."""
+        sent, self._sent = self._sent, []
+        for socket in sent:
+            socket.settle()
--- /dev/null
+++ b/masticdrum/shell/instanceclient.py
@@ -0,0 +1,56 @@
+"""The platform's instance list over HTTP."""
+
+from collections.abc import Callable
+
+import httpcore
+import msgspec
+import trio
+
+from masticdrum.model.platform import Instance, InstancesListed
+
+
+class InstanceRows(msgspec.Struct):
+    """The answer of the instance list."""
+
+    instances: list[Instance]
+
+
+class InstanceClient:
+    """Reads the instance list at an interval and submits what it says."""
+
+    def __init__(
+        self,
+        submit: Callable[[InstancesListed], None],
+        url: str,
+        *,
+        every_s: float,
+        timeout_s: float,
+    ) -> None:
+        self._submit = submit
+        self._url = f"{url.rstrip('/')}/instances"
+        self._every_s = every_s
+        self._timeout_s = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(max_connections=1)
+
+    async def run(self) -> None:
+        """Read for ever; a failed read changes nothing."""
+        while True:
+            listed = await self._read()
+            if listed is not None:
+                self._submit(listed)
+            await trio.sleep(self._every_s)
+
+    async def _read(self) -> InstancesListed | None:
+        with trio.move_on_after(self._timeout_s):
+            try:
+                response = await self._pool.request("GET", self._url)
+                rows = msgspec.json.decode(response.content, type=InstanceRows)
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                msgspec.MsgspecError,
+                OSError,
+            ):
+                return None
+            return InstancesListed(tuple(rows.instances))
+        return None
--- /dev/null
+++ b/masticdrum/shell/objectclient.py
@@ -0,0 +1,118 @@
+"""The platform's object API over HTTP."""
+
+from collections.abc import Callable
+from urllib.parse import quote, urlencode
+
+import httpcore
+import msgspec
+import trio
+
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectDelete,
+    ObjectGet,
+    ObjectList,
+    ObjectPut,
+    ObjectStatus,
+)
+
+ObjectCall = ObjectGet | ObjectPut | ObjectDelete | ObjectList
+MAX_CONNECTIONS = 32
+STATUSES = {
+    200: ObjectStatus.OK,
+    201: ObjectStatus.OK,
+    204: ObjectStatus.OK,
+    304: ObjectStatus.UNCHANGED,
+    404: ObjectStatus.MISSING,
+    412: ObjectStatus.CONFLICT,
+}
+
+
+class NameList(msgspec.Struct):
+    """The answer to a listing."""
+
+    names: list[str]
+
+
+class ObjectClient:
+    """Carries out object calls and submits their answers."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        submit: Callable[[ObjectAnswer], None],
+        url: str,
+        *,
+        timeout_s: float,
+    ) -> None:
+        self._nursery = nursery
+        self._submit = submit
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+
+    def start(self, call: ObjectCall) -> None:
+        """Begin a call; its answer arrives as an event."""
+        self._nursery.start_soon(self._run, call)
+
+    async def _run(self, call: ObjectCall) -> None:
+        self._submit(await self.ask(call))
+
+    async def ask(self, call: ObjectCall) -> ObjectAnswer:
+        """Carry out a call and return its answer; no failure is raised."""
+        wait_s = call.wait_s if isinstance(call, ObjectGet) else 0.0
+        answer = ObjectAnswer(call.call, ObjectStatus.LOST)
+        with trio.move_on_after(self._timeout_s + wait_s):
+            try:
+                answer = await self._request(call)
+            except httpcore.ConnectError:
+                answer = ObjectAnswer(call.call, ObjectStatus.REJECTED)
+            except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+                pass
+        return answer
+
+    async def _request(self, call: ObjectCall) -> ObjectAnswer:
+        method, target, headers, body = describe_call(call)
+        response = await self._pool.request(
+            method, f"{self._url}{target}", headers=headers, content=body
+        )
+        status = STATUSES.get(response.status, ObjectStatus.REJECTED)
+        if status is not ObjectStatus.OK:
+            return ObjectAnswer(call.call, status)
+        if isinstance(call, ObjectList):
+            names = msgspec.json.decode(response.content, type=NameList).names
+            return ObjectAnswer(call.call, status, names=tuple(names))
+        version = read_version(response.headers)
+        return ObjectAnswer(call.call, status, version, response.content)
+
+
+def describe_call(
+    call: ObjectCall,
+) -> tuple[str, str, list[tuple[str, str]], bytes | None]:
+    """Return method, target, headers and body of a call."""
+    match call:
+        case ObjectList():
+            query = urlencode({"prefix": call.prefix, "after": call.after})
+            return "GET", f"/objects?{query}", [], None
+        case ObjectGet(known=known, wait_s=wait_s) if wait_s > 0:
+            query = urlencode({"known": known, "wait": wait_s})
+            return "GET", f"/objects/{quote(call.path)}?{query}", [], None
+        case ObjectGet():
+            return "GET", f"/objects/{quote(call.path)}", [], None
+        case ObjectPut(expected=0):
+            headers = [("If-None-Match", "*")]
+            return "PUT", f"/objects/{quote(call.path)}", headers, call.body
+        case ObjectPut():
+            headers = [("If-Match", f'"{call.expected}"')]
+            return "PUT", f"/objects/{quote(call.path)}", headers, call.body
+        case ObjectDelete():
+            headers = [("If-Match", f'"{call.expected}"')]
+            return "DELETE", f"/objects/{quote(call.path)}", headers, None
+
+
+def read_version(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the version in an ``ETag`` header, or zero."""
+    for name, value in headers:
+        if name.lower() == b"etag":
+            return int(value.strip(b'"'))
+    return 0
--- /dev/null
+++ b/masticdrum/shell/requestbody.py
@@ -0,0 +1,63 @@
+"""A request's body, read with bounds, and what a completion's body must hold."""
+
+import msgspec
+import trio
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.settings import EntryLimits
+from masticdrum.shell.asgi import Receive
+
+
+class Refusal(Struct, frozen=True):
+    """Why a request can't be taken, with a sentence that names the fault."""
+
+    kind: ErrorKind
+    detail: str = ""
+
+
+class CompletionBody(Struct, frozen=True):
+    """The body of a completion; ``model`` names the route.
+
+    Fields that masticdrum does not know are accepted and ignored, since client
+    libraries for this form send many.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int = 256
+    stream: bool = False
+
+
+async def read_body(receive: Receive, limits: EntryLimits) -> Result[bytes, Refusal]:
+    """Return the whole body, or why it is not taken."""
+    parts: list[bytes] = []
+    size = 0
+    with trio.move_on_after(limits.read_timeout_s):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return Failure(Refusal(ErrorKind.CALLER_GONE))
+            part = message.get("body", b"")
+            size += len(part)
+            if size > limits.max_body_bytes:
+                detail = f"the body is over {limits.max_body_bytes} bytes"
+                return Failure(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
+            parts.append(part)
+            if not message.get("more_body", False):
+                return Success(b"".join(parts))
+    detail = f"the body did not arrive within {limits.read_timeout_s} s"
+    return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, detail))
+
+
+def parse_completion(body: bytes) -> Result[CompletionBody, Refusal]:
+    """Return a completion's body, or why it is malformed."""
+    try:
+        parsed = msgspec.json.decode(body, type=CompletionBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, f"the body: {error}"))
+    if parsed.max_tokens < 1:
+        detail = f"the body: max_tokens: {parsed.max_tokens} is below 1"
+        return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, detail))
+    return Success(parsed)
--- /dev/null
+++ b/masticdrum/shell/serviceclient.py
@@ -0,0 +1,78 @@
+"""The plain service beside an agent, over HTTP."""
+
+from collections.abc import Callable
+
+import httpcore
+import trio
+
+from masticdrum.model.agent_events import (
+    CallService,
+    LoadReported,
+    ServiceAnswered,
+    ServiceFailed,
+)
+from masticdrum.model.settings import UpstreamTimeouts
+
+ServiceEvent = ServiceAnswered | ServiceFailed | LoadReported
+MAX_CONNECTIONS = 256
+DEFAULT_TYPE = "application/json"
+
+
+class ServiceClient:
+    """Calls the service, each call exactly once and on a connection of its own."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        submit: Callable[[ServiceEvent], None],
+        url: str,
+        timeouts: UpstreamTimeouts,
+    ) -> None:
+        self._nursery = nursery
+        self._submit = submit
+        self._url = url.rstrip("/")
+        self._timeouts = timeouts
+        # A kept connection may break after the request left it, and the library would
+        # then not say whether the service saw the request.
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0, retries=0
+        )
+
+    def call(self, effect: CallService) -> None:
+        """Begin a call; its answer arrives as an event."""
+        self._nursery.start_soon(self._call, effect)
+
+    async def poll_load(self) -> None:
+        """Show the service as reachable; it gives no load report."""
+        while True:
+            self._submit(LoadReported(True, boot="service"))
+            await trio.sleep(self._timeouts.load_every_s)
+
+    async def _call(self, effect: CallService) -> None:
+        headers = [
+            ("Call-Key", effect.key),
+            ("Call-Attempt", effect.attempt),
+            ("Workspace", effect.workspace),
+        ]
+        failed = ServiceFailed(effect.attempt, True, "no answer in time")
+        with trio.move_on_after(self._timeouts.service_s):
+            try:
+                response = await self._pool.request(
+                    "POST", f"{self._url}/calls", headers=headers, content=effect.body
+                )
+                self._submit(read_answer(effect.attempt, response))
+                return
+            except httpcore.ConnectError as error:
+                failed = ServiceFailed(effect.attempt, False, repr(error))
+            except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
+                failed = ServiceFailed(effect.attempt, True, repr(error))
+        self._submit(failed)
+
+
+def read_answer(attempt: str, response: httpcore.Response) -> ServiceAnswered:
+    """Return the event for a response."""
+    content_type = DEFAULT_TYPE
+    for name, value in response.headers:
+        if name.lower() == b"content-type":
+            content_type = value.decode("latin-1")
+    return ServiceAnswered(attempt, response.status, content_type, response.content)
--- /dev/null
+++ b/masticdrum/shell/signals.py
@@ -0,0 +1,14 @@
+"""Turns the signals that end a process into a call."""
+
+import signal
+from collections.abc import Callable
+
+import trio
+
+
+async def watch_signals(on_end: Callable[[], None]) -> None:
+    """Call ``on_end`` at the first SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            on_end()
+            return
--- /dev/null
+++ b/masticdrum/shell/webserver.py
@@ -0,0 +1,48 @@
+"""Hypercorn, set up for one process."""
+
+from collections.abc import Awaitable, Callable
+
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from masticdrum.shell.asgi import Receive, Scope, Send
+
+HEADER_SLACK_BYTES = 48 * 1024  # so that the application itself can refuse
+KEEP_ALIVE_S = 75.0
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+async def run_webserver(
+    application: Application,
+    address: str,
+    *,
+    max_header_bytes: int,
+    grace_s: float,
+    until: Callable[..., Awaitable[None]],
+) -> None:
+    """Serve HTTP at ``IP:PORT`` until ``until`` returns."""
+    config = Config()
+    config.bind = [address]
+    config.h11_max_incomplete_size = max_header_bytes + HEADER_SLACK_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = grace_s
+    config.accesslog = None
+    config.errorlog = None
+
+    async def serve_http(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+            return
+        if scope["type"] == "http":
+            await application(scope, receive, send)
+
+    await serve(serve_http, config, shutdown_trigger=until)  # type: ignore[arg-type]
+
+
+async def answer_lifespan(receive: Receive, send: Send) -> None:
+    """Tell the server that the application starts and ends at once."""
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
