Edit the tables by conditional update that survives lost answers

Cause: operators race each other, and the platform loses answers after a write took effect; an edit must be in force once at most and its end told truly. Ruled out: an id for each run of the command, which a repeat from another shell would not know; the serial with a digest of the content recognises the edit anywhere.

--- /dev/null
+++ b/masticdrum/core/declarations.py
@@ -0,0 +1,85 @@
+"""The operators' declarations: two JSON files that make up the tables.
+
+``routes.json`` holds the routes, ``pools.json`` the pools with the data centres and
+stores that they name. Both are meant for version control, so neither holds a serial.
+"""
+
+from collections.abc import Mapping
+
+import msgspec
+from msgspec import Struct, field
+from msgspec.structs import replace
+from returns.result import Failure, Result, Success
+
+from masticdrum.core.decoding import decode_json
+from masticdrum.core.tablecheck import check_tables
+from masticdrum.model.faults import Fault
+from masticdrum.model.tables import DataCentre, Pool, Route, Store, Tables
+
+ROUTES_FILE = "routes.json"
+POOLS_FILE = "pools.json"
+INDENT = 2
+
+
+class RoutesFile(Struct, frozen=True, forbid_unknown_fields=True):
+    """What ``routes.json`` holds."""
+
+    routes: list[Route]
+
+
+class PoolsFile(Struct, frozen=True, forbid_unknown_fields=True):
+    """What ``pools.json`` holds."""
+
+    data_centres: list[DataCentre]
+    pools: list[Pool]
+    stores: list[Store] = field(default_factory=list)
+
+
+def read_declarations(
+    files: Mapping[str, bytes],
+) -> Result[Tables, tuple[Fault, ...]]:
+    """Joins the two files, by name, into checked tables with serial zero.
+
+    A fault's path begins with the file, as in ``pools.json: pools[1].kind: ...``.
+    """
+    routes = decode_json(files[ROUTES_FILE], RoutesFile)
+    pools = decode_json(files[POOLS_FILE], PoolsFile)
+    if not isinstance(routes, Success):
+        return Failure((prefix_fault(ROUTES_FILE, routes.failure()),))
+    if not isinstance(pools, Success):
+        return Failure((prefix_fault(POOLS_FILE, pools.failure()),))
+    tables = Tables(
+        data_centres=pools.unwrap().data_centres,
+        stores=pools.unwrap().stores,
+        pools=pools.unwrap().pools,
+        routes=routes.unwrap().routes,
+    )
+    return check_tables(tables).alt(place_faults)
+
+
+def place_faults(faults: tuple[Fault, ...]) -> tuple[Fault, ...]:
+    """Adds to each fault's path the file that holds the value."""
+    return tuple(prefix_fault(find_file(fault.path), fault) for fault in faults)
+
+
+def find_file(path: str) -> str:
+    """Returns the file whose rows a path of the tables leads to."""
+    return ROUTES_FILE if path.startswith("routes") else POOLS_FILE
+
+
+def prefix_fault(file: str, fault: Fault) -> Fault:
+    """Returns the fault with its file's name before its path."""
+    path = f"{file}: {fault.path}" if fault.path else file
+    return replace(fault, path=path)
+
+
+def write_declarations(tables: Tables) -> dict[str, bytes]:
+    """Splits tables into the two files, laid out for people to read."""
+    routes = RoutesFile(tables.routes)
+    pools = PoolsFile(tables.data_centres, tables.pools, tables.stores)
+    return {ROUTES_FILE: lay_out(routes), POOLS_FILE: lay_out(pools)}
+
+
+def lay_out(value: object) -> bytes:
+    """Encodes a value as indented JSON with a final line break."""
+    return msgspec.json.format(msgspec.json.encode(value), indent=INDENT) + b"\n"
--- /dev/null
+++ b/masticdrum/core/tablediff.py
@@ -0,0 +1,79 @@
+"""What differs between two tables, row by row and name by name."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from masticdrum.model.tables import Tables
+
+COMPARED = ("data_centres", "stores", "pools", "routes")
+
+
+class Change(Struct, frozen=True):
+    """One difference; ``old`` or ``new`` is None where a row was added or removed.
+
+    The path names rows instead of counting them, as in ``pools[lathe].max_running``.
+    """
+
+    path: str
+    old: Any
+    new: Any
+
+    def __str__(self) -> str:
+        if self.old is None:
+            return f"+ {self.path}: {show(self.new)}"
+        if self.new is None:
+            return f"- {self.path}: {show(self.old)}"
+        return f"~ {self.path}: {show(self.old)} -> {show(self.new)}"
+
+
+def show(value: Any) -> str:
+    """Writes a value on one line."""
+    return msgspec.json.encode(value).decode()
+
+
+def list_changes(old: Tables, new: Tables) -> list[Change]:
+    """Lists what an edit from ``old`` to ``new`` changes, serials left aside."""
+    before = msgspec.to_builtins(old)
+    after = msgspec.to_builtins(new)
+    changes: list[Change] = []
+    for name in COMPARED:
+        changes += compare(name, before[name], after[name])
+    return changes
+
+
+def compare(path: str, old: Any, new: Any) -> Iterator[Change]:
+    """Yields the differences between two values at one path."""
+    if old == new:
+        return
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key in old:
+            yield from compare(f"{path}.{key}", old[key], new[key])
+        return
+    if isinstance(old, list) and isinstance(new, list):
+        yield from compare_rows(path, old, new)
+        return
+    yield Change(path, old, new)
+
+
+def compare_rows(path: str, old: list[Any], new: list[Any]) -> Iterator[Change]:
+    """Yields the differences between two lists, whose rows are told by name."""
+    before = {name_row(row): row for row in old}
+    after = {name_row(row): row for row in new}
+    for name in before | after:
+        where = f"{path}[{name}]"
+        if name not in after:
+            yield Change(where, before[name], None)
+        elif name not in before:
+            yield Change(where, None, after[name])
+        else:
+            yield from compare(where, before[name], after[name])
+    if list(before) != list(after) and before.keys() == after.keys():
+        yield Change(f"{path} (order)", list(before), list(after))
+
+
+def name_row(row: Any) -> str:
+    """Returns a row's name; a plain text is its own name."""
+    return row["name"] if isinstance(row, dict) else str(row)
--- /dev/null
+++ b/masticdrum/core/tableedit.py
@@ -0,0 +1,54 @@
+"""Edits of the tables: what an edit makes, and how it is recognised later."""
+
+import msgspec
+from msgspec.structs import replace
+from returns.result import Failure, Result, Success
+from xxhash import xxh3_128_hexdigest
+
+from masticdrum.model.faults import Fault
+from masticdrum.model.tables import DataCentre, Edit, Tables
+
+TABLES_PATH = "config/tables"
+KEPT_EDITS = 32
+
+
+def digest_tables(tables: Tables) -> str:
+    """Returns a digest of what the tables say, whatever their serial."""
+    bare = replace(tables, serial=0, edits=[])
+    return xxh3_128_hexdigest(msgspec.json.encode(bare))
+
+
+def prepare_edit(current: Tables, wanted: Tables, floor: int = 0) -> Tables:
+    """Returns the tables that put ``wanted`` in force after ``current``.
+
+    Their serial is the next one, and above ``floor``.
+    """
+    serial = max(current.serial, floor) + 1
+    edit = Edit(serial, digest_tables(wanted))
+    edits = [*current.edits, edit][-KEPT_EDITS:]
+    return replace(wanted, serial=serial, edits=edits)
+
+
+def holds_edit(tables: Tables, edit: Edit) -> bool:
+    """Tells whether the tables came about by ``edit``, directly or below later ones."""
+    return edit in tables.edits
+
+
+def set_out(tables: Tables, data_centre: str, out: bool) -> Result[Tables, Fault]:
+    """Returns the tables with one data centre taken out, or back."""
+    if all(row.name != data_centre for row in tables.data_centres):
+        text = f"data centre {data_centre!r} is not listed"
+        return Failure(Fault("data_centres", text))
+    rows = [mark(row, data_centre, out) for row in tables.data_centres]
+    return Success(replace(tables, data_centres=rows))
+
+
+def mark(row: DataCentre, data_centre: str, out: bool) -> DataCentre:
+    """Returns the row, marked if it is the one meant."""
+    return replace(row, out=out) if row.name == data_centre else row
+
+
+def list_returning(current: Tables, wanted: Tables) -> list[str]:
+    """Lists the data centres that are out now and would come back by an edit."""
+    out = {row.name for row in current.data_centres if row.out}
+    return [row.name for row in wanted.data_centres if row.name in out and not row.out]
