--- /dev/null
+++ b/tests/driver.py
@@ -0,0 +1,116 @@
+"""A seeded driver: virtual time and messages as data for many reducers at once.
+
+It brings time, delay, loss, repetition, crash and pause. It is no model of a cluster's
+performance. Each process is a state and its reducer; what its effects mean is told by
+the handlers that a test registers for effect types.
+"""
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from msgspec import Struct
+
+from masticdrum.model.entry_events import Woken
+
+Handler = Callable[[str, Any], None]
+WAKE_SLACK_S = 1e-6
+
+
+class Process(Struct):
+    """One process: its state, its reducer and what befell it."""
+
+    state: Any
+    reduce: Callable[[Any, Any, float], list[Any]]
+    epoch: int = 0
+    up: bool = True
+    paused_until: float = 0.0
+    woken_at: float = float("inf")
+
+
+class Network(Struct):
+    """How frames fare: shares of frames, and bounds of the delay in seconds."""
+
+    lost: float = 0.0
+    repeated: float = 0.0
+    least_delay_s: float = 0.0005
+    most_delay_s: float = 0.003
+
+
+class Driver:
+    """Runs processes in virtual time, one event after the other."""
+
+    def __init__(self, seed: int, network: Network | None = None) -> None:
+        self.rng = Random(seed)
+        self.network = network or Network()
+        self.now = 0.0
+        self.handled = 0
+        self.processes: dict[str, Process] = {}
+        self.handlers: dict[type, Handler] = {}
+        self._order = 0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+
+    def add(self, name: str, state: Any, reduce: Any) -> None:
+        """Add a process, or start it anew under the same name."""
+        epoch = self.processes[name].epoch + 1 if name in self.processes else 0
+        self.processes[name] = Process(state, reduce, epoch)
+        self.submit(name, Woken())
+
+    def crash(self, name: str) -> None:
+        """Stop a process; what is on its way to it is lost."""
+        self.processes[name].up = False
+
+    def pause(self, name: str, for_s: float) -> None:
+        """Freeze a process; its events wait until it goes on."""
+        self.processes[name].paused_until = self.now + for_s
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self._order += 1
+        heappush(self._queue, (time, self._order, action))
+
+    def submit(self, name: str, event: Any, delay_s: float = 0.0) -> None:
+        """Bring an event to a process as it is now; a later incarnation gets none."""
+        epoch = self.processes[name].epoch
+        self.at(self.now + delay_s, lambda: self._deliver(name, epoch, event))
+
+    def transmit(self, name: str, event: Any) -> None:
+        """Bring a frame over the network, with its delays and faults."""
+        network = self.network
+        if self.rng.random() < network.lost:
+            return
+        copies = 2 if self.rng.random() < network.repeated else 1
+        for _ in range(copies):
+            delay_s = self.rng.uniform(network.least_delay_s, network.most_delay_s)
+            self.submit(name, event, delay_s)
+
+    def run(self, until: float) -> None:
+        """Run until a time."""
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, action = heappop(self._queue)
+            action()
+        self.now = until
+
+    def _deliver(self, name: str, epoch: int, event: Any) -> None:
+        process = self.processes[name]
+        if not process.up or process.epoch != epoch:
+            return
+        if self.now < process.paused_until:
+            self.at(process.paused_until, lambda: self._deliver(name, epoch, event))
+            return
+        if isinstance(event, Woken):
+            process.woken_at = float("inf")
+        self.handled += 1
+        for effect in process.reduce(process.state, event, self.now):
+            handler = self.handlers.get(type(effect))
+            if handler is not None:
+                handler(name, effect)
+        self._arm(name, process)
+
+    def _arm(self, name: str, process: Process) -> None:
+        due = process.state.find_next_timer()
+        if due is None or due >= process.woken_at:
+            return
+        process.woken_at = max(due, self.now)
+        self.submit(name, Woken(), max(due - self.now, 0.0) + WAKE_SLACK_S)
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,160 @@
+"""Every caller gets the whole answer to its own request, or an explicit error."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from masticdrum.core import completions
+from masticdrum.core.invariants import InvariantBroken
+from masticdrum.model.entry_events import GiveEnd, GiveRefusal, GiveTokens
+from masticdrum.model.errors import ErrorKind, Outcome
+from masticdrum.model.messages import Dispatch, Finished, Tokens
+from tests.driver import Network
+from tests.soak import draw_scenario, play
+from tests.streams import DEADLINE_S, StreamWorld
+
+SEEDS = range(1, 13)
+MUTANT_SEEDS = range(1, 60)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_streams_are_whole_under_random_faults(seed: int) -> None:
+    play(seed, draw_scenario(seed))
+
+
+def begin_one(seed: int, **world_options: Any) -> tuple[StreamWorld, str]:
+    world = StreamWorld(seed, entries=1, **world_options)
+    world.driver.run(until=1.0)
+    request = world.ask("entry-0", max_tokens=50)
+    world.driver.run(until=2.0)
+    assert 5 < len(world.served[request].texts) < 45
+    return world, request
+
+
+def find_serving(world: StreamWorld, request: str) -> str:
+    attempt = world.driver.processes["entry-0"].state.completions[request].attempt
+    return str(attempt.upstream)
+
+
+def test_a_silent_link_is_resumed_over_a_new_connection() -> None:
+    world, request = begin_one(seed=1)
+    serving = find_serving(world, request)
+    world.silent_links |= set(world.links)
+    world.driver.run(until=12.0)
+    assert isinstance(world.served[request].end, GiveEnd)
+    assert len(world.engines[serving].runs) == 0
+    assert sum(engine.peak for engine in world.engines.values()) == 1
+
+
+@pytest.mark.parametrize("fault", ["agent", "engine"])
+def test_a_lost_upstream_is_replaced_behind_the_delivered_tokens(fault: str) -> None:
+    world, request = begin_one(seed=2)
+    serving = find_serving(world, request)
+    if fault == "agent":
+        world.crash_agent(serving)
+    world.crash_engine(serving)
+    world.driver.run(until=15.0)
+    assert isinstance(world.served[request].end, GiveEnd)
+    assert sum(engine.peak for engine in world.engines.values()) == 2
+
+
+def test_an_answer_that_cannot_be_completed_ends_with_an_explicit_error() -> None:
+    world, request = begin_one(seed=3)
+    for name in world.agents:
+        world.driver.crash(name)
+    world.driver.run(until=1.0 + DEADLINE_S + 1.0)
+    end = world.served[request].end
+    assert isinstance(end, GiveRefusal)
+    assert end.outcome is Outcome.UNKNOWN
+    assert end.kind in {ErrorKind.UPSTREAM_SILENT, ErrorKind.DEADLINE_EXCEEDED}
+
+
+def test_a_run_keeps_its_weight_version_across_a_swap() -> None:
+    world, request = begin_one(seed=4)
+    for name in world.agents:
+        world.swap_version(name, "v2")
+    world.driver.run(until=10.0)
+    assert isinstance(world.served[request].end, GiveEnd)
+    assert {text.split("/")[1] for text in world.served[request].texts} == {"v1"}
+
+
+def test_a_caller_that_leaves_cancels_the_run() -> None:
+    world, request = begin_one(seed=5)
+    serving = find_serving(world, request)
+    world.hang_up("entry-0", request)
+    world.driver.run(until=2.2)
+    assert not world.engines[serving].runs
+
+
+def test_a_run_whose_entry_died_is_cancelled() -> None:
+    world = StreamWorld(6, entries=1)
+    world.driver.run(until=1.0)
+    request = world.ask("entry-0", max_tokens=2000)
+    world.driver.run(until=2.0)
+    serving = find_serving(world, request)
+    world.driver.crash("entry-0")
+    world.driver.run(until=20.0)
+    assert not world.engines[serving].runs
+
+
+def keep_repeats(state: Any, completion: Any, message: Tokens, now: float) -> Any:
+    completion.delivered.extend(message.tokens)
+    return [GiveTokens(completion.request, tuple(message.tokens))]
+
+
+def end_at_once(state: Any, completion: Any, message: Finished, now: float) -> Any:
+    completions._forget(state, completion)
+    count = len(completion.delivered)
+    return [GiveEnd(completion.request, count, message.reason, message.usage)]
+
+
+def forget_version(**fields: Any) -> Dispatch:
+    return Dispatch(**{**fields, "version": ""})
+
+
+def say_not_run(request: str, kind: ErrorKind, outcome: Outcome, **rest: Any) -> Any:
+    return [GiveRefusal(request, kind, Outcome.NOT_RUN, 0.0)]
+
+
+def never_end(state: Any, completion: Any, now: float) -> Any:
+    return []
+
+
+MUTANTS: dict[str, tuple[str, Callable[..., Any]]] = {
+    "repeated tokens are passed on": ("take_tokens", keep_repeats),
+    "the end is believed without a count": ("take_finished", end_at_once),
+    "another version may go on": ("Dispatch", forget_version),
+    "every refusal says not run": ("refuse_request", say_not_run),
+    "the deadline is not kept": ("pass_deadline", never_end),
+}
+
+
+@pytest.mark.parametrize("mutant", MUTANTS)
+def test_the_randomised_run_catches(
+    mutant: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    name, broken = MUTANTS[mutant]
+    monkeypatch.setattr(completions, name, broken)
+    if name in {"take_tokens", "take_finished", "pass_deadline"}:
+        monkeypatch.setattr(f"masticdrum.core.entry.{name}", broken)
+    with pytest.raises(InvariantBroken):
+        for seed in MUTANT_SEEDS:
+            play(seed, draw_scenario(seed))
+
+
+def test_frames_that_arrive_in_any_order_make_one_answer() -> None:
+    network = Network(repeated=0.3, least_delay_s=0.0, most_delay_s=0.4)
+    world = StreamWorld(7, network=network)
+    world.driver.run(until=1.0)
+    requests = [world.ask(entry, 60) for entry in world.entries for _ in range(4)]
+    world.driver.run(until=1.0 + DEADLINE_S)
+    ends = [type(world.served[request].end) for request in requests]
+    assert ends == [GiveEnd] * len(requests)
+
+
+def test_messages_survive_the_wire() -> None:
+    tokens = Tokens("attempt", 3, ["a", "b"])
+    data = msgspec.msgpack.encode(tokens)
+    assert msgspec.msgpack.decode(data, type=Tokens) == tokens
