Keep prompt blocks at store instances and import them back

Cause: returning context outlasts the engine's memory, so without kept blocks every return is computed again. Ruled out: fetching a whole prompt at once (an urgent import would wait for it), believing the engine's cache events as they are (late, with gaps).

--- a/masticdrum/core/blocks.py
+++ b/masticdrum/core/blocks.py
@@ -16,21 +16,21 @@
 
 
 def cut_blocks(prompt: str, block_bytes: int) -> list[bytes]:
-    """Cuts a prompt into whole blocks; text behind the last whole one is left out."""
+    """Cut a prompt into whole blocks; text behind the last whole one is left out."""
     text = prompt.encode()
     whole = len(text) // block_bytes
     return [text[n * block_bytes : (n + 1) * block_bytes] for n in range(whole)]
 
 
 def hash_workspace(workspace: str) -> bytes:
-    """Derives the hash key of a workspace's blocks from its name."""
+    """Derive the hash key of a workspace's blocks from its name."""
     return blake2b(workspace.encode(), digest_size=32, person=PERSON).digest()
 
 
 def hash_block(
     workspace_key: bytes, model: str, version: str, previous: str, text: bytes
 ) -> str:
-    """Names one block by its text and everything that stands before it."""
+    """Name one block by its text and everything that stands before it."""
     digest = blake2b(key=workspace_key, digest_size=KEY_BYTES, person=PERSON)
     for part in (model.encode(), version.encode(), previous.encode(), text):
         digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
@@ -41,7 +41,7 @@
 def name_blocks(
     workspace: str, model: str, version: str, prompt: str, block_bytes: int
 ) -> tuple[str, ...]:
-    """Returns the keys of a prompt's whole blocks, in order."""
+    """Return the keys of a prompt's whole blocks, in order."""
     workspace_key = hash_workspace(workspace)
     keys: list[str] = []
     previous = ""
--- a/masticdrum/core/frames.py
+++ b/masticdrum/core/frames.py
@@ -50,7 +50,7 @@
 
 
 def sum_block(secret: bytes, name: BlockName, payload: bytes) -> bytes:
-    """Returns the keyed checksum over a block's name and payload."""
+    """Return the keyed checksum over a block's name and payload."""
     digest = blake2b(key=secret, digest_size=CHECKSUM_BYTES, person=PERSON)
     for part in (name.key.encode(), name.workspace.encode(), name.version.encode()):
         digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
@@ -60,7 +60,7 @@
 
 
 def encode_frame(secret: bytes, name: BlockName, payload: bytes) -> bytes:
-    """Puts a block into a frame."""
+    """Put a block into a frame."""
     header = encode(
         FrameHeader(
             name.key,
@@ -74,7 +74,7 @@
 
 
 def split_frame(frame: bytes) -> Result[tuple[FrameHeader, bytes], FrameFault]:
-    """Parts a frame into header and payload without trusting either."""
+    """Split a frame into header and payload without trusting either."""
     start = len(MAGIC) + LENGTH_BYTES
     if not frame.startswith(MAGIC) or len(frame) < start:
         return Failure(FrameFault.MALFORMED)
@@ -89,7 +89,7 @@
 
 
 def check_header(header: FrameHeader, wanted: BlockName, length: int) -> str:
-    """Compares a header with what was asked for; returns the fault or nothing."""
+    """Compare a header with what was asked for; return the fault or nothing."""
     if header.key != wanted.key:
         return FrameFault.WRONG_KEY
     if header.workspace != wanted.workspace:
@@ -104,14 +104,14 @@
 def open_frame(
     secret: bytes, wanted: BlockName, frame: bytes
 ) -> Result[bytes, FrameFault]:
-    """Returns a frame's payload if the whole frame is the block that was asked for."""
+    """Return a frame's payload if the whole frame is the block that was asked for."""
     return split_frame(frame).bind(lambda parts: check_parts(secret, wanted, *parts))
 
 
 def check_parts(
     secret: bytes, wanted: BlockName, header: FrameHeader, payload: bytes
 ) -> Result[bytes, FrameFault]:
-    """Checks header and payload against the wanted block."""
+    """Check header and payload against the wanted block."""
     fault = check_header(header, wanted, len(payload))
     if fault:
         return Failure(FrameFault(fault))
--- a/masticdrum/core/placement.py
+++ b/masticdrum/core/placement.py
@@ -34,7 +34,7 @@
 
 
 def hash_prompt(workspace: str, prompt: str, block_bytes: int) -> int:
-    """Returns the placement key of a prompt, a 64-bit hash."""
+    """Return the placement key of a prompt, a 64-bit hash."""
     head = prompt[: PLACEMENT_BLOCKS * block_bytes].encode()
     blocks = min(len(head) // block_bytes, PLACEMENT_BLOCKS)
     if blocks:
@@ -43,7 +43,7 @@
 
 
 def build_ranking(pool: Pool) -> Ranking:
-    """Ranks a pool's upstreams; build it once for each installed configuration."""
+    """Rank a pool's upstreams; build it once for each installed configuration."""
     return Ranking(
         (upstream.name, upstream.data_centre, upstream.weight)
         for upstream in pool.upstreams
@@ -51,7 +51,7 @@
 
 
 def is_full(hint: Hint | None, urgency: Urgency, now: float) -> bool:
-    """Tells whether a fresh hint says that the upstream would keep a prompt waiting."""
+    """Tell whether a fresh hint says that the upstream would keep a prompt waiting."""
     if hint is None or now - hint.seen_at > HINT_TTL_S:
         return False
     load = hint.load
@@ -71,7 +71,7 @@
     now: float,
     most: int = 8,
 ) -> list[str]:
-    """Returns the names of at most ``most`` upstreams to try, best first.
+    """Return the names of at most ``most`` upstreams to try, best first.
 
     ``excluded`` holds names that may not be chosen at all (data centre out, leaving,
     tried already). Upstreams that look full come behind all that don't, in the same
--- a/masticdrum/core/rendezvous.py
+++ b/masticdrum/core/rendezvous.py
@@ -18,7 +18,7 @@
 
 
 def score_member(key: int, name: bytes, weight: float) -> float:
-    """Scores a member for a key; the highest score is the key's home."""
+    """Score a member for a key; the highest score is the key's home."""
     draw = (xxh3_64_intdigest(name, seed=key) + 0.5) / HASH_RANGE
     if draw >= 1.0:
         return float("inf")
@@ -37,7 +37,7 @@
         self.below: dict[str, Node] = {}
 
     def add(self, path: Iterable[str], member: str, weight: float) -> None:
-        """Adds a member below this node along ``path``."""
+        """Add a member below this node along ``path``."""
         node = self
         node.weight += weight
         for step in path:
@@ -46,7 +46,7 @@
         node.below[member] = Node(member, member, weight)
 
     def rank(self, key: int) -> Iterator[str]:
-        """Yields the members below, best first, scoring only what is reached."""
+        """Yield the members below, best first, scoring only what is reached."""
         if self.member:
             yield self.member
             return
@@ -79,5 +79,5 @@
             self.size += 1
 
     def rank(self, key: int) -> Iterator[str]:
-        """Yields the members' names in the key's order, best first."""
+        """Yield the members' names in the key's order, best first."""
         return self.root.rank(key)
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -95,22 +95,34 @@
 
 
 class BlocksFetched(Struct, frozen=True):
-    """A fetch and import ended; ``imported`` keys are now in the engine."""
+    """A fetch and import ended; ``imported`` keys are now in the engine.
+
+    ``rejected`` frames were not the block that was asked for; ``missing`` keys are not
+    at their store instance. ``failed`` holds the addresses of stores that broke off.
+    """
 
     attempt: str
     imported: tuple[str, ...]
     rejected: tuple[str, ...]
     link_bytes: int
     took_s: float
+    missing: tuple[str, ...] = ()
+    failed: tuple[str, ...] = ()
 
 
 class BlockKept(Struct, frozen=True):
-    """An export to a store instance ended."""
+    """An export to a store instance ended.
+
+    ``full`` means that the store has no room, ``evicted`` that the engine no longer
+    held the block. ``kept`` without link bytes means that the store had it already.
+    """
 
     key: str
     kept: bool
     link_bytes: int
     took_s: float
+    full: bool = False
+    evicted: bool = False
 
 
 class OrderAnswered(Struct, frozen=True):
--- /dev/null
+++ b/masticdrum/shell/blocktransfer.py
@@ -0,0 +1,185 @@
+"""Moves blocks between an engine and store instances, checked whole on the way.
+
+A fetch pins the block with a lease, reads its frame, checks the whole of it against
+what was asked for, and only then imports its payload for the version that the agent
+named; the engine refuses another one. A keep writes the frame under a temporary name
+and commits it, so that a store never shows a part of a block. Nothing here waits for a
+time: the clients bound each call.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from returns.result import Failure
+
+from masticdrum.core.frames import BlockName, encode_frame, open_frame
+from masticdrum.model.agent_events import (
+    BlockKept,
+    BlocksFetched,
+    FetchBlocks,
+    KeepBlock,
+)
+
+LEASE_S = 10.0
+
+
+class TransferFailed(Exception):
+    """A call of a store instance or engine broke or was refused."""
+
+
+class StoreFull(TransferFailed):
+    """The store instance has no room."""
+
+
+class BlockGone(TransferFailed):
+    """The block is not there."""
+
+
+class StoreBlocks(Protocol):
+    """The blocks of store instances; each call raises ``TransferFailed`` if it fails.
+
+    ``store`` is the instance's address.
+    """
+
+    async def lease(self, store: str, key: str, holder: str, for_s: float) -> None:
+        """Pin a block against eviction; ``BlockGone`` if there is none."""
+
+    async def release(self, store: str, key: str, holder: str) -> None:
+        """Let go of a lease."""
+
+    async def read(self, store: str, key: str) -> bytes:
+        """Return a block's frame; ``BlockGone`` if there is none."""
+
+    async def write(self, store: str, key: str, part: str, frame: bytes) -> None:
+        """Hold a frame under a temporary name; ``StoreFull`` if there is no room."""
+
+    async def commit(self, store: str, key: str, part: str) -> None:
+        """Make what was written readable."""
+
+
+class EngineBlocks(Protocol):
+    """The blocks of an engine; each call raises ``TransferFailed`` if it fails."""
+
+    async def export_block(self, key: str) -> bytes:
+        """Return a block's payload; ``BlockGone`` once it was evicted."""
+
+    async def import_block(self, key: str, version: str, payload: bytes) -> None:
+        """Give a block to the engine, which refuses another version."""
+
+
+class Fetch:
+    """What one fetch has done so far."""
+
+    __slots__ = ("failed", "imported", "link_bytes", "missing", "rejected")
+
+    def __init__(self) -> None:
+        self.imported: list[str] = []
+        self.rejected: list[str] = []
+        self.missing: list[str] = []
+        self.failed: list[str] = []
+        self.link_bytes = 0
+
+
+class BlockTransfer:
+    """Carries out an agent's ``FetchBlocks`` and ``KeepBlock`` effects.
+
+    ``holder`` names the agent's incarnation in leases and temporary names; ``secret``
+    keys the checksums of frames; ``clock`` gives the time in seconds.
+    """
+
+    def __init__(
+        self,
+        engine: EngineBlocks,
+        stores: StoreBlocks,
+        holder: str,
+        secret: bytes,
+        clock: Callable[[], float],
+    ) -> None:
+        self._engine = engine
+        self._stores = stores
+        self._holder = holder
+        self._secret = secret
+        self._clock = clock
+
+    async def fetch(self, effect: FetchBlocks) -> BlocksFetched:
+        """Import blocks in order up to the first that does not come."""
+        begun_at = self._clock()
+        fetch = Fetch()
+        for key, store in effect.sources:
+            name = BlockName(key, effect.workspace, effect.version)
+            if not await self._fetch_block(fetch, name, store):
+                break
+        return BlocksFetched(
+            attempt=effect.attempt,
+            imported=tuple(fetch.imported),
+            rejected=tuple(fetch.rejected),
+            link_bytes=fetch.link_bytes,
+            took_s=self._clock() - begun_at,
+            missing=tuple(fetch.missing),
+            failed=tuple(fetch.failed),
+        )
+
+    async def keep(self, effect: KeepBlock) -> BlockKept:
+        """Export a block, unless its store instance has it already."""
+        begun_at = self._clock()
+        name = BlockName(effect.key, effect.workspace, effect.version)
+        link_bytes, full, evicted = 0, False, False
+        try:
+            link_bytes = await self._keep_block(name, effect.store)
+            kept = True
+        except TransferFailed as error:
+            kept = False
+            full = isinstance(error, StoreFull)
+            evicted = isinstance(error, BlockGone)
+        took_s = self._clock() - begun_at
+        return BlockKept(effect.key, kept, link_bytes, took_s, full, evicted)
+
+    async def _fetch_block(self, fetch: Fetch, name: BlockName, store: str) -> bool:
+        try:
+            frame = await self._read_pinned(name.key, store)
+        except BlockGone:
+            fetch.missing.append(name.key)
+            return False
+        except TransferFailed:
+            fetch.failed.append(store)
+            return False
+        fetch.link_bytes += len(frame)
+        payload = open_frame(self._secret, name, frame)
+        if isinstance(payload, Failure):
+            fetch.rejected.append(name.key)
+            return False
+        try:
+            await self._engine.import_block(name.key, name.version, payload.unwrap())
+        except TransferFailed:
+            return False
+        fetch.imported.append(name.key)
+        return True
+
+    async def _read_pinned(self, key: str, store: str) -> bytes:
+        await self._stores.lease(store, key, self._holder, LEASE_S)
+        frame = await self._stores.read(store, key)
+        await self._release(key, store)
+        return frame
+
+    async def _release(self, key: str, store: str) -> None:
+        try:
+            await self._stores.release(store, key, self._holder)
+        except TransferFailed:
+            return  # the lease lapses by itself
+
+    async def _keep_block(self, name: BlockName, store: str) -> int:
+        if await self._is_kept(name.key, store):
+            return 0
+        payload = await self._engine.export_block(name.key)
+        frame = encode_frame(self._secret, name, payload)
+        await self._stores.write(store, name.key, self._holder, frame)
+        await self._stores.commit(store, name.key, self._holder)
+        return len(frame)
+
+    async def _is_kept(self, key: str, store: str) -> bool:
+        try:
+            await self._stores.lease(store, key, self._holder, LEASE_S)
+        except BlockGone:
+            return False
+        await self._release(key, store)
+        return True
