Join the agent's runs with its kept cache

Cause: the agent started runs without naming their blocks, so nothing was reused. Ruled out: holding an attempt in the queue until its import is done, which would tie the queue's order to the links. Change: an attempt's blocks are named and imported while it waits; a run that has its turn is held until its import is done, late or failed; exports start after the first token. The process moves blocks over HTTP and reads cache events.

--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -1,5 +1,6 @@
 """The agent's reducer: every event in, effects as data out."""
 
+from masticdrum.core.agentcache import settle_cache, take_cache_event, update_rules
 from masticdrum.core.agentstate import AgentState, EngineView
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.runs import (
@@ -62,12 +63,15 @@
             effects = _take_load(state, event, now)
         case ObjectAnswer():
             effects = list(take_tables(state, event))
+            update_rules(state)
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
             effects = _begin_shutdown(state, event, now)
         case _:
             effects = []
+    effects += take_cache_event(state, event, now)
+    effects += settle_cache(state, now)
     return effects + _exit_if_done(state, now)
 
 
@@ -108,6 +112,7 @@
 
 def _take_load(state: AgentState, event: LoadReported, now: float) -> list[AgentEffect]:
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
+    update_rules(state)
     return start_waiting(state, now)
 
 
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import Run
 from masticdrum.core.tableview import TableView
@@ -44,6 +45,7 @@
     """The whole state of one agent's reducer."""
 
     __slots__ = (
+        "cache",
         "engine",
         "leaving",
         "options",
@@ -63,6 +65,7 @@
         self.timers: Timers[TimerName] = Timers()
         self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.engine = EngineView()
+        self.cache = KeptCache()
         self.runs: dict[str, Run] = {}
         self.waiting: deque[str] = deque()
         self.running: set[str] = set()
--- a/masticdrum/core/frames.py
+++ b/masticdrum/core/frames.py
@@ -49,6 +49,11 @@
     version: str
 
 
+def derive_key(secret: str) -> bytes:
+    """Return the checksums' key for a secret of any length."""
+    return blake2b(secret.encode(), person=PERSON).digest()
+
+
 def sum_block(secret: bytes, name: BlockName, payload: bytes) -> bytes:
     """Return the keyed checksum over a block's name and payload."""
     digest = blake2b(key=secret, digest_size=CHECKSUM_BYTES, person=PERSON)
--- a/masticdrum/core/keptcache.py
+++ b/masticdrum/core/keptcache.py
@@ -88,11 +88,16 @@
 
 
 def forget_attempt(cache: KeptCache, attempt: str, now: float) -> list[CacheEffect]:
+    """Give up what was under way for an attempt, and use the room that it leaves."""
+    drop_attempt(cache, attempt)
+    return start_transfers(cache, now)
+
+
+def drop_attempt(cache: KeptCache, attempt: str) -> None:
     """Give up what was under way for an attempt that ended."""
     cache.imports.drop(attempt)
     cache.prompts.pop(attempt, None)
     cache.rate.forget(attempt)
-    return start_transfers(cache, now)
 
 
 def take_changes(
--- a/masticdrum/core/run.py
+++ b/masticdrum/core/run.py
@@ -21,7 +21,8 @@
 
     ``kept`` holds the tokens from sequence number ``kept_from`` on that the entry has
     not acknowledged. ``version`` is the weight version that serves it, fixed once the
-    engine began. Times are seconds.
+    engine began. ``preparing`` holds a run that has its turn until its import is
+    done. Times are seconds.
     """
 
     dispatch: Dispatch
@@ -35,6 +36,7 @@
     kept: list[str] = field(default_factory=list)
     digest: TokenDigest = field(default_factory=TokenDigest)
     usage: Usage = Usage()
+    preparing: bool = False
     started_at: float = 0.0
     sent_at: float = 0.0
     resumes: int = 0
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -1,5 +1,6 @@
 """The life of a completion's attempt at an agent: admission, tokens, the end."""
 
+from masticdrum.core.agentcache import begin_run, drop_ended, prepare_run
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.invariants import require
@@ -13,7 +14,6 @@
     RunEnded,
     RunFailed,
     RunTokens,
-    StartRun,
 )
 from masticdrum.model.errors import ANSWERS, ErrorKind, Outcome
 from masticdrum.model.messages import (
@@ -91,7 +91,8 @@
     state.timers.set(TimerName(DEADLINE, run.attempt), now + message.ttl_s)
     _arm_check(state, run, now)
     accepted = Accepted(run.attempt, state.engine.version, report_load(state))
-    return [ReplyFrame(link, accepted), *start_waiting(state, now)]
+    prepared = prepare_run(state, run, now)
+    return [ReplyFrame(link, accepted), *prepared, *start_waiting(state, now)]
 
 
 def start_waiting(state: AgentState, now: float) -> list[AgentEffect]:
@@ -289,16 +290,7 @@
     message = run.dispatch
     waited = now - run.arrived_at
     return [
-        StartRun(
-            attempt=run.attempt,
-            workspace=message.workspace,
-            prompt=message.prompt,
-            delivered=tuple(message.delivered),
-            max_tokens=message.max_tokens,
-            urgency=message.urgency,
-            version=message.version,
-            blocks=run.blocks,
-        ),
+        *begin_run(state, run),
         Observe(Histogram.QUEUE_WAIT, waited, message.urgency.value),
         Log(LogNumber.RUN_STARTED, request=message.request, attempt=run.attempt),
     ]
@@ -326,7 +318,9 @@
     state: AgentState, run: Run, end: Finished | Failed | Refused, now: float
 ) -> list[AgentEffect]:
     run.stage = RunStage.ENDED
+    run.preparing = False
     run.end = end
+    drop_ended(state, run.attempt)
     state.timers.clear(TimerName(CHECK, run.attempt))
     state.timers.clear(TimerName(DEADLINE, run.attempt))
     state.timers.set(TimerName(FORGET, run.attempt), now + state.options.forget_s)
@@ -343,6 +337,7 @@
     for purpose in (CHECK, DEADLINE, FORGET):
         state.timers.clear(TimerName(purpose, run.attempt))
     state.runs.pop(run.attempt, None)
+    drop_ended(state, run.attempt)
 
 
 def _make_lost(state: AgentState, attempt: str) -> Failed:
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -59,6 +59,7 @@
     silence_s: float = 5.0
     service_s: float = 30.0
     load_every_s: float = 0.5
+    events_every_s: float = 0.5
 
 
 class AgentSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,6 +67,8 @@
 
     ``listen`` is the address for entries, ``tcp://IP:PORT``; ``http`` is the
     ``IP:PORT`` for metrics and health. ``kind`` says what the upstream is.
+    ``block_secret`` is known to all agents and to no store instance: it keys the
+    checksums of kept blocks. Without it only accidental damage is found.
     """
 
     name: str
@@ -80,6 +83,7 @@
     kind: PoolKind = PoolKind.ENGINE
     timeouts: UpstreamTimeouts = field(default_factory=UpstreamTimeouts)
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    block_secret: str = ""
     grace_s: float = 30.0
 
 
--- a/masticdrum/programs/agent.py
+++ b/masticdrum/programs/agent.py
@@ -33,6 +33,7 @@
 )
 from masticdrum.shell.agentlinks import AgentLinks
 from masticdrum.shell.asgi import Receive, Scope, Send, send_json
+from masticdrum.shell.blockclient import BlockClient
 from masticdrum.shell.engineclient import EngineClient
 from masticdrum.shell.instanceclient import InstanceClient
 from masticdrum.shell.journal import open_journal, write_event
@@ -72,6 +73,13 @@
         url = settings.upstream_url
         self.links = AgentLinks(nursery, submit)
         self.engine = EngineClient(nursery, submit, url, settings.timeouts)
+        self.blocks = BlockClient(
+            nursery,
+            submit,
+            settings,
+            options.incarnation,
+            lambda: self.state.engine.boot,
+        )
         self.service = ServiceClient(nursery, submit, url, settings.timeouts)
         self.objects = ObjectClient(
             nursery,
@@ -101,7 +109,9 @@
         """Read the upstream's load report for ever."""
         if self.settings.kind is PoolKind.SERVICE:
             await self.service.poll_load()
-        await self.engine.poll_load()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.blocks.poll_events)
+            await self.engine.poll_load()
 
     def _reduce(self, event: AgentEvent, now: float) -> list[AgentEffect]:
         return reduce_agent(self.state, event, now)
@@ -113,23 +123,30 @@
         match effect:
             case ReplyFrame():
                 self.links.send(effect.link, self._make_envelope(effect))
-            case StartRun():
-                self.engine.start(effect)
-            case ResumeRun():
-                self.engine.resume(effect)
-            case CancelRun():
-                self.engine.cancel(effect)
+            case StartRun() | ResumeRun() | CancelRun():
+                self._drive_run(effect)
             case CallService():
                 self.service.call(effect)
             case Log() | Count() | Observe():
                 carry_out_telemetry(self.meters, effect)
             case ObjectGet() | ObjectPut() | ObjectDelete() | ObjectList():
                 self.objects.start(effect)
-            case FetchBlocks() | KeepBlock() | GiveOrder():
+            case FetchBlocks() | KeepBlock():
+                self.blocks.start(effect)
+            case GiveOrder():
                 raise NotImplementedError(f"effect '{type(effect).__name__}'")
             case Exit():
                 self.ended.set()
 
+    def _drive_run(self, effect: StartRun | ResumeRun | CancelRun) -> None:
+        match effect:
+            case StartRun():
+                self.engine.start(effect)
+            case ResumeRun():
+                self.engine.resume(effect)
+            case CancelRun():
+                self.engine.cancel(effect)
+
     def _make_envelope(self, effect: ReplyFrame) -> Envelope:
         options = self.state.options
         return Envelope(
--- /dev/null
+++ b/masticdrum/shell/blockclient.py
@@ -0,0 +1,93 @@
+"""Carries out an agent's block effects in the background, and reads cache events."""
+
+from collections.abc import Callable
+
+import httpcore
+import msgspec
+import trio
+from msgspec import Struct
+
+from masticdrum.core.frames import derive_key
+from masticdrum.model.agent_events import (
+    BlockKept,
+    BlocksChanged,
+    BlocksFetched,
+    FetchBlocks,
+    KeepBlock,
+)
+from masticdrum.model.settings import AgentSettings
+from masticdrum.shell.blockclients import HttpEngineBlocks, HttpStoreBlocks, call_http
+from masticdrum.shell.blocktransfer import BlockTransfer, TransferFailed
+
+MAX_CONNECTIONS = 32
+
+BlockEvent = BlocksFetched | BlockKept | BlocksChanged
+
+
+class EventsAnswer(Struct):
+    """The engine's cache events behind a number."""
+
+    number: int
+    held: tuple[str, ...] = ()
+    evicted: tuple[str, ...] = ()
+
+
+class BlockClient:
+    """Moves an agent's blocks and tells the reducer how each transfer ended.
+
+    ``holder`` is the agent's incarnation; ``find_boot`` names the engine's present
+    life, with which its event numbers start anew.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        submit: Callable[[BlockEvent], None],
+        settings: AgentSettings,
+        holder: str,
+        find_boot: Callable[[], str],
+    ) -> None:
+        self._nursery = nursery
+        self._submit = submit
+        self._url = settings.upstream_url.rstrip("/")
+        self._every_s = settings.timeouts.events_every_s
+        self._find_boot = find_boot
+        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._transfer = BlockTransfer(
+            HttpEngineBlocks(self._pool, self._url),
+            HttpStoreBlocks(self._pool),
+            holder,
+            derive_key(settings.block_secret),
+            trio.current_time,
+        )
+
+    def start(self, effect: FetchBlocks | KeepBlock) -> None:
+        """Import or export blocks; the end arrives as an event."""
+        self._nursery.start_soon(self._carry_out, effect)
+
+    async def poll_events(self) -> None:
+        """Read the engine's cache events at an interval; runs for ever."""
+        boot, number = "", 0
+        while True:
+            if self._find_boot() != boot:
+                boot, number = self._find_boot(), 0
+            answer = await self._read_events(number)
+            if answer is not None and answer.number > number:
+                number = answer.number
+                self._submit(BlocksChanged(number, answer.held, answer.evicted))
+            await trio.sleep(self._every_s)
+
+    async def _carry_out(self, effect: FetchBlocks | KeepBlock) -> None:
+        if isinstance(effect, FetchBlocks):
+            self._submit(await self._transfer.fetch(effect))
+            return
+        self._submit(await self._transfer.keep(effect))
+
+    async def _read_events(self, after: int) -> EventsAnswer | None:
+        try:
+            body = await call_http(
+                self._pool, "GET", f"{self._url}/events?after={after}"
+            )
+            return msgspec.json.decode(body, type=EventsAnswer)
+        except (TransferFailed, msgspec.MsgspecError):
+            return None
