Keep the order of a paused process's events in the driver

Ruled out: a fault of the agent, since the trace shows the order broken before its reducer. Change: a paused process's events wait in one list. Conclusion: a fault of the driver.

--- a/tests/driver.py
+++ b/tests/driver.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from masticdrum.model.entry_events import Woken
 
@@ -26,6 +26,7 @@
     epoch: int = 0
     up: bool = True
     paused_until: float = 0.0
+    backlog: list[Any] = field(default_factory=list)
     woken_at: float = float("inf")
 
 
@@ -63,7 +64,10 @@
 
     def pause(self, name: str, for_s: float) -> None:
         """Freeze a process; its events wait until it goes on."""
-        self.processes[name].paused_until = self.now + for_s
+        process = self.processes[name]
+        epoch = process.epoch
+        process.paused_until = max(process.paused_until, self.now + for_s)
+        self.at(process.paused_until, lambda: self._go_on(name, epoch))
 
     def at(self, time: float, action: Callable[[], None]) -> None:
         """Do something at a time."""
@@ -97,8 +101,19 @@
         if not process.up or process.epoch != epoch:
             return
         if self.now < process.paused_until:
-            self.at(process.paused_until, lambda: self._deliver(name, epoch, event))
+            process.backlog.append(event)
             return
+        self._handle(name, process, event)
+
+    def _go_on(self, name: str, epoch: int) -> None:
+        process = self.processes[name]
+        if process.epoch != epoch or self.now < process.paused_until:
+            return
+        backlog, process.backlog = process.backlog, []
+        for event in backlog:
+            self._deliver(name, epoch, event)
+
+    def _handle(self, name: str, process: Process, event: Any) -> None:
         if isinstance(event, Woken):
             process.woken_at = float("inf")
         self.handled += 1
