Place behind preambles with a load bound; import at a run's turn

Cause: with a key two blocks deep a large workspace's three-block preamble put the whole workspace on one upstream, and the load bound looked at a wait hint that no agent filled in. Blocks imported while a request waited were evicted before its turn. Ruled out: a fixed deeper key (a short conversation would have no own block there). Change: the key reaches one block behind the last branching prefix, learned at the entry; bound on runs and waiting requests against the mean; import at the turn.

--- a/masticdrum/core/agentcache.py
+++ b/masticdrum/core/agentcache.py
@@ -45,25 +45,29 @@
         confirm_engine(state.cache, state.engine.boot, state.engine.version)
 
 
-def prepare_run(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
-    """Name a run's blocks and import those worth it, while the run waits."""
+def begin_run(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
+    """Give a run its turn: import blocks worth it, and start once that is done.
+
+    Blocks are imported at a run's turn and not while it waits, since the engine pins
+    nothing and would evict them again before a long queue has passed.
+    """
     update_rules(state)
     message = run.dispatch
-    return list(
+    effects: list[AgentEffect] = list(
         prepare_prompt(
             state.cache,
             run.attempt,
             message.workspace,
             message.urgency,
             message.prompt,
-            0.0,
             now,
         )
     )
+    return effects + start_prepared(state, run)
 
 
-def begin_run(state: AgentState, run: Run) -> list[AgentEffect]:
-    """Start a run that has its turn, or hold it until its import is done."""
+def start_prepared(state: AgentState, run: Run) -> list[AgentEffect]:
+    """Start a run, or hold it until its import is done."""
     run.preparing = not is_prepared(state.cache, run.attempt)
     if run.preparing:
         return []
@@ -115,7 +119,7 @@
     for attempt in state.running:
         run = state.runs.get(attempt)
         if run is not None and run.preparing:
-            effects += begin_run(state, run)
+            effects += start_prepared(state, run)
     wake_at = find_wake(state.cache, now)
     if wake_at == float("inf"):
         state.timers.clear(TimerName(CACHE, ""))
--- a/masticdrum/core/candidates.py
+++ b/masticdrum/core/candidates.py
@@ -2,7 +2,7 @@
 
 from masticdrum.core.completion import Completion
 from masticdrum.core.entrystate import EntryState
-from masticdrum.core.placement import hash_prompt, order_upstreams
+from masticdrum.core.placement import order_upstreams
 from masticdrum.model.tables import Pool, Upstream
 
 
@@ -13,7 +13,9 @@
     pool = state.view.find_pool(completion.route.pool)
     if pool is None:
         return None
-    key = hash_prompt(completion.workspace, completion.prompt, pool.block_bytes)
+    key = state.preambles.find_key(
+        completion.workspace, completion.prompt, pool.block_bytes
+    )
     names = order_upstreams(
         state.view.find_ranking(pool.name),
         key,
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -7,6 +7,7 @@
 from masticdrum.core.completion import Completion
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
+from masticdrum.core.preambles import Preambles
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Tables
@@ -47,6 +48,7 @@
         "links",
         "open_requests",
         "options",
+        "preambles",
         "rng",
         "shutdown_by",
         "timers",
@@ -63,6 +65,7 @@
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
         self.open_requests = OpenRequests()
+        self.preambles = Preambles()
         self.leaving: set[str] = set()
         self.shutdown_by: float | None = None
 
--- a/masticdrum/core/importcost.py
+++ b/masticdrum/core/importcost.py
@@ -18,19 +18,16 @@
 class ImportCost(Struct, frozen=True):
     """What an agent has observed: seconds for each way of getting a block.
 
-    ``queue_s`` is the time until the link is free, ``slack_s`` the time that the
-    request waits for its turn anyway, in which an import costs it nothing.
+    ``queue_s`` is the time until the link is free.
     """
 
     recompute_s: float
     import_s: float
     queue_s: float
-    slack_s: float = 0.0
 
     def count_import_s(self, blocks: int) -> float:
-        """Return how long an import of ``blocks`` takes, seen from the request."""
-        whole_s = ROUND_TRIP_S + self.queue_s + blocks * self.import_s
-        return max(whole_s - self.slack_s, 0.0)
+        """Return how long an import of ``blocks`` takes."""
+        return ROUND_TRIP_S + self.queue_s + blocks * self.import_s
 
     def count_recompute_s(self, blocks: int) -> float:
         """Return how long the engine takes to compute ``blocks`` again."""
@@ -51,7 +48,7 @@
 
 def find_late_s(cost: ImportCost, blocks: int, urgency: Urgency) -> float:
     """Return after how many seconds an import is late and its request goes on."""
-    expected_s = ROUND_TRIP_S + cost.queue_s + blocks * cost.import_s
-    allowed_s = cost.count_recompute_s(blocks) * IMPORT_BIAS[urgency] + cost.slack_s
+    expected_s = cost.count_import_s(blocks)
+    allowed_s = cost.count_recompute_s(blocks) * IMPORT_BIAS[urgency]
     late_s = LATE_FACTOR * max(expected_s, min(allowed_s, LONGEST_LATE_S))
     return min(max(late_s, SHORTEST_LATE_S), LONGEST_LATE_S)
--- a/masticdrum/core/importplan.py
+++ b/masticdrum/core/importplan.py
@@ -7,10 +7,10 @@
 from masticdrum.core.imports import Import
 
 
-def plan_import(cache: KeptCache, prompt: Prompt, slack_s: float, now: float) -> None:
+def plan_import(cache: KeptCache, prompt: Prompt, now: float) -> None:
     """Queue an import of the prompt's kept blocks if that beats computing them."""
     sources = find_sources(cache, prompt.keys, now)
-    cost = find_cost(cache, sources, slack_s)
+    cost = find_cost(cache, sources)
     if not choose_import(cost, len(sources), prompt.urgency):
         return
     late_at = now + find_late_s(cost, len(sources), prompt.urgency)
@@ -40,12 +40,10 @@
     return sources
 
 
-def find_cost(
-    cache: KeptCache, sources: Sequence[tuple[str, str]], slack_s: float
-) -> ImportCost:
+def find_cost(cache: KeptCache, sources: Sequence[tuple[str, str]]) -> ImportCost:
     """Weigh an import by the slowest link that it needs."""
     links = [cache.links[store] for store in {store for _, store in sources}]
     speed = min((link.speed_bytes_s for link in links), default=1.0)
     pending = max((link.pending_blocks for link in links), default=0)
     import_s = cache.block_bytes / max(speed, 1.0)
-    return ImportCost(cache.rate.recompute_s, import_s, pending * import_s, slack_s)
+    return ImportCost(cache.rate.recompute_s, import_s, pending * import_s)
--- a/masticdrum/core/keptcache.py
+++ b/masticdrum/core/keptcache.py
@@ -22,13 +22,9 @@
     workspace: str,
     urgency: Urgency,
     text: str,
-    slack_s: float,
     now: float,
 ) -> list[CacheEffect]:
-    """Name a prompt's blocks and start to import those worth it.
-
-    ``slack_s`` is how long the attempt will wait for its turn anyway.
-    """
+    """Name a prompt's blocks and start to import those worth it."""
     if not cache.version or attempt in cache.prompts:
         return []
     rules = cache.rules
@@ -37,7 +33,7 @@
     cache.prompts[attempt] = prompt
     known = cache.index.note_prompt(workspace, cache.version, keys, now)
     cache.keeping.learn_return(workspace, known, len(keys))
-    plan_import(cache, prompt, slack_s, now)
+    plan_import(cache, prompt, now)
     return start_transfers(cache, now)
 
 
--- a/masticdrum/core/placement.py
+++ b/masticdrum/core/placement.py
@@ -1,29 +1,27 @@
 """Which upstreams a prompt should try, best first.
 
-The entry has only text, so its placement key is a hash of the workspace and the text
-of the prompt's first blocks; the version is left out, so that a swap moves no homes.
-A home by the first block alone would pile a large workspace, whose prompts share a
-preamble, on one upstream, so the key reaches ``PLACEMENT_BLOCKS`` deep. A full home
-passes the prompt on to the next in its order. What the entry believes of an
-upstream's load is a hint that ages; a wrong one costs a refusal that is "not run".
+A prompt's home is the first upstream in the order of its placement key, which
+``masticdrum.core.preambles`` finds. The key leaves the weight version out, so a swap
+moves no homes. A home that is loaded above the bound passes the prompt on to the next
+in its order. What the entry believes of an upstream's load is a hint that ages; a
+wrong one costs a refusal that is "not run".
 """
 
-from collections.abc import Container, Mapping
+from collections.abc import Collection, Container, Mapping
+from itertools import islice
+from operator import itemgetter
 
 from msgspec import Struct
-from xxhash import xxh3_64_intdigest
 
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.model.messages import Load
 from masticdrum.model.tables import Pool, Urgency
 
-PLACEMENT_BLOCKS = 2
 HINT_TTL_S = 2.0
-OVERFLOW_WAIT_S = {
-    Urgency.URGENT: 0.25,
-    Urgency.NORMAL: 1.0,
-    Urgency.BACKGROUND: 4.0,
-}
+BOUND = 1.25  # times the mean load of the upstreams looked at
+BOUND_SLACK = 0.125  # of an upstream's limit, so that low loads don't move homes
+FULL = 1.0  # as many runs and waiting requests as the limit
+COMPARED = 16  # upstreams of a prompt's order whose mean load is the measure
 
 
 class Hint(Struct, frozen=True):
@@ -33,15 +31,6 @@
     seen_at: float
 
 
-def hash_prompt(workspace: str, prompt: str, block_bytes: int) -> int:
-    """Return the placement key of a prompt, a 64-bit hash."""
-    head = prompt[: PLACEMENT_BLOCKS * block_bytes].encode()
-    blocks = min(len(head) // block_bytes, PLACEMENT_BLOCKS)
-    if blocks:
-        head = head[: blocks * block_bytes]
-    return xxh3_64_intdigest(head, seed=xxh3_64_intdigest(workspace.encode()))
-
-
 def build_ranking(pool: Pool) -> Ranking:
     """Rank a pool's upstreams; build it once for each installed configuration."""
     return Ranking(
@@ -50,16 +39,25 @@
     )
 
 
-def is_full(hint: Hint | None, urgency: Urgency, now: float) -> bool:
-    """Tell whether a fresh hint says that the upstream would keep a prompt waiting."""
+def find_load(hint: Hint | None, now: float) -> float | None:
+    """Return the runs and waiting requests of an upstream by its limit, if known."""
     if hint is None or now - hint.seen_at > HINT_TTL_S:
-        return False
+        return None
     load = hint.load
     if load.leaving:
-        return True
-    if load.running + load.queued < load.limit:
-        return False
-    return load.cold or load.wait_s > OVERFLOW_WAIT_S[urgency]
+        return float("inf")
+    return (load.running + load.queued) / max(load.limit, 1)
+
+
+def find_bound(loads: Collection[float | None]) -> float:
+    """Return the load above which an upstream passes prompts on.
+
+    Where some loads are unknown, no upstream is given more than it can run.
+    """
+    known = [load for load in loads if load is not None and load != float("inf")]
+    mean = sum(known) / len(known) if known else 0.0
+    bound = BOUND * mean + BOUND_SLACK
+    return bound if len(known) == len(loads) else min(bound, FULL)
 
 
 def order_upstreams(
@@ -74,18 +72,20 @@
     """Return the names of at most ``most`` upstreams to try, best first.
 
     ``excluded`` holds names that may not be chosen at all (data centre out, leaving,
-    tried already). Upstreams that look full come behind all that don't, in the same
-    order. The list is empty when nothing is left.
+    tried already). Upstreams loaded above the bound come behind all others, the least
+    loaded first. The list is empty when nothing is left.
     """
+    names = (name for name in ranking.rank(key) if name not in excluded)
+    compared = list(islice(names, max(most, COMPARED)))
+    loads = {name: find_load(hints.get(name), now) for name in compared}
+    bound = find_bound(loads.values())
     free: list[str] = []
-    full: list[str] = []
-    for name in ranking.rank(key):
-        if len(free) == most:
-            break
-        if name in excluded:
-            continue
-        if is_full(hints.get(name), urgency, now):
-            full.append(name)
-        else:
+    full: list[tuple[float, str]] = []
+    for name in compared:
+        load = loads[name]
+        if load is None or load <= bound:
             free.append(name)
-    return (free + full)[:most]
+        else:
+            full.append((load, name))
+    full.sort(key=itemgetter(0))
+    return (free + [name for _, name in full])[:most]
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -1,6 +1,6 @@
 """The life of a completion's attempt at an agent: admission, tokens, the end."""
 
-from masticdrum.core.agentcache import begin_run, drop_ended, prepare_run
+from masticdrum.core.agentcache import begin_run, drop_ended
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.invariants import require
@@ -91,8 +91,7 @@
     state.timers.set(TimerName(DEADLINE, run.attempt), now + message.ttl_s)
     _arm_check(state, run, now)
     accepted = Accepted(run.attempt, state.engine.version, report_load(state))
-    prepared = prepare_run(state, run, now)
-    return [ReplyFrame(link, accepted), *prepared, *start_waiting(state, now)]
+    return [ReplyFrame(link, accepted), *start_waiting(state, now)]
 
 
 def start_waiting(state: AgentState, now: float) -> list[AgentEffect]:
@@ -290,7 +289,7 @@
     message = run.dispatch
     waited = now - run.arrived_at
     return [
-        *begin_run(state, run),
+        *begin_run(state, run, now),
         Observe(Histogram.QUEUE_WAIT, waited, message.urgency.value),
         Log(LogNumber.RUN_STARTED, request=message.request, attempt=run.attempt),
     ]
--- a/masticdrum/core/transfers.py
+++ b/masticdrum/core/transfers.py
@@ -108,6 +108,7 @@
         link.note_full(now)
     elif event.evicted:
         cache.index.held.pop(event.key, None)
+        counts.append(Count(Counter.BLOCKS, "evicted before export"))
     else:
         link.note_failed(now)
     if event.link_bytes:
--- a/tests/cacheworld.py
+++ b/tests/cacheworld.py
@@ -276,7 +276,7 @@
         now = self.world.now
         self.asked[attempt] = (workspace, text, now)
         self.carry_out(
-            prepare_prompt(self.cache, attempt, workspace, urgency, text, 0.0, now)
+            prepare_prompt(self.cache, attempt, workspace, urgency, text, now)
         )
         self.start_prepared()
 
--- a/tests/core/test_keptcache.py
+++ b/tests/core/test_keptcache.py
@@ -134,11 +134,11 @@
     assert link.may_import(Urgency.URGENT, 0.0)
 
 
-def test_choice_follows_cost_and_slack() -> None:
+def test_choice_follows_cost_and_urgency() -> None:
     slow = ImportCost(recompute_s=0.1, import_s=0.15, queue_s=0.0)
     assert not choose_import(slow, 4, Urgency.URGENT)
     assert choose_import(slow, 4, Urgency.NORMAL)
-    assert choose_import(ImportCost(0.1, 0.15, 0.0, slack_s=0.6), 4, Urgency.URGENT)
+    assert not choose_import(ImportCost(0.1, 0.15, 0.3), 4, Urgency.NORMAL)
     assert not choose_import(slow, 0, Urgency.BACKGROUND)
 
 
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -9,9 +9,9 @@
     HINT_TTL_S,
     Hint,
     build_ranking,
-    hash_prompt,
     order_upstreams,
 )
+from masticdrum.core.preambles import Preambles
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.model.messages import Load
 from masticdrum.model.tables import Pool, PoolKind, Upstream, Urgency
@@ -76,11 +76,46 @@
     assert order(ranking, 5, excluded=["up-0", "up-1"]) == []
 
 
-def test_placement_key_survives_growth_and_parts_workspaces() -> None:
-    head = "preamble" + "question"
-    assert hash_prompt("a", head, 8) == hash_prompt("a", head + "more text", 8)
-    assert hash_prompt("a", head, 8) != hash_prompt("b", head, 8)
-    assert hash_prompt("a", head, 8) != hash_prompt("a", "preamble" + "another!", 8)
+def learn(preambles: Preambles) -> None:
+    for n in range(8):
+        preambles.find_key("a", f"preamble{n:08d}", 8)
+
+
+def test_key_reaches_behind_the_preamble_and_survives_growth() -> None:
+    preambles = Preambles()
+    learn(preambles)
+    first = preambles.find_key("a", "preamble" + "question", 8)
+    assert first == preambles.find_key("a", "preamble" + "question" + "more text", 8)
+    assert first != preambles.find_key("a", "preamble" + "another!", 8)
+    assert first != preambles.find_key("b", "preamble" + "question", 8)
+
+
+def test_long_preamble_spreads_a_large_workspace() -> None:
+    preambles = Preambles()
+    prompts = ["a" * 24 + f"{n:08d}" for n in range(40)]
+    for prompt in prompts:
+        preambles.find_key("a", prompt, 8)
+    keys = {preambles.find_key("a", prompt, 8) for prompt in prompts}
+    assert len(keys) == 40
+
+
+def test_prompt_of_the_preamble_alone_spreads_by_its_tail() -> None:
+    preambles = Preambles()
+    learn(preambles)
+    keys = {preambles.find_key("a", f"preamble{n}", 8) for n in range(9)}
+    assert len(keys) == 9
+
+
+def test_bound_lets_small_loads_stay_and_follows_the_mean() -> None:
+    ranking = build_ranking(make_pool(6))
+    names = order(ranking, 5)
+    light = {name: Hint(Load(running=2, limit=16), 0.0) for name in names}
+    light[names[0]] = Hint(Load(running=4, limit=16), 0.0)
+    assert order(ranking, 5, light)[0] == names[0]
+    busy = {name: Hint(Load(running=12, limit=16), 0.0) for name in names}
+    assert order(ranking, 5, busy)[0] == names[0]
+    busy[names[0]] = Hint(Load(running=16, queued=8, limit=16), 0.0)
+    assert order(ranking, 5, busy)[0] == names[1]
 
 
 def test_ranking_scores_few_names_of_many() -> None:
