--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,169 @@
+"""Compare placement, imports and urgency with simpler policies.
+
+Run ``python -m bench.policies``. The product's own reducers run in virtual time against
+small engines and stores; the table shows each figure's mean and standard deviation over
+the seeds, and ``bench/results/policies.json`` holds every run.
+"""
+
+import json
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import click
+
+from bench.baselines import POLICIES, use_policy
+from bench.deployments import DEPLOYMENTS
+from bench.figures import list_buckets, spread, sum_up
+from bench.scenarios import SCENARIOS, plan_faults
+from bench.workload import make_workload
+from bench.world import World
+from masticdrum.model.tables import Urgency
+
+RESULTS = Path(__file__).parent / "results" / "policies.json"
+SEEDS = 5
+WORKERS = 4
+SHOWN = (
+    "urgent p50",
+    "urgent p95",
+    "urgent p99",
+    "normal p50",
+    "normal p95",
+    "normal p99",
+    "background p50",
+    "background p95",
+    "background p99",
+    "recomputed",
+    "link GiB",
+    "worst overload",
+)
+RETURN_SHOWN = (
+    "urgent p95 before",
+    "urgent p95 out",
+    "urgent p95 return",
+    "urgent p95 after",
+)
+
+Key = tuple[str, str, str]
+Job = tuple[str, str, str, int]
+
+
+def run_job(job: Job) -> dict[str, Any]:
+    """Run one policy on one deployment in one scenario with one seed."""
+    place, scene, name, seed = job
+    deployment, scenario, policy = DEPLOYMENTS[place], SCENARIOS[scene], POLICIES[name]
+    workload = make_workload(deployment, seed, scenario.load, scenario.length_s)
+    if policy.urgent_only:
+        workload.requests = [
+            request
+            for request in workload.requests
+            if request.urgency is Urgency.URGENT
+        ]
+    for number, request in enumerate(workload.requests):
+        workload.requests[number] = request.renumber(number)
+    with use_policy(policy):
+        world = World(deployment, seed, flat=policy.flat)
+        plan_faults(world, scenario)
+        measured = world.play(workload, scenario.length_s)
+    figures = sum_up(measured, scenario, len(deployment.stores))
+    if seed == 1:
+        links = len(deployment.stores)
+        figures["buckets"] = list_buckets(measured, scenario, links)
+    return figures
+
+
+def list_jobs(seeds: int, only: tuple[str, ...], scenes: tuple[str, ...]) -> list[Job]:
+    """Return every run that is wanted."""
+    return [
+        (place, scene, name, seed)
+        for place in DEPLOYMENTS
+        for scene in scenes or SCENARIOS
+        for name in only or POLICIES
+        for seed in range(1, seeds + 1)
+    ]
+
+
+def run_jobs(jobs: list[Job]) -> dict[Key, list[dict[str, Any]]]:
+    """Run all jobs, a few at once, and group them by all but the seed."""
+    groups: dict[Key, list[dict[str, Any]]] = {}
+    with ProcessPoolExecutor(WORKERS) as executor:
+        for job, figures in zip(jobs, executor.map(run_job, jobs), strict=True):
+            groups.setdefault(job[:3], []).append(figures)
+    return groups
+
+
+def show(groups: dict[Key, list[dict[str, Any]]]) -> None:
+    """Print a table for each deployment and scenario."""
+    for place, scene in dict.fromkeys(key[:2] for key in groups):
+        rows = {
+            key[2]: runs for key, runs in groups.items() if key[:2] == (place, scene)
+        }
+        click.echo(f"\n{place}, {scene} (mean ± standard deviation over seeds)")
+        names = SHOWN + (RETURN_SHOWN if scene == "faults" else ())
+        for policy, runs in rows.items():
+            click.echo(
+                f"  {policy}: {sum(run['ended'] for run in runs)} of "
+                f"{sum(run['requests'] for run in runs)} ended, "
+                f"{sum(run['lost'] for run in runs)} lost, "
+                f"refused {add_refused(runs)}"
+            )
+            click.echo("    " + ", ".join(show_figure(runs, name) for name in names))
+        show_gaps(rows)
+
+
+def show_figure(runs: list[dict[str, Any]], name: str) -> str:
+    """Return one figure with its spread."""
+    mean, deviation = spread(runs, name)
+    return f"{name} {mean:.3f}±{deviation:.3f}"
+
+
+def add_refused(runs: list[dict[str, Any]]) -> dict[str, int]:
+    """Return the refusals that callers saw, by kind and outcome, over all seeds."""
+    kinds: dict[str, int] = {}
+    for run in runs:
+        for kind, count in run["refused"].items():
+            kinds[kind] = kinds.get(kind, 0) + count
+    return kinds
+
+
+def show_gaps(rows: dict[str, list[dict[str, Any]]]) -> None:
+    """Print the gaps to the best possible."""
+    if "masticdrum" not in rows:
+        return
+    ours = rows["masticdrum"]
+    once = [run["recomputed"] / run["compute once"] for run in ours]
+    click.echo(f"  recomputed / computed once: {min(once):.3f} to {max(once):.3f}")
+    if "urgent alone" not in rows:
+        return
+    alone = rows["urgent alone"]
+    gaps = [
+        run["urgent p95"] / bound["urgent p95"]
+        for run, bound in zip(ours, alone, strict=True)
+    ]
+    click.echo(f"  urgent p95 / urgent alone: {min(gaps):.3f} to {max(gaps):.3f}")
+
+
+def write(groups: dict[Key, list[dict[str, Any]]]) -> None:
+    """Write every run as JSON."""
+    rows = [
+        {"deployment": key[0], "scenario": key[1], "policy": key[2], "runs": runs}
+        for key, runs in groups.items()
+    ]
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text(json.dumps(rows, indent=1, sort_keys=True) + "\n")
+
+
+@click.command()
+@click.option("--seeds", default=SEEDS, show_default=True)
+@click.option("--only", multiple=True, help="Run these policies and write nothing.")
+@click.option("--scene", multiple=True, help="Run these scenarios and write nothing.")
+def main(seeds: int, only: tuple[str, ...], scene: tuple[str, ...]) -> None:
+    """Measure every policy on both deployments."""
+    groups = run_jobs(list_jobs(seeds, only, scene))
+    show(groups)
+    if not only and not scene:
+        write(groups)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from bench.deployments import (
     BLOCK_TEXT,
@@ -36,6 +37,10 @@
     max_tokens: int
     new_blocks: int
 
+    def renumber(self, number: int) -> "Request":
+        """Return the request under another number."""
+        return replace(self, number=number)
+
 
 class Workload(Struct):
     """Requests in order of time; ``history`` came before time zero."""
