--- /dev/null
+++ b/demo/demo.py
@@ -0,0 +1,171 @@
+"""Shows a returning prompt, a booking and a data centre's leave, end to end."""
+
+import signal
+import sys
+from collections.abc import Iterator
+from contextlib import suppress
+
+from msgspec import Struct
+
+from demo.caller import Answer, call_service, complete
+from demo.processes import wait_until
+from demo.system import (
+    BOOKING_ROUTE,
+    TOKENS,
+    URGENT_ROUTE,
+    Plan,
+    System,
+)
+
+WORKSPACE = "olten-depot"
+TOKEN = TOKENS[WORKSPACE]
+DATA_CENTRE = "olten-a"
+BLOCK_BYTES = 8000
+BLOCKS = 5
+PROBES = 8  # prompts sent while a data centre is out, and as many once it is back
+KEEP_S = 10.0  # how long the demo waits until kept cache has reached a store
+WIDTHS = (44, 30, 12, 11)
+HEADS = ("what", "answer", "first token", "recomputed")
+
+
+class Row(Struct):
+    """One line of the demo's table."""
+
+    what: str
+    answer: str
+    first_token: str = ""
+    recomputed: str = ""
+
+    def format(self) -> str:
+        """Formats the row in columns."""
+        cells = (self.what, self.answer, self.first_token, self.recomputed)
+        pairs = zip(cells, WIDTHS, strict=True)
+        return "  ".join(cell.ljust(width) for cell, width in pairs).rstrip()
+
+
+def main() -> None:
+    """Starts a system, shows it and stops it."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    try:
+        with System(Plan(engine_faults={"block_s": 0.1})) as system:
+            print(Row(*HEADS).format())
+            for row in show(system):
+                print(row.format(), flush=True)
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+def show(system: System) -> Iterator[Row]:
+    """Yields a row for each thing shown."""
+    yield from show_prompt(system)
+    yield from show_booking(system)
+    yield from show_data_centre(system)
+
+
+def show_prompt(system: System) -> Iterator[Row]:
+    """Sends one prompt three times, the last time after its cache has left."""
+    prompt = make_prompt("wear report of axle 17")
+    first, second = system.entries
+    yield describe("prompt", ask(first, prompt))
+    yield describe("same prompt, cache in the engine", ask(second, prompt))
+    kept = wait_for_kept_blocks(system)
+    for engine in system.plan.engines:
+        system.control(engine, do="evict")
+    what = f"same prompt, cache evicted, {kept} blocks kept"
+    yield describe(what, ask(first, prompt))
+
+
+def show_booking(system: System) -> Iterator[Row]:
+    """Sends one booking twice under one key, and another one under the same key."""
+    first, second = system.entries
+    booking = {"wheelset": 17, "lathe": 2}
+    yield describe_call("booking", book(first, booking))
+    yield describe_call("same booking, other entry, same key", book(second, booking))
+    other = book(second, booking | {"lathe": 3})
+    yield describe_call("other booking, same key", other)
+    service = next(iter(system.plan.services))
+    executions = sum(system.show(service)["executions"].values())
+    yield Row("executions at the service", str(executions))
+
+
+def show_data_centre(system: System) -> Iterator[Row]:
+    """Takes a data centre out and back while prompts arrive."""
+    for out, what in ((True, "out"), (False, "back")):
+        serial = system.set_out(DATA_CENTRE, out)
+        system.wait_in_force(serial)
+        before = count_runs(system)
+        answers = [
+            ask(system.entries[number % 2], make_prompt(f"{what} {number}"), 4)
+            for number in range(PROBES)
+        ]
+        whole = sum(answer.whole for answer in answers)
+        served = count_runs(system) - before
+        text = f"{whole} of {PROBES} whole, {served} there"
+        yield Row(f"data centre {DATA_CENTRE} {what}", text)
+
+
+def ask(entry: str, prompt: str, max_tokens: int = 16) -> Answer:
+    """Sends a prompt on the urgent route."""
+    return complete(entry, TOKEN, URGENT_ROUTE, prompt, max_tokens)
+
+
+def book(entry: str, booking: dict[str, int]) -> Answer:
+    """Sends a booking under the demo's key."""
+    return call_service(entry, TOKEN, BOOKING_ROUTE, "booking-17", booking)
+
+
+def make_prompt(text: str) -> str:
+    """Makes a prompt of several blocks, which begins with ``text``."""
+    whole = text + "\n" + "profile 28.9 6.4 10.7\n" * (BLOCKS * BLOCK_BYTES // 10)
+    return whole[: BLOCKS * BLOCK_BYTES]
+
+
+def wait_for_kept_blocks(system: System) -> int:
+    """Waits until a store instance holds the prompt; gives the blocks that are held."""
+
+    def count() -> int:
+        return sum(int(system.show(name)["blocks"]) for name in system.plan.stores)
+
+    with suppress(TimeoutError):
+        wait_until(lambda: count() >= BLOCKS, "blocks kept", KEEP_S)
+    return count()
+
+
+def count_runs(system: System) -> int:
+    """Counts the runs that reached the engines of the demo's data centre."""
+    places = system.plan.engines
+    names = [name for name, place in places.items() if place == DATA_CENTRE]
+    return sum(system.show(name)["counts"].get("POST runs", 0) for name in names)
+
+
+def describe(what: str, answer: Answer) -> Row:
+    """Describes a completion's answer."""
+    usage = answer.usage
+    blocks = usage.get("prompt_blocks", 0)
+    recomputed = ""
+    if blocks:
+        recomputed = f"{usage['recomputed_blocks'] / blocks:.0%}"
+    imported = usage.get("imported_blocks", 0)
+    text = "whole" if answer.whole else describe_refusal(answer)
+    if imported:
+        text += f", {imported} blocks imported"
+    return Row(what, text, f"{answer.first_token_s * 1000:.0f} ms", recomputed)
+
+
+def describe_call(what: str, answer: Answer) -> Row:
+    """Describes a plain service's answer."""
+    if answer.status != 200:
+        return Row(what, describe_refusal(answer))
+    replayed = answer.headers.get("idempotent-replayed") == "true"
+    return Row(what, "200, replayed" if replayed else "200")
+
+
+def describe_refusal(answer: Answer) -> str:
+    """Describes a refusal, a broken stream or a broken connection."""
+    if answer.broken:
+        return f"broken: {answer.broken}"
+    return f"{answer.status} {answer.kind} ({answer.outcome})"
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,55 @@
+"""Leaves the demo's system running and prints the calls to try."""
+
+import signal
+import sys
+import threading
+
+from demo.system import BOOKING_ROUTE, TOKENS, URGENT_ROUTE, System
+
+TEXT = """\
+A prompt, streamed:
+  curl -N {entry}/v1/completions -H 'Authorization: Bearer {token}' \\
+    -d '{{"model": "{urgent}", "prompt": "wear of axle 17", "stream": true}}'
+A booking; send it twice:
+  curl {entry}/v1/routes/{booking}/calls -H 'Authorization: Bearer {token}' \\
+    -H 'Idempotency-Key: booking-1' -d '{{"wheelset": 17}}'
+Status and metrics of an entry:
+  curl {entry}/status {entry}/metrics
+The tables that are in force:
+  curl {objects}/objects/config/tables
+A stand-in's state, and a fault switched on:
+  curl {engine}/control
+  curl {engine}/control -d '{{"do": "crash"}}'
+Settings and logs are in {directory}. Ctrl-C stops everything.
+"""
+
+
+def main() -> None:
+    """Starts a system and waits for Ctrl-C."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    try:
+        with System() as system:
+            print(describe(system), flush=True)
+            threading.Event().wait()
+    except KeyboardInterrupt:
+        print("stopped")
+
+
+def describe(system: System) -> str:
+    """Describes what runs and what to try."""
+    lines = [f"{name:24}{url}" for name, url in system.addresses.items()]
+    token = next(iter(TOKENS.values()))
+    text = TEXT.format(
+        entry=system.entries[0],
+        token=token,
+        urgent=URGENT_ROUTE,
+        booking=BOOKING_ROUTE,
+        objects=system.addresses["objects"],
+        engine=system.addresses[next(iter(system.plan.engines))],
+        directory=system.directory,
+    )
+    return "\n".join(lines) + "\n\n" + text
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -35,7 +35,7 @@
         self, faults: EngineFaults | None = None, name: str = "engine"
     ) -> None:
         super().__init__(faults or EngineFaults())
-        self.model = EngineModel(name, self.faults)
+        self.model = EngineModel(self.faults)
         self.actions["crash"] = lambda: self.model.crash(trio.current_time())
         self.actions["turn_cold"] = self.model.turn_cold
         self.actions["evict"] = lambda: self.model.cache.shrink(0, trio.current_time())
--- a/tests/standins/enginemodel.py
+++ b/tests/standins/enginemodel.py
@@ -16,6 +16,7 @@
 class EngineFaults(Faults):
     """Settings and faults of an engine; times are seconds, sizes bytes.
 
+    ``name`` is the first part of the names of its boots.
     A prompt's block that is not held costs ``block_s``, then tokens come every
     ``token_s``; one prefill runs at a time. ``batch`` runs share the engine, others
     wait. A cold engine bears ``cold_ceiling`` runs and ``cold_growth`` more for each
@@ -25,6 +26,7 @@
     long, where that is above zero and within its limit.
     """
 
+    name: str = "engine"
     version: str = "v1"
     token_s: float = 0.044
     block_s: float = 0.2
@@ -173,8 +175,7 @@
 class EngineModel:
     """An engine without I/O; every method takes the time ``now`` in seconds."""
 
-    def __init__(self, name: str, faults: EngineFaults, now: float = 0.0) -> None:
-        self.name = name
+    def __init__(self, faults: EngineFaults, now: float = 0.0) -> None:
         self.faults = faults
         self.version = faults.version
         self.cache = PrefixCache()
@@ -198,7 +199,7 @@
     @property
     def boot(self) -> str:
         """The name of this life of the engine."""
-        return f"{self.name}-{self.boots}"
+        return f"{self.faults.name}-{self.boots}"
 
     @property
     def is_cold(self) -> bool:
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -319,7 +319,7 @@
 
 
 def test_engine_model_serves_urgent_runs_first() -> None:
-    model = EngineModel("e", EngineFaults(batch=1, token_s=1.0))
+    model = EngineModel(EngineFaults(batch=1, token_s=1.0))
     model.start(run_body("a"), 0.0)
     model.start(run_body("b", priority=2), 0.0)
     model.start(run_body("c", priority=0), 0.0)
@@ -330,13 +330,13 @@
 
 def test_engine_model_falls_over_past_its_cold_ceiling() -> None:
     faults = EngineFaults(cold_ceiling=1, cold_growth=1.0, warm_after_s=3.0)
-    model = EngineModel("e", faults)
+    model = EngineModel(faults)
     run = run_body("a", last=1000)
     assert model.start(run, 0.0) == 200
     assert model.start(run_body("b", last=1000), 1.5) == 200
     first = model.runs["a"]
     assert model.start(run_body("c"), 1.6) == 503
-    assert (model.falls, first.cut, model.report(1.7).boot) == (1, True, "e-2")
+    assert (model.falls, first.cut, model.report(1.7).boot) == (1, True, "engine-2")
     assert model.start(run, 1.7) == 503
     assert model.start(run, 3.0) == 200
     assert [model.start(run_body(f"d{n}"), 7.0) for n in range(9)] == [200] * 9
@@ -344,7 +344,7 @@
 
 def test_engine_model_lags_and_loses_events() -> None:
     faults = EngineFaults(report_lag_s=5.0, events_lag_s=5.0, events_gap=2)
-    model = EngineModel("e", faults)
+    model = EngineModel(faults)
     model.start(run_body("a", last=10_000, blocks=["x", "y", "z"]), 1.0)
     assert model.report(2.0).running == 0
     assert model.report(6.5).running == 1
