--- a/demo/system.py
+++ b/demo/system.py
@@ -8,6 +8,7 @@
 from contextlib import ExitStack
 from hashlib import sha256
 from pathlib import Path
+from secrets import token_hex
 from tempfile import TemporaryDirectory
 from typing import Any, Self
 
@@ -38,6 +39,7 @@
 BOOKING_ROUTE = "lathe-bookings"
 TOKENS = {"olten-depot": "olten-token", "aarau-depot": "aarau-token"}
 TABLES_PATH = "config/tables"
+SECRET_BYTES = 16
 READY_S = 60.0  # seconds for any process to become ready
 
 
@@ -220,6 +222,7 @@
     def _write_settings(self) -> None:
         upstreams = self.plan.engines | self.plan.services
         ports = iter(pick_ports(2 * len(upstreams) + len(self.plan.entries)))
+        secret = token_hex(SECRET_BYTES)
         credentials = self.directory / "credentials.json"
         digests = {sha256(t.encode()).hexdigest(): w for w, t in TOKENS.items()}
         credentials.write_text(json.dumps(digests))
@@ -241,6 +244,7 @@
                 "listen": self._agents[name],
                 "upstream_url": self.addresses[upstream],
                 "kind": PoolKind.ENGINE if is_engine else PoolKind.SERVICE,
+                "block_secret": secret,
             }
             self._write_file(name, place, own | self.plan.agent)
 
