--- a/demo/demo.py
+++ b/demo/demo.py
@@ -69,8 +69,7 @@
     yield describe("prompt", ask(first, prompt))
     yield describe("same prompt, cache in the engine", ask(second, prompt))
     kept = wait_for_kept_blocks(system)
-    for engine in system.plan.engines:
-        system.control(engine, do="evict")
+    system.evict_caches()
     what = f"same prompt, cache evicted, {kept} blocks kept"
     yield describe(what, ask(first, prompt))
 
--- a/demo/system.py
+++ b/demo/system.py
@@ -174,6 +174,24 @@
                 READY_S,
             )
 
+    def evict_caches(self) -> None:
+        """Empties the engines' caches and waits until their agents were told."""
+        for name in self.plan.engines:
+            self.control(name, do="evict")
+        for name in self.plan.engines:
+            # The poll that is under way may have begun before the eviction.
+            enough = self._count_event_reads(name) + 2
+            wait_until(
+                lambda name=name, enough=enough: (
+                    self._count_event_reads(name) >= enough
+                ),
+                f"cache events of {name} read",
+                READY_S,
+            )
+
+    def _count_event_reads(self, name: str) -> int:
+        return int(self.show(name)["counts"].get("GET events", 0))
+
     def list_instances(self) -> list[dict[str, str]]:
         """Lists the rows that the instance list should show."""
         rows = [
