--- /dev/null
+++ b/masticdrum/core/waiting.py
@@ -0,0 +1,199 @@
+"""The bounded queue of admitted but waiting requests of one upstream.
+
+Classes of urgency are served most urgent first. A class whose oldest request has
+waited longer than its figure in ``AGING_S`` gets one start in each ``AGED_EVERY``
+starts, shared with the other aged class, so no class starves. Inside a class,
+workspaces share by start-time fair queueing over the expected work of their requests.
+
+A full queue makes room for a request by dropping the newest one of the largest
+workspace, from a less urgent class first. Each class keeps a reserve of places, an
+eighth of the queue, that other classes can't take from it.
+"""
+
+from collections import deque
+
+from msgspec import Struct
+
+from masticdrum.model.tables import Urgency
+
+AGING_S = {Urgency.NORMAL: 10.0, Urgency.BACKGROUND: 30.0}
+AGED_EVERY = 8  # starts
+RESERVED_PART = 8  # each class keeps 1 / 8 of the queue
+CLASSES = list(Urgency)
+
+
+class Ticket(Struct):
+    """A request that waits for its start.
+
+    ``work`` is the expected work in any one unit, ``deadline`` the time after which a
+    start is of no use, ``alone`` whether it must be the upstream's only run.
+    """
+
+    attempt: str
+    workspace: str
+    urgency: Urgency
+    work: float
+    deadline: float
+    arrived: float
+    alone: bool = False
+    tag: float = 0.0
+
+
+class Lane:
+    """One class: fair queueing between workspaces."""
+
+    __slots__ = ("_finish", "_virtual", "queues", "size")
+
+    def __init__(self) -> None:
+        self.queues: dict[str, deque[Ticket]] = {}
+        self.size = 0
+        self._finish: dict[str, float] = {}
+        self._virtual = 0.0
+
+    def preview_tag(self, workspace: str) -> float:
+        """Finds the start tag that the workspace's next request would get."""
+        return max(self._virtual, self._finish.get(workspace, 0.0))
+
+    def push(self, ticket: Ticket) -> None:
+        """Appends a request to its workspace's queue."""
+        ticket.tag = self.preview_tag(ticket.workspace)
+        self._finish[ticket.workspace] = ticket.tag + ticket.work
+        self.queues.setdefault(ticket.workspace, deque()).append(ticket)
+        self.size += 1
+
+    def pop(self) -> Ticket:
+        """Takes the request with the lowest start tag."""
+        queue = min(self.queues.values(), key=lambda q: (q[0].tag, q[0].arrived))
+        ticket = queue[0]
+        self._virtual = ticket.tag
+        self.remove(ticket)
+        return ticket
+
+    def remove(self, ticket: Ticket) -> None:
+        """Takes out one request, from wherever it stands."""
+        queue = self.queues[ticket.workspace]
+        queue.remove(ticket)
+        self.size -= 1
+        if not queue:
+            del self.queues[ticket.workspace]
+        if self.size == 0:
+            self._finish.clear()
+            self._virtual = 0.0
+
+    def drop(self, workspace: str) -> Ticket:
+        """Takes back the newest request of a workspace, and its share with it."""
+        ticket = self.queues[workspace][-1]
+        self.remove(ticket)
+        if self.size:
+            self._finish[workspace] = ticket.tag
+        return ticket
+
+    def find_largest(self) -> str:
+        """Names the workspace with the most waiting requests."""
+        return max(self.queues, key=lambda name: (len(self.queues[name]), name))
+
+    def find_oldest(self) -> float:
+        """Finds the earliest arrival; the lane must not be empty."""
+        return min(queue[0].arrived for queue in self.queues.values())
+
+    def count_before(self, tag: float) -> int:
+        """Counts the requests that go before one with the start tag ``tag``."""
+        return sum(t.tag <= tag for queue in self.queues.values() for t in queue)
+
+
+class WaitingQueue:
+    """All classes of one upstream's waiting requests."""
+
+    __slots__ = ("_last_aged", "_since_aged", "_starts", "capacity", "lanes", "tickets")
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self.lanes = {urgency: Lane() for urgency in CLASSES}
+        self.tickets: dict[str, Ticket] = {}
+        self._starts = 0
+        self._since_aged = 0
+        self._last_aged = dict.fromkeys(CLASSES, 0)
+
+    def __len__(self) -> int:
+        return len(self.tickets)
+
+    def push(self, ticket: Ticket) -> Ticket | None:
+        """Queues a request; gives the one that found no place, if any."""
+        victim = None
+        if len(self) >= self.capacity:
+            victim = self._make_place(ticket)
+        if victim is ticket:
+            return ticket
+        self.lanes[ticket.urgency].push(ticket)
+        self.tickets[ticket.attempt] = ticket
+        return victim
+
+    def pop(self, now: float) -> Ticket:
+        """Takes the request that starts next; the queue must not be empty."""
+        urgency = self._choose_class(now)
+        ticket = self.lanes[urgency].pop()
+        del self.tickets[ticket.attempt]
+        return ticket
+
+    def remove(self, attempt: str) -> Ticket | None:
+        """Takes out a request that is no longer wanted."""
+        ticket = self.tickets.pop(attempt, None)
+        if ticket is not None:
+            self.lanes[ticket.urgency].remove(ticket)
+        return ticket
+
+    def expire(self, now: float) -> list[Ticket]:
+        """Takes out all requests whose deadline has passed."""
+        late = [t for t in self.tickets.values() if t.deadline <= now]
+        for ticket in late:
+            self.remove(ticket.attempt)
+        return late
+
+    def count_ahead(self, workspace: str, urgency: Urgency) -> int:
+        """Counts the requests that a new one would wait for."""
+        higher = CLASSES[: CLASSES.index(urgency)]
+        lane = self.lanes[urgency]
+        own = lane.count_before(lane.preview_tag(workspace))
+        return own + sum(self.lanes[name].size for name in higher)
+
+    def _choose_class(self, now: float) -> Urgency:
+        self._starts += 1
+        aged = [name for name in AGING_S if self._is_aged(name, now)]
+        if aged and self._since_aged >= AGED_EVERY - 1:
+            # The one served least recently, so that two aged classes take turns.
+            chosen = min(aged, key=lambda name: self._last_aged[name])
+            self._last_aged[chosen] = self._starts
+            self._since_aged = 0
+            return chosen
+        self._since_aged += 1
+        return next(name for name in CLASSES if self.lanes[name].size)
+
+    def _is_aged(self, urgency: Urgency, now: float) -> bool:
+        lane = self.lanes[urgency]
+        return lane.size > 0 and now - lane.find_oldest() > AGING_S[urgency]
+
+    def _make_place(self, ticket: Ticket) -> Ticket:
+        reserve = self.capacity // RESERVED_PART
+        own = self.lanes[ticket.urgency]
+        for name in reversed(CLASSES):
+            lane = self.lanes[name]
+            less_urgent = CLASSES.index(name) > CLASSES.index(ticket.urgency)
+            if name == ticket.urgency or lane.size <= reserve:
+                continue
+            if less_urgent or own.size < reserve:
+                return self._drop(lane)
+        return self._displace_in_class(own, ticket)
+
+    def _displace_in_class(self, lane: Lane, ticket: Ticket) -> Ticket:
+        if not lane.size:
+            return ticket
+        largest = lane.find_largest()
+        mine = len(lane.queues.get(ticket.workspace, ()))
+        if len(lane.queues[largest]) <= mine + 1:
+            return ticket
+        return self._drop(lane)
+
+    def _drop(self, lane: Lane) -> Ticket:
+        victim = lane.drop(lane.find_largest())
+        del self.tickets[victim.attempt]
+        return victim
