Let the agent's reducer start runs by its admission alone

Cause: the agent counted its own runs against the pool's largest limit, in order of arrival, and knew nothing of a cold engine.

Ruled out: a second list of waiting runs beside the admission's queue; two lists would have to agree at each withdrawal.

The setup of tests/core/test_agentcache.py now gives reports for two seconds, since a new agent trusts none that may show its predecessor's time; its checks are as they were.

Conclusion: the limit holds inside the whole reducer as well.

--- a/masticdrum/core/admission.py
+++ b/masticdrum/core/admission.py
@@ -15,7 +15,8 @@
 
 from masticdrum.core.coldstart import ColdStartGate
 from masticdrum.core.concurrency import AdaptiveLimit
-from masticdrum.core.occupancy import Occupancy
+from masticdrum.core.invariants import require
+from masticdrum.core.occupancy import LONGEST_RUN_S, Occupancy
 from masticdrum.core.waiting import Ticket, WaitingQueue
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import Load
@@ -43,24 +44,23 @@
         "_duration_s",
         "_held",
         "_last_token",
-        "_pool",
         "adaptive",
         "gate",
         "occupancy",
+        "pool",
         "queue",
     )
 
     def __init__(self, pool: Pool, now: float) -> None:
         reports = pool.kind == PoolKind.ENGINE
-        self.gate = ColdStartGate(pool.cold_start, pool.max_running, now, reports)
-        if not reports:
-            self.gate = ColdStartGate(
-                pool.cold_start, pool.max_running, now, False, SERVICE_TRUST_S
-            )
+        trust_after_s = LONGEST_RUN_S if reports else SERVICE_TRUST_S
+        self.gate = ColdStartGate(
+            pool.cold_start, pool.max_running, now, reports, trust_after_s
+        )
         self.adaptive = AdaptiveLimit(pool.max_running)
         self.occupancy = Occupancy()
         self.queue = WaitingQueue(pool.max_queued)
-        self._pool = pool
+        self.pool = pool
         self._duration_s = 0.0
         self._last_token: dict[str, float] = {}
         self._held: Ticket | None = None
@@ -68,15 +68,18 @@
 
     def configure(self, pool: Pool) -> None:
         """Takes over a pool's new settings."""
-        self._pool = pool
-        self.gate.resize(pool.cold_start, pool.max_running)
+        if pool is self.pool:
+            return
+        self.pool = pool
+        reports = pool.kind == PoolKind.ENGINE
+        self.gate.configure(pool.cold_start, pool.max_running, reports)
         self.adaptive.resize(pool.max_running)
 
     def offer(self, ticket: Ticket, now: float) -> list[Refusal]:
         """Queues a request; gives the refusals of all that lost their place by it."""
         self.gate.notice(now)
         self.queue.capacity = self._find_capacity()
-        wait_s = self.estimate_wait(ticket.workspace, ticket.urgency, now)
+        wait_s = self.estimate_wait(ticket.workspace, ticket.urgency)
         if now + wait_s > ticket.deadline:
             return [self._refuse(ticket, wait_s)]
         victim = self.queue.push(ticket)
@@ -109,6 +112,11 @@
             return True
         return self.queue.remove(attempt) is not None
 
+    def list_waiting(self) -> list[str]:
+        """Lists the attempts that have not started."""
+        held = [] if self._held is None else [self._held.attempt]
+        return held + list(self.queue.tickets)
+
     def begin(self, attempt: str, now: float) -> None:
         """Notes that the upstream confirmed a run."""
         self.occupancy.begin(attempt, now)
@@ -153,10 +161,14 @@
         self._forget(attempt)
         self.occupancy.orphan(attempt, now)
 
-    def refuse_full(self, attempt: str, now: float) -> None:
-        """Notes that the upstream refused a run as too many; it did not run."""
+    def release(self, attempt: str, now: float) -> None:
+        """Notes that a run never reached the upstream, or was not taken by it."""
         self._forget(attempt)
         self.occupancy.end(attempt, now)
+
+    def refuse_full(self, attempt: str, now: float) -> None:
+        """Notes that the upstream refused a run as too many; it did not run."""
+        self.release(attempt, now)
         self.adaptive.decrease(now)
 
     def report(self, reachable: bool, running: int, boot: str, now: float) -> None:
@@ -168,22 +180,22 @@
         if trusted or self.gate.trusted:
             self.occupancy.report(running, now)
 
-    def estimate_wait(self, workspace: str, urgency: Urgency, now: float) -> float:
+    def estimate_wait(self, workspace: str, urgency: Urgency) -> float:
         """Estimates how long a new request would wait, in seconds."""
         ahead = self.queue.count_ahead(workspace, urgency)
-        free = self._find_room(now)
+        free = self._cap_room(self.gate.peek_room(self.occupancy))
         if ahead < free:
             return 0.0
         slots = max(1, min(self.gate.limit, self.adaptive.limit))
         return (ahead - free + 1) * self._duration_s / slots
 
-    def find_load(self, now: float, leaving: bool = False) -> Load:
+    def find_load(self, leaving: bool = False) -> Load:
         """Makes the hint that goes out with answers and refusals."""
         return Load(
             running=len(self.occupancy.runs),
             queued=len(self.queue),
             limit=min(self.gate.limit, self.adaptive.limit),
-            wait_s=self.estimate_wait("", Urgency.NORMAL, now),
+            wait_s=self.estimate_wait("", Urgency.NORMAL),
             cold=self.gate.cold,
             leaving=leaving,
         )
@@ -208,17 +220,19 @@
     def _start(self, ticket: Ticket, now: float) -> None:
         self.occupancy.start(ticket.attempt, now)
         running = len(self.occupancy.runs)
-        assert running <= self.gate.limit, f"{running} runs above {self.gate.limit}"
-        assert running <= self._pool.max_running, f"{running} runs above the pool's"
+        limit = min(self.gate.limit, self.pool.max_running)
+        require(running <= limit, f"no more than {limit} runs start, not {running}")
 
     def _find_room(self, now: float) -> int:
-        room = self.gate.find_room(self.occupancy, now)
+        return self._cap_room(self.gate.find_room(self.occupancy, now))
+
+    def _cap_room(self, room: int) -> int:
         return min(room, max(0, self.adaptive.limit - len(self.occupancy.runs)))
 
     def _find_capacity(self) -> int:
-        share = self.gate.limit / max(1, self._pool.max_running)
-        least = min(SMALLEST_QUEUE, self._pool.max_queued)
-        return max(least, int(self._pool.max_queued * share))
+        share = self.gate.limit / max(1, self.pool.max_running)
+        least = min(SMALLEST_QUEUE, self.pool.max_queued)
+        return max(least, int(self.pool.max_queued * share))
 
     def _refuse(self, ticket: Ticket, wait_s: float) -> Refusal:
         kind = ErrorKind.COLD_START if self.gate.cold else ErrorKind.QUEUE_FULL
--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -1,5 +1,11 @@
 """The agent's reducer: every event in, effects as data out."""
 
+from masticdrum.core.agentadmission import (
+    ADMISSION,
+    arm_tick,
+    take_report,
+    update_admission,
+)
 from masticdrum.core.agentcache import settle_cache, take_cache_event, update_rules
 from masticdrum.core.agentstate import AgentState, EngineView
 from masticdrum.core.entrystate import TimerName
@@ -54,6 +60,7 @@
     The state changes in place. The same state, event and time always give the same
     effects.
     """
+    update_admission(state, now)
     match event:
         case FrameReceived():
             effects = _take_message(state, event.link, event.envelope.message, now)
@@ -113,6 +120,7 @@
 def _take_load(state: AgentState, event: LoadReported, now: float) -> list[AgentEffect]:
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
     update_rules(state)
+    take_report(state, event, now)
     return start_waiting(state, now)
 
 
@@ -126,6 +134,9 @@
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
     if name.purpose == POLL:
         return list(poll_tables(state, now))
+    if name.purpose == ADMISSION:
+        arm_tick(state, now)
+        return start_waiting(state, now)
     run = state.runs.get(name.owner)
     if run is None:
         return []
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -1,16 +1,16 @@
 """What one agent knows and remembers."""
 
-from collections import deque
 from random import Random
 
 from msgspec import Struct
 
+from masticdrum.core.admission import Admission
 from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import Run
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
-from masticdrum.model.tables import Tables
+from masticdrum.model.tables import Pool, PoolKind, Tables
 
 
 class AgentOptions(Struct, frozen=True):
@@ -45,6 +45,7 @@
     """The whole state of one agent's reducer."""
 
     __slots__ = (
+        "admission",
         "cache",
         "engine",
         "leaving",
@@ -53,9 +54,9 @@
         "running",
         "runs",
         "shutdown_by",
+        "started",
         "timers",
         "view",
-        "waiting",
     )
 
     def __init__(self, options: AgentOptions, seed: int) -> None:
@@ -67,7 +68,8 @@
         self.engine = EngineView()
         self.cache = KeptCache()
         self.runs: dict[str, Run] = {}
-        self.waiting: deque[str] = deque()
+        self.started = False
+        self.admission = Admission(Pool(options.pool, PoolKind.ENGINE, []), 0.0)
         self.running: set[str] = set()
         self.leaving = False
         self.shutdown_by: float | None = None
--- a/masticdrum/core/coldstart.py
+++ b/masticdrum/core/coldstart.py
@@ -20,7 +20,7 @@
 FAULT_WINDOW_S = 5.0
 LONGEST_CREDIT_S = 1.0  # the most that one token can prove of work done
 PAUSE_S = 0.5  # a longer gap between two events means that the process was paused
-DRAIN_S = 1.0  # how long events from before a pause may still come out of the sockets
+DRAIN_S = 1.1  # how long events from before a pause may still come out of the sockets
 
 
 class ColdStartGate:
@@ -35,7 +35,6 @@
         "_evidence_from",
         "_faults",
         "_last_event",
-        "_reports",
         "_trust_at",
         "_unknown_since",
         "boot",
@@ -44,6 +43,7 @@
         "known_from",
         "limit",
         "ramp",
+        "reports",
         "trust_after_s",
         "trusted",
     )
@@ -59,7 +59,7 @@
         self.ramp = ramp
         self.ceiling = ceiling
         self.trust_after_s = trust_after_s
-        self._reports = reports
+        self.reports = reports
         self._faults: deque[float] = deque()
         self._last_event = now
         self._evidence_from = now
@@ -82,8 +82,9 @@
         self.confirmed_until = now - LOAD_LAG_S
         self._faults.clear()
 
-    def resize(self, ramp: ColdStart, ceiling: int) -> None:
+    def configure(self, ramp: ColdStart, ceiling: int, reports: bool) -> None:
         """Takes over a pool's new settings."""
+        self.reports = reports
         self.ramp = ramp
         self.ceiling = ceiling
         self.limit = min(self.limit, ceiling)
@@ -109,7 +110,7 @@
         run = occupancy.runs.get(attempt)
         if run is None or now < self._evidence_from:
             return
-        if not self._reports:
+        if not self.reports:
             self._earn(now - self.confirmed_until, occupancy)
             self.confirmed_until = now
             return
@@ -134,10 +135,14 @@
     def find_room(self, occupancy: Occupancy, now: float) -> int:
         """Counts the runs that may start now; never negative."""
         self.notice(now)
+        return self.peek_room(occupancy)
+
+    def peek_room(self, occupancy: Occupancy) -> int:
+        """Counts the runs that might have started at the last event."""
         if not self.trusted:
             return 0
         room = self.limit - len(occupancy.runs)
-        if self._reports:
+        if self.reports:
             room = min(room, self.ramp.limit - self.count_unconfirmed(occupancy))
         return max(0, room)
 
@@ -164,7 +169,7 @@
 
     def _earn(self, proven_s: float, occupancy: Occupancy) -> None:
         busy = len(occupancy.runs) - self.count_unconfirmed(occupancy)
-        if not self._reports:
+        if not self.reports:
             busy = len(occupancy.runs)
         used = min(1.0, busy / self.limit)
         self._credit_s += min(proven_s, LONGEST_CREDIT_S) * used
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -1,5 +1,6 @@
 """The life of a completion's attempt at an agent: admission, tokens, the end."""
 
+from masticdrum.core.agentadmission import abandon_run, offer_run, settle_failed
 from masticdrum.core.agentcache import begin_run, drop_ended, prepare_run
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.entrystate import TimerName
@@ -44,13 +45,8 @@
 
 def report_load(state: AgentState) -> Load:
     """Return the hint that goes out with answers and refusals."""
-    pool = state.view.find_pool(state.options.pool)
-    return Load(
-        running=len(state.running),
-        queued=len(state.waiting),
-        limit=0 if pool is None else pool.max_running,
-        leaving=state.leaving or state.shutdown_by is not None,
-    )
+    leaving = state.leaving or state.shutdown_by is not None
+    return state.admission.find_load(leaving)
 
 
 def find_refusal(state: AgentState, version: str) -> ErrorKind | None:
@@ -80,29 +76,29 @@
     if known is not None:
         return take_resume(state, link, Resume(message.attempt, known.kept_from), now)
     refusal = find_refusal(state, message.version)
-    pool = state.view.find_pool(state.options.pool)
-    if refusal is None and pool is not None and len(state.waiting) >= pool.max_queued:
-        refusal = ErrorKind.QUEUE_FULL
     if refusal is not None:
         return _refuse(state, link, message.attempt, refusal)
     run = Run(message, link, now, now, len(message.delivered), sent_at=now)
     state.runs[run.attempt] = run
-    state.waiting.append(run.attempt)
+    displaced: list[AgentEffect] = []
+    for left in offer_run(state, run, now):
+        loser = state.runs[left.attempt]
+        displaced += _refuse_waiting(state, loser, left.kind, now, left.retry_after_s)
+    if run.stage is not RunStage.WAITING:
+        return displaced
     state.timers.set(TimerName(DEADLINE, run.attempt), now + message.ttl_s)
     _arm_check(state, run, now)
     accepted = Accepted(run.attempt, state.engine.version, report_load(state))
     prepared = prepare_run(state, run, now)
-    return [ReplyFrame(link, accepted), *prepared, *start_waiting(state, now)]
+    started = start_waiting(state, now)
+    return [*displaced, ReplyFrame(link, accepted), *prepared, *started]
 
 
 def start_waiting(state: AgentState, now: float) -> list[AgentEffect]:
     """Start as many waiting attempts as the upstream bears."""
     effects: list[AgentEffect] = []
-    pool = state.view.find_pool(state.options.pool)
-    limit = 0 if pool is None else pool.max_running
-    while state.waiting and len(state.running) < limit:
-        run = state.runs[state.waiting.popleft()]
-        effects += _start(state, run, now)
+    for ticket in state.admission.take(now):
+        effects += _start(state, state.runs[ticket.attempt], now)
     return effects
 
 
@@ -155,7 +151,9 @@
     if run.stage is RunStage.RUNNING:
         effects.append(CancelRun(attempt))
     effects.append(Log(LogNumber.RUN_CANCELLED, attempt=attempt))
-    _leave(state, run)
+    if run.stage is not RunStage.ENDED:
+        abandon_run(state, run, now)
+    state.running.discard(attempt)
     _forget(state, run)
     return effects + start_waiting(state, now)
 
@@ -169,6 +167,7 @@
         not run.dispatch.version or run.dispatch.version == event.version,
         f"attempt '{run.attempt}' runs on version '{run.dispatch.version}' only",
     )
+    state.admission.begin(run.attempt, now)
     run.version = event.version
     run.sent_at = now
     imported = run.usage.imported
@@ -195,6 +194,7 @@
     fresh = list(event.tokens[run.count - event.first :])
     if not fresh:
         return []
+    state.admission.progress(run.attempt, len(fresh), now)
     first = run.count
     run.kept += fresh
     run.digest.add(fresh)
@@ -208,7 +208,8 @@
     run = state.runs.get(event.attempt)
     if run is None or run.stage is not RunStage.RUNNING:
         return []
-    _leave(state, run)
+    state.running.discard(run.attempt)
+    state.admission.end(run.attempt, now)
     end = Finished(
         attempt=run.attempt,
         count=run.count,
@@ -234,7 +235,8 @@
             ResumeRun(run.attempt, run.count),
             Count(Counter.RETRIES, "engine silent"),
         ]
-    _leave(state, run)
+    state.running.discard(run.attempt)
+    settle_failed(state, event, now)
     outcome = Outcome.UNKNOWN if event.ran else Outcome.NOT_RUN
     end = Failed(run.attempt, ErrorKind.UPSTREAM_FAILED, outcome, report_load(state))
     logged = Log(LogNumber.RUN_FAILED, attempt=run.attempt, detail=event.detail)
@@ -267,7 +269,7 @@
 ) -> list[AgentEffect]:
     """Refuse every attempt that has not started, so that it can go elsewhere."""
     effects: list[AgentEffect] = []
-    for attempt in list(state.waiting):
+    for attempt in state.admission.list_waiting():
         effects += _refuse_waiting(state, state.runs[attempt], kind, now)
     return effects
 
@@ -305,10 +307,10 @@
 
 
 def _refuse_waiting(
-    state: AgentState, run: Run, kind: ErrorKind, now: float
+    state: AgentState, run: Run, kind: ErrorKind, now: float, retry_after_s: float = 0.0
 ) -> list[AgentEffect]:
-    _leave(state, run)
-    hint = ANSWERS[kind].retry_after_s
+    state.admission.withdraw(run.attempt)
+    hint = max(retry_after_s, ANSWERS[kind].retry_after_s)
     refused = Refused(run.attempt, kind, hint, report_load(state))
     counted = Count(Counter.REFUSALS, kind.value)
     return [*_end(state, run, refused, now), counted]
@@ -327,12 +329,6 @@
     return [ReplyFrame(run.link, end)]
 
 
-def _leave(state: AgentState, run: Run) -> None:
-    state.running.discard(run.attempt)
-    if run.stage is RunStage.WAITING and run.attempt in state.waiting:
-        state.waiting.remove(run.attempt)
-
-
 def _forget(state: AgentState, run: Run) -> None:
     for purpose in (CHECK, DEADLINE, FORGET):
         state.timers.clear(TimerName(purpose, run.attempt))
--- a/masticdrum/programs/agent.py
+++ b/masticdrum/programs/agent.py
@@ -165,7 +165,7 @@
             "incarnation": self.state.options.incarnation,
             "serial": self.state.view.serial,
             "running": len(self.state.running),
-            "waiting": len(self.state.waiting),
+            "waiting": len(self.state.admission.list_waiting()),
         }
 
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -75,7 +75,7 @@
     now = run_warm(admission, 2.0, 12.0)
     assert admission.gate.limit == 4 and not admission.gate.cold
     admission.report(True, 0, "boot-2", now)
-    assert admission.gate.limit == 2 and admission.find_load(now).cold
+    assert admission.gate.limit == 2 and admission.find_load().cold
 
 
 def test_an_idle_upstream_does_not_warm_up() -> None:
@@ -192,7 +192,7 @@
         (ColdStartGate, "report", mutate_boot, 1),
         (ColdStartGate, "__init__", mutate_start, 1),
         (Occupancy, "orphan", mutate_orphan, 8),
-        (Occupancy, "_adopt", mutate_adopt, 32),
+        (Occupancy, "_adopt", mutate_adopt, 71),
         (coldstart, "LOAD_LAG_S", 0.0, 5),
         (coldstart, "PAUSE_S", 1e9, 29),
     ],
--- a/tests/core/test_agentcache.py
+++ b/tests/core/test_agentcache.py
@@ -50,7 +50,9 @@
             pools=[pool],
         )
     )
-    reduce_agent(state, LoadReported(True, 0, "boot", "v1"), 0.0)
+    # A new agent trusts a load report only once it can't be its predecessor's.
+    for tick in range(-8, 1):
+        reduce_agent(state, LoadReported(True, 0, "boot", "v1"), tick / 4)
     return state
 
 
--- a/tests/soak_admission.py
+++ b/tests/soak_admission.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from masticdrum.core.admission import Admission
+from masticdrum.core.invariants import InvariantBroken
 from masticdrum.core.occupancy import LOAD_LAG_S, TRANSIT_S
 from masticdrum.core.waiting import Ticket
 from masticdrum.model.tables import ColdStart, Pool, PoolKind, Urgency
@@ -327,7 +328,7 @@
     """Runs a script and describes its violation, or gives an empty string."""
     try:
         run_script(seed, script)
-    except (Violation, AssertionError) as error:
+    except (Violation, InvariantBroken) as error:
         return f"{type(error).__name__}: {error}"
     return ""
 
@@ -358,7 +359,7 @@
         script = make_script(episode)
         try:
             world = run_script(episode, script)
-        except (Violation, AssertionError):
+        except (Violation, InvariantBroken):
             script = shrink(episode, script)
             click.echo(f"seed {episode}: {find_violation(episode, script)}")
             for step in script:
