--- a/masticdrum/core/completions.py
+++ b/masticdrum/core/completions.py
@@ -40,6 +40,7 @@
 
 DEADLINE = "completion deadline"
 SILENCE = "completion silence"
+RETRY = "completion retry"
 GAP_RETRY_S = 0.2
 
 
@@ -64,8 +65,9 @@
     state.completions[asked.request] = completion
     state.open_requests.add(asked.workspace, route.name)
     state.timers.set(TimerName(DEADLINE, asked.request), completion.deadline)
+    state.retries.note_first_try(len(state.completions))
     counted = Count(Counter.REQUESTS, route.urgency.value)
-    return [counted, *_try_next(state, completion, now)]
+    return [counted, *try_next(state, completion, now)]
 
 
 def refuse_request(
@@ -171,7 +173,7 @@
     _end_attempt(state, completion, may_have_run=False)
     if not ANSWERS[message.kind].elsewhere:
         return _fail(state, completion, message.kind)
-    return _retry(state, completion, message.kind, now)
+    return _retry(state, completion, message.kind, now, refused=True)
 
 
 def take_failed(
@@ -273,9 +275,10 @@
     return [SendFrame(peer.link, message)]
 
 
-def _try_next(
+def try_next(
     state: EntryState, completion: Completion, now: float
 ) -> list[EntryEffect]:
+    """Give the completion to the best upstream that is left, or end it."""
     if len(completion.tried) >= state.options.max_attempts:
         return _fail(state, completion, completion.last_kind)
     upstream = choose_upstream(state, completion, now)
@@ -318,10 +321,24 @@
 
 
 def _retry(
-    state: EntryState, completion: Completion, kind: ErrorKind, now: float
+    state: EntryState,
+    completion: Completion,
+    kind: ErrorKind,
+    now: float,
+    *,
+    refused: bool = False,
 ) -> list[EntryEffect]:
+    tries = len(completion.tried)
+    if tries >= state.options.max_attempts:
+        return _fail(state, completion, completion.last_kind)
+    at = state.retries.plan_retry(tries, refused, now, completion.deadline)
+    if at is None:
+        return _fail(state, completion, ErrorKind.RETRY_BUDGET_SPENT)
     counted = Count(Counter.RETRIES, kind.value)
-    return [counted, *_try_next(state, completion, now)]
+    if at > now:
+        state.timers.set(TimerName(RETRY, completion.request), at)
+        return [counted]
+    return [counted, *try_next(state, completion, now)]
 
 
 def _fail(
@@ -356,6 +373,7 @@
 def _forget(state: EntryState, completion: Completion) -> None:
     _end_attempt(state, completion, may_have_run=True)
     state.timers.clear(TimerName(DEADLINE, completion.request))
+    state.timers.clear(TimerName(RETRY, completion.request))
     del state.completions[completion.request]
     state.open_requests.remove(completion.workspace, completion.route.name)
 
--- a/masticdrum/core/concurrency.py
+++ b/masticdrum/core/concurrency.py
@@ -2,11 +2,11 @@
 
 A load report comes too late to prevent an overload. The time between tokens is seen at
 once: it rises with the number of runs that share a batch. The limit falls by a part
-when the pace is worse than the target, or when the upstream refuses a run, and rises by
-one for each round of runs that end at a good pace.
+when tokens come too slowly, or when the upstream refuses a run, and rises by one for
+each round of runs that end at a good pace.
 """
 
-PACE_TARGET_S = 0.044  # between tokens
+SLOWEST_PACE_S = 0.055  # between tokens
 SMOOTHING = 0.1  # the weight of the newest pace
 DECREASE = 0.9  # the part of the limit that is kept on overload
 COOLDOWN_S = 2.0  # between two decreases
@@ -37,7 +37,7 @@
         if tokens < 1:
             return
         self.pace_s += SMOOTHING * (gap_s / tokens - self.pace_s)
-        if self.pace_s > PACE_TARGET_S:
+        if self.pace_s > SLOWEST_PACE_S:
             self.decrease(now)
 
     def decrease(self, now: float) -> None:
@@ -51,7 +51,7 @@
 
     def end(self) -> None:
         """Takes in a run that ended well."""
-        if self.pace_s > PACE_TARGET_S:
+        if self.pace_s > SLOWEST_PACE_S:
             return
         self._good_ends += 1
         if self._good_ends < self.limit:
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -2,6 +2,7 @@
 
 from masticdrum.core.completions import (
     DEADLINE,
+    RETRY,
     SILENCE,
     abandon_completion,
     begin_completion,
@@ -12,6 +13,7 @@
     take_finished,
     take_refused,
     take_tokens,
+    try_next,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
 from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
@@ -132,6 +134,8 @@
         return pass_deadline(state, completion, now)
     if name.purpose == SILENCE:
         return check_silence(state, completion, now)
+    if name.purpose == RETRY:
+        return try_next(state, completion, now)
     return []
 
 
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -7,6 +7,7 @@
 from masticdrum.core.completion import Completion
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
+from masticdrum.core.retries import RetryBudget
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Tables
@@ -47,6 +48,7 @@
         "links",
         "open_requests",
         "options",
+        "retries",
         "rng",
         "shutdown_by",
         "timers",
@@ -56,6 +58,7 @@
     def __init__(self, options: EntryOptions, seed: int) -> None:
         self.options = options
         self.rng = Random(seed)
+        self.retries = RetryBudget(seed)
         self.view = TableView(Tables())
         self.links = Links(options.name)
         self.timers: Timers[TimerName] = Timers()
--- a/masticdrum/core/retries.py
+++ b/masticdrum/core/retries.py
@@ -1,14 +1,19 @@
 """Bounds the retries of an entry, so that an outage does not feed itself.
 
-Each first try earns a part of a retry; a retry spends a whole one. Backoff doubles with
-each attempt and is drawn between nothing and its bound ("full jitter"). A retry that
-could not start before the request's deadline is not made.
+Each first try earns a part of a retry. A retry after a failure, whose work may be lost,
+spends a whole one; a retry after a refusal, which cost one message, spends a part.
+Savings are bounded by a share of the open requests, so that streams can move when that
+share of the upstreams goes at once. Backoff doubles with each attempt and is drawn
+between nothing and its bound ("full jitter"). No retry starts after the deadline.
 """
 
 from random import Random
 
 RETRY_RATIO = 0.1  # retries earned by one first try
-LARGEST_BUDGET = 10.0  # retries, so that a quiet time saves up only this much
+FAILED_PRICE = 1.0  # retries
+REFUSED_PRICE = 0.1  # retries
+SAVED_PART = 0.25  # of the open requests
+LEAST_SAVINGS = 10.0  # retries, however few requests are open
 FIRST_BUDGET = 3.0  # retries of an entry that has just started
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 2.0
@@ -17,28 +22,32 @@
 class RetryBudget:
     """A token bucket that is filled by first tries and emptied by retries."""
 
-    __slots__ = ("_balance", "_random", "ratio")
+    __slots__ = ("_random", "balance")
 
-    def __init__(self, seed: int, ratio: float = RETRY_RATIO) -> None:
-        self.ratio = ratio
-        self._balance = FIRST_BUDGET
+    def __init__(self, seed: int) -> None:
+        self.balance = FIRST_BUDGET
         self._random = Random(seed)
 
-    def note_first_try(self) -> None:
+    def note_first_try(self, open_requests: int) -> None:
         """Earns a part of a retry."""
-        self._balance = min(LARGEST_BUDGET, self._balance + self.ratio)
+        most = max(LEAST_SAVINGS, SAVED_PART * open_requests)
+        self.balance = min(most, self.balance + RETRY_RATIO)
 
     def plan_retry(
-        self, tries: int, now: float, deadline: float, retry_after_s: float = 0.0
+        self, tries: int, refused: bool, now: float, deadline: float
     ) -> float | None:
-        """Finds the time of the next try and spends a retry, or gives None.
+        """Finds the time of the next try and spends for it, or gives None.
 
-        ``tries`` counts those already made, ``retry_after_s`` is the hint of the last
-        refusal where the same upstream would be asked again.
+        ``tries`` counts those already made. A refused request may go elsewhere at
+        once, since it did not run.
         """
-        bound = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (tries - 1))
-        at = now + max(retry_after_s, self._random.uniform(0.0, bound))
-        if at >= deadline or self._balance < 1.0:
+        price = REFUSED_PRICE if refused else FAILED_PRICE
+        at = now if refused else now + self._draw_backoff(tries)
+        if at >= deadline or self.balance < price:
             return None
-        self._balance -= 1.0
+        self.balance -= price
         return at
+
+    def _draw_backoff(self, tries: int) -> float:
+        bound = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (tries - 1))
+        return self._random.uniform(0.0, bound)
