--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -8,6 +8,7 @@
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
 from masticdrum.core.preambles import Preambles
+from masticdrum.core.retries import RetryBudget
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Tables
@@ -49,6 +50,7 @@
         "open_requests",
         "options",
         "preambles",
+        "retries",
         "rng",
         "shutdown_by",
         "timers",
@@ -58,6 +60,7 @@
     def __init__(self, options: EntryOptions, seed: int) -> None:
         self.options = options
         self.rng = Random(seed)
+        self.retries = RetryBudget(seed)
         self.view = TableView(Tables())
         self.links = Links(options.name)
         self.timers: Timers[TimerName] = Timers()
