Run non-idempotent calls at most once, through a ledger in the object API

Cause: a service call was taken and dropped; nothing kept two entries, a retry or a late frame from running one booking twice.

Change: a call that may not be repeated claims its key in the ledger before its dispatch. The claim names attempt, agent and incarnation. The agent remembers every attempt, buries one that never came under a tombstone and, past its bounded memory, neither runs nor denies an attempt that is not younger than what it forgot. A retry is replayed, refused or settled with the agent that the claim names.

Ruled out: one created object per commit. A number that was merged away can be created again by a writer that slept, so each commit would need a second read to be believed, and each segment a delete besides its write. A head replaced under its version can't be written by anyone who was overtaken, and costs one write a commit.

--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -1,5 +1,13 @@
 """The agent's reducer: every event in, effects as data out."""
 
+from masticdrum.core.agentcalls import (
+    LATE,
+    refuse_late_calls,
+    refuse_waiting_calls,
+    take_call,
+    take_service_event,
+    take_settle,
+)
 from masticdrum.core.agentstate import AgentState, EngineView
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.runs import (
@@ -30,16 +38,20 @@
     RunEnded,
     RunFailed,
     RunTokens,
+    ServiceAnswered,
+    ServiceFailed,
 )
 from masticdrum.model.entry_events import Exit, FrameReceived, ShutdownAsked, Woken
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import (
     AnyMessage,
+    Call,
     Cancel,
     Dispatch,
     Hello,
     Received,
     Resume,
+    Settle,
     Welcome,
 )
 from masticdrum.model.telemetry import Log, LogNumber
@@ -56,6 +68,8 @@
             effects = _take_message(state, event.link, event.envelope.message, now)
         case RunBegun() | RunTokens() | RunEnded() | RunFailed():
             effects = _take_run_event(state, event, now)
+        case ServiceAnswered() | ServiceFailed():
+            effects = take_service_event(state, event, now)
         case LoadReported():
             effects = _take_load(state, event, now)
         case Woken():
@@ -77,6 +91,10 @@
             return [ReplyFrame(link, welcome)]
         case Dispatch():
             return take_dispatch(state, link, message, now)
+        case Call():
+            return take_call(state, link, message, now)
+        case Settle():
+            return take_settle(state, link, message, now)
         case Resume():
             return take_resume(state, link, message, now)
         case Received():
@@ -115,6 +133,8 @@
 
 
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
+    if name.purpose == LATE:
+        return refuse_late_calls(state, now)
     run = state.runs.get(name.owner)
     if run is None:
         return []
@@ -132,12 +152,15 @@
 ) -> list[AgentEffect]:
     state.shutdown_by = now + event.grace_s
     begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
-    return [begun, *refuse_all_waiting(state, ErrorKind.SHUTTING_DOWN, now)]
+    kind = ErrorKind.SHUTTING_DOWN
+    refused = refuse_all_waiting(state, kind, now)
+    return [begun, *refused, *refuse_waiting_calls(state, kind, now)]
 
 
 def _exit_if_done(state: AgentState, now: float) -> list[AgentEffect]:
     if state.shutdown_by is None:
         return []
-    if state.running and now < state.shutdown_by:
+    busy = state.running or state.attempts.count_running()
+    if busy and now < state.shutdown_by:
         return []
     return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from masticdrum.core.attempts import Attempts
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import Run
 from masticdrum.core.tableview import TableView
@@ -44,6 +45,7 @@
     """The whole state of one agent's reducer."""
 
     __slots__ = (
+        "attempts",
         "engine",
         "leaving",
         "options",
@@ -62,6 +64,7 @@
         self.view = TableView(Tables())
         self.timers: Timers[TimerName] = Timers()
         self.engine = EngineView()
+        self.attempts = Attempts(options.incarnation)
         self.runs: dict[str, Run] = {}
         self.waiting: deque[str] = deque()
         self.running: set[str] = set()
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -1,5 +1,16 @@
 """The entry's reducer: every event in, effects as data out."""
 
+from masticdrum.core.calls import (
+    LEDGER,
+    CallMessage,
+    abandon_call,
+    advance_ledger,
+    begin_call,
+    greet_calls,
+    take_call_message,
+    take_call_timer,
+    take_object_answer,
+)
 from masticdrum.core.completions import (
     DEADLINE,
     SILENCE,
@@ -51,14 +62,17 @@
         case CompletionAsked():
             return begin_completion(state, event, now)
         case CallAsked():
-            return []
+            return begin_call(state, event, now)
         case CallerGone():
             return _take_caller_gone(state, event, now)
         case Woken():
             return _take_woken(state, now)
         case ShutdownAsked():
             return _begin_shutdown(state, event, now)
-        case ObjectAnswer() | InstancesListed():
+        case ObjectAnswer():
+            effects = take_object_answer(state, event, now)
+            return effects + _exit_if_done(state, now)
+        case InstancesListed():
             return []
 
 
@@ -68,7 +82,13 @@
     peer = state.links.note(event.link, event.envelope, now)
     if peer is None:
         return [Count(Counter.FRAMES_DROPPED, "old link")]
-    effects = _take_message(state, event.link, event.envelope.message, now)
+    effects = greet_calls(state, peer, now)
+    message = event.envelope.message
+    if isinstance(message, CallMessage) and state.calls.is_followed(message.attempt):
+        incarnation = event.envelope.incarnation
+        effects += take_call_message(state, message, incarnation, now)
+    else:
+        effects += _take_message(state, event.link, message, now)
     return effects + _exit_if_done(state, now)
 
 
@@ -106,6 +126,9 @@
 def _take_caller_gone(
     state: EntryState, event: CallerGone, now: float
 ) -> list[EntryEffect]:
+    call = state.calls.find(event.request)
+    if call is not None:
+        return abandon_call(state, call, now) + _exit_if_done(state, now)
     completion = state.completions.get(event.request)
     if completion is None:
         return []
@@ -120,6 +143,11 @@
 
 
 def _take_timer(state: EntryState, name: TimerName, now: float) -> list[EntryEffect]:
+    if name.purpose == LEDGER:
+        return advance_ledger(state, now)
+    call = state.calls.find(name.owner)
+    if call is not None:
+        return take_call_timer(state, call, name.purpose, now)
     completion = state.completions.get(name.owner)
     if completion is None:
         return []
@@ -141,6 +169,7 @@
 def _exit_if_done(state: EntryState, now: float) -> list[EntryEffect]:
     if state.shutdown_by is None:
         return []
-    if state.completions and now < state.shutdown_by:
+    busy = state.completions or state.calls.by_request or not state.ledger.is_idle()
+    if busy and now < state.shutdown_by:
         return []
     return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -5,8 +5,11 @@
 from msgspec import Struct
 
 from masticdrum.core.completion import Completion
+from masticdrum.core.ledger import Ledger
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
+from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.servicecall import ServiceCalls
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Tables
@@ -42,7 +45,9 @@
 
     __slots__ = (
         "by_attempt",
+        "calls",
         "completions",
+        "ledger",
         "links",
         "open_requests",
         "options",
@@ -52,7 +57,9 @@
         "view",
     )
 
-    def __init__(self, options: EntryOptions, seed: int) -> None:
+    def __init__(
+        self, options: EntryOptions, seed: int, ledger: LedgerOptions | None = None
+    ) -> None:
         self.options = options
         self.rng = Random(seed)
         self.view = TableView(Tables())
@@ -60,6 +67,9 @@
         self.timers: Timers[TimerName] = Timers()
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
+        self.calls = ServiceCalls()
+        writer = options.incarnation
+        self.ledger = Ledger(ledger or LedgerOptions(writer=writer), self.rng)
         self.open_requests = OpenRequests()
         self.shutdown_by: float | None = None
 
--- /dev/null
+++ b/masticdrum/core/partition.py
@@ -0,0 +1,493 @@
+"""One partition of the ledger: what it holds, and the one object call in flight.
+
+A partition has at most one call to the object API at a time. Its head is replaced
+under a conditional update, so a writer that was overtaken, for however long, can only
+fail; it then reads the head, judges its records again and tries once more. A write
+whose answer was lost is settled in the same way, since records name their attempts.
+"""
+
+from enum import StrEnum
+from random import Random
+
+from msgspec import Struct, field, structs
+from returns.result import Success
+
+from masticdrum.core.invariants import require
+from masticdrum.core.judgement import Decision, Pending, Refresh, Write, judge
+from masticdrum.core.segments import (
+    GROUP_LIMIT,
+    KeyName,
+    Numbered,
+    Seal,
+    decode_head,
+    decode_segment,
+    encode,
+    extend_head,
+    find_expired,
+    measure,
+    name_head,
+    plan_seal,
+)
+from masticdrum.model.ledger import Head, KeyState, Record, SegmentRef
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectDelete,
+    ObjectGet,
+    ObjectPut,
+    ObjectStatus,
+)
+
+RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+
+
+class LedgerOptions(Struct, frozen=True):
+    """How the ledger groups, waits and keeps; times are seconds.
+
+    ``group_s`` is how long a claim waits for others, ``end_group_s`` the same for
+    replies and releases, for which nobody waits. ``end_wait_s`` is how long those are
+    tried. ``call_s`` is when a call without an answer counts as lost. ``max_pending``
+    bounds each partition's waiting records.
+
+    A key is kept for ``retention_s`` and, against clocks that differ, another
+    ``prune_margin_s``. ``head_limit`` and ``segment_limit`` are bytes. All processes
+    must agree on the number of partitions for ever.
+    """
+
+    writer: str
+    group_s: float = 0.02
+    end_group_s: float = 0.1
+    end_wait_s: float = 600.0
+    call_s: float = 3.0
+    retention_s: float = 24 * 3600.0
+    prune_margin_s: float = 600.0
+    wall_offset_s: float = 0.0
+    max_pending: int = 4096
+    partitions: int = 32
+    head_limit: int = 32 * 1024
+    segment_limit: int = 900_000
+
+
+class Verdict(Struct, frozen=True):
+    """The ledger's answer to one ticket.
+
+    ``record`` is the key's newest record. ``unclaimed`` tells that the key was read
+    after the request came and nothing ran under it.
+    """
+
+    ticket: str
+    decision: Decision
+    record: Record | None = None
+    unclaimed: bool = False
+
+
+ObjectCall = ObjectGet | ObjectPut | ObjectDelete
+
+
+class Step(Struct):
+    """What comes out of one step: object calls to make, and verdicts."""
+
+    calls: list[ObjectCall] = field(default_factory=list)
+    verdicts: list[Verdict] = field(default_factory=list)
+
+
+class OpKind(StrEnum):
+    """What the object call in flight is for."""
+
+    READ_HEAD = "read head"
+    READ_SEGMENT = "read segment"
+    WRITE_SEGMENT = "write segment"
+    WRITE_HEAD = "write head"
+    FIND_DOOMED = "find doomed"
+    DELETE_DOOMED = "delete doomed"
+
+
+class Op(Struct):
+    """The object call in flight; ``sent_at`` is in seconds."""
+
+    kind: OpKind
+    call: str
+    serial: int
+    sent_at: float
+    written: list[Pending] = field(default_factory=list)
+    head: Head = Head()
+    size: int = 0
+    seal: Seal | None = None
+
+
+class Partition:
+    """The state of one partition at one process."""
+
+    __slots__ = (
+        "_applied",
+        "_confirmed",
+        "_doomed",
+        "_dropping",
+        "_failures",
+        "_head",
+        "_known",
+        "_number",
+        "_op",
+        "_options",
+        "_pending",
+        "_retry_at",
+        "_rng",
+        "_seal",
+        "_serial",
+        "_size",
+        "_stale",
+        "_unread",
+        "_version",
+    )
+
+    def __init__(self, number: int, options: LedgerOptions, rng: Random) -> None:
+        self._number = number
+        self._options = options
+        self._rng = rng
+        self._known: dict[KeyName, Numbered] = {}
+        self._head = Head()
+        self._version = 0
+        self._size = 0
+        self._applied = 0
+        self._stale = True
+        self._unread: list[SegmentRef] = []
+        self._op: Op | None = None
+        self._pending: list[Pending] = []
+        self._seal: Seal | None = None
+        self._dropping: list[SegmentRef] = []
+        self._doomed: list[str] = []
+        self._serial = 0
+        self._confirmed = 0
+        self._failures = 0
+        self._retry_at = 0.0
+
+    def add(self, pending: Pending, now: float) -> Step:
+        """Take a record or look-up and do what can be done at once."""
+        pending.asked = self._serial
+        self._pending.append(pending)
+        if len(self._pending) > self._options.max_pending:
+            pending.until = now
+        return self.advance(now)
+
+    def take(self, answer: ObjectAnswer, now: float) -> Step:
+        """Take an object call's answer; one that counts no more changes nothing."""
+        op = self._op
+        if op is None or op.call != answer.call:
+            return Step()
+        self._op = None
+        step = Step()
+        self._settle(op, answer, step, now)
+        return self._go_on(step, now)
+
+    def advance(self, now: float) -> Step:
+        """Do what is due at ``now``."""
+        step = Step()
+        op = self._op
+        if op is not None and now >= op.sent_at + self._options.call_s:
+            self._op = None
+            self._settle(op, ObjectAnswer(op.call, ObjectStatus.LOST), step, now)
+        return self._go_on(step, now)
+
+    def find_next(self) -> float | None:
+        """Return when there is something to do without an answer, or None."""
+        times = [pending.until for pending in self._pending]
+        if self._op is not None:
+            times.append(self._op.sent_at + self._options.call_s)
+        elif self._pending:
+            due = min(pending.due for pending in self._pending)
+            times.append(max(due, self._retry_at))
+        elif self._doomed or self._unread:
+            times.append(self._retry_at)
+        return min(times, default=None)
+
+    def find(self, workspace: str, key: str) -> Record | None:
+        """Return the newest record known of a key, which may be old."""
+        item = self._known.get((workspace, key))
+        return None if item is None else item.record
+
+    def is_idle(self) -> bool:
+        """Tell whether no record waits for its commit."""
+        return not self._pending
+
+    def _go_on(self, step: Step, now: float) -> Step:
+        self._give_up_late(step, now)
+        if self._op is not None or now < self._retry_at:
+            return step
+        if self._unread:
+            self._get(OpKind.READ_SEGMENT, self._unread[0].path, step, now)
+        elif not self._pending:
+            self._clean(step, now)
+        elif self._stale:
+            self._read_head(step, now)
+        elif now >= min(pending.due for pending in self._pending):
+            self._decide(step, now)
+        return step
+
+    def _give_up_late(self, step: Step, now: float) -> None:
+        late = [pending for pending in self._pending if now >= pending.until]
+        if not late:
+            return
+        self._pending = [p for p in self._pending if now < p.until]
+        for pending in late:
+            self._give(pending, Decision.UNAVAILABLE, step)
+            self._withdraw(pending, now)
+
+    def _withdraw(self, pending: Pending, now: float) -> None:
+        # A claim that may be in the ledger without its owner must not stay there.
+        record = pending.record
+        if record is None or record.state is not KeyState.CLAIMED:
+            return
+        in_flight = self._op is not None and pending in self._op.written
+        if not pending.lost and not in_flight:
+            return
+        self._pending.append(make_release(record, self._options, now))
+
+    def _decide(self, step: Step, now: float) -> None:
+        planned: dict[KeyName, Record] = {}
+        chosen: list[Pending] = []
+        rest: list[Pending] = []
+        refresh = False
+        size = 0
+        for pending in self._pending:
+            name = (pending.workspace, pending.key)
+            current = planned.get(name) or self.find(*name)
+            judged = judge(current, pending, self._confirmed > pending.asked)
+            if isinstance(judged, Write) and size < GROUP_LIMIT:
+                assert pending.record is not None
+                planned[name] = pending.record
+                chosen.append(pending)
+                size += measure(pending.record)
+            elif isinstance(judged, Decision) and name not in planned:
+                self._give(pending, judged, step)
+                continue
+            refresh |= isinstance(judged, Refresh) and name not in planned
+            rest.append(pending)
+        self._pending = rest
+        if chosen:
+            self._write(chosen, step, now)
+        elif refresh:
+            self._read_head(step, now)
+
+    def _give(self, pending: Pending, decision: Decision, step: Step) -> None:
+        if not pending.ticket:
+            return
+        record = self.find(pending.workspace, pending.key)
+        nothing_ran = record is None or record.state is KeyState.RELEASED
+        unclaimed = nothing_ran and self._confirmed > pending.asked
+        verdict = Verdict(pending.ticket, decision, record, unclaimed)
+        step.verdicts.append(verdict)
+
+    def _write(self, chosen: list[Pending], step: Step, now: float) -> None:
+        if self._size > self._options.head_limit and self._seal is None:
+            self._write_segment(step, now)
+            return
+        records = [p.record for p in chosen if p.record is not None]
+        expired = find_expired(self._head, self._find_horizon(now))
+        head = extend_head(self._head, records, self._seal, expired)
+        body = encode(head)
+        op = self._start(OpKind.WRITE_HEAD, now)
+        op.written = chosen
+        op.head = head
+        op.size = len(body)
+        self._dropping = expired
+        path = name_head(self._number)
+        step.calls.append(ObjectPut(op.call, path, body, self._version))
+
+    def _write_segment(self, step: Step, now: float) -> None:
+        self._forget_expired(now)
+        op = self._start(OpKind.WRITE_SEGMENT, now)
+        op.seal = plan_seal(
+            self._number,
+            self._head,
+            self._options.segment_limit - self._size,
+            self._known,
+            f"{self._options.writer}-{op.serial}",
+        )
+        step.calls.append(ObjectPut(op.call, op.seal.ref.path, op.seal.body, 0))
+
+    def _read_head(self, step: Step, now: float) -> None:
+        self._get(OpKind.READ_HEAD, name_head(self._number), step, now)
+
+    def _clean(self, step: Step, now: float) -> None:
+        if self._doomed:
+            self._get(OpKind.FIND_DOOMED, self._doomed[0], step, now)
+
+    def _get(self, kind: OpKind, path: str, step: Step, now: float) -> None:
+        op = self._start(kind, now)
+        step.calls.append(ObjectGet(op.call, path))
+
+    def _start(self, kind: OpKind, now: float) -> Op:
+        require(self._op is None, f"partition {self._number} has one call in flight")
+        self._serial += 1
+        call = f"ledger/{self._number}/{self._serial}"
+        self._op = Op(kind, call, self._serial, now)
+        return self._op
+
+    def _settle(self, op: Op, answer: ObjectAnswer, step: Step, now: float) -> None:
+        if answer.status not in (ObjectStatus.REJECTED, ObjectStatus.LOST):
+            self._failures = 0
+        match op.kind:
+            case OpKind.READ_HEAD:
+                self._take_head(op, answer, now)
+            case OpKind.READ_SEGMENT:
+                self._take_segment(answer, now)
+            case OpKind.WRITE_SEGMENT:
+                self._take_sealed(op, answer, now)
+            case OpKind.WRITE_HEAD:
+                self._take_written(op, answer, step, now)
+            case OpKind.FIND_DOOMED:
+                self._take_found(answer, step, now)
+            case OpKind.DELETE_DOOMED:
+                self._take_deleted(answer, now)
+
+    def _back_off(self, now: float) -> None:
+        wait_s = min(MAX_RETRY_S, RETRY_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 10)
+        self._retry_at = now + wait_s * self._rng.uniform(0.5, 1.0)
+
+    def _take_head(self, op: Op, answer: ObjectAnswer, now: float) -> None:
+        if answer.status is ObjectStatus.MISSING and self._version == 0:
+            self._confirmed = op.serial
+            self._stale = False
+            return
+        if answer.status is not ObjectStatus.OK or answer.version < self._version:
+            self._back_off(now)
+            return
+        decoded = decode_head(answer.body)
+        if not isinstance(decoded, Success):
+            self._back_off(now)
+            return
+        self._install(decoded.unwrap(), answer.version, len(answer.body))
+        if not self._unread:
+            self._confirmed = op.serial
+
+    def _install(self, head: Head, version: int, size: int) -> None:
+        require(
+            head.number >= self._head.number,
+            f"partition {self._number} of the ledger only grows",
+        )
+        if version != self._version:
+            self._settle_seal(head)
+        self._head = head
+        self._version = version
+        self._size = size
+        self._apply(list(enumerate(head.records, head.sealed)))
+        if head.sealed > self._applied:
+            self._unread = [ref for ref in head.segments if ref.last > self._applied]
+        self._finish_reading()
+
+    def _finish_reading(self) -> None:
+        if self._unread:
+            return
+        self._applied = self._head.number
+        self._stale = False
+
+    def _settle_seal(self, head: Head) -> None:
+        paths = {ref.path for ref in head.segments}
+        self._doomed += [r.path for r in self._dropping if r.path not in paths]
+        self._dropping = []
+        if self._seal is None:
+            return
+        if self._seal.ref.path in paths:
+            self._doomed += [ref.path for ref in self._seal.replaces]
+        else:
+            self._doomed.append(self._seal.ref.path)
+        self._seal = None
+
+    def _apply(self, items: list[tuple[int, Record]]) -> None:
+        for number, record in items:
+            name = (record.workspace, record.key)
+            item = self._known.get(name)
+            if item is None or item.number < number:
+                self._known[name] = Numbered(number, record)
+
+    def _take_segment(self, answer: ObjectAnswer, now: float) -> None:
+        if answer.status is ObjectStatus.MISSING:
+            # It was merged into another since the head was read.
+            self._unread = []
+            self._stale = True
+            return
+        decoded = decode_segment(answer.body)
+        if answer.status is not ObjectStatus.OK or not isinstance(decoded, Success):
+            self._back_off(now)
+            return
+        self._apply(decoded.unwrap().items)
+        self._unread.pop(0)
+        # The head was read before the segments, so it is read again if that matters.
+        self._finish_reading()
+
+    def _take_sealed(self, op: Op, answer: ObjectAnswer, now: float) -> None:
+        assert op.seal is not None
+        if answer.status is ObjectStatus.OK:
+            self._seal = op.seal
+            return
+        if answer.status is ObjectStatus.LOST:
+            self._doomed.append(op.seal.ref.path)
+        self._back_off(now)
+
+    def _take_written(
+        self, op: Op, answer: ObjectAnswer, step: Step, now: float
+    ) -> None:
+        if answer.status is ObjectStatus.REJECTED:
+            self._back_off(now)
+            return
+        if answer.status is not ObjectStatus.OK:
+            self._stale = True
+            if answer.status is ObjectStatus.LOST:
+                for pending in op.written:
+                    pending.lost = True
+                self._back_off(now)
+            return
+        self._confirmed = op.serial
+        self._install(op.head, answer.version, op.size)
+        written = {id(pending) for pending in op.written}
+        done = [p for p in self._pending if id(p) in written]
+        self._pending = [p for p in self._pending if id(p) not in written]
+        for pending in done:
+            self._give(pending, Decision.GRANTED, step)
+
+    def _take_found(self, answer: ObjectAnswer, step: Step, now: float) -> None:
+        if answer.status is ObjectStatus.MISSING:
+            self._doomed.pop(0)
+            return
+        if answer.status is not ObjectStatus.OK:
+            self._back_off(now)
+            return
+        op = self._start(OpKind.DELETE_DOOMED, now)
+        path = self._doomed[0]
+        step.calls.append(ObjectDelete(op.call, path, answer.version))
+
+    def _take_deleted(self, answer: ObjectAnswer, now: float) -> None:
+        if answer.status in (ObjectStatus.REJECTED, ObjectStatus.LOST):
+            self._back_off(now)
+            return
+        self._doomed.pop(0)
+
+    def _forget_expired(self, now: float) -> None:
+        horizon = self._find_horizon(now)
+        old = [n for n, item in self._known.items() if item.record.at < horizon]
+        for name in old:
+            del self._known[name]
+
+    def _find_horizon(self, now: float) -> float:
+        options = self._options
+        wall = now + options.wall_offset_s
+        return wall - options.retention_s - options.prune_margin_s
+
+
+def make_release(claim: Record, options: LedgerOptions, now: float) -> Pending:
+    """Return the release of a claim under which nothing will run."""
+    return make_end(structs.replace(claim, state=KeyState.RELEASED), options, now)
+
+
+def make_end(record: Record, options: LedgerOptions, now: float) -> Pending:
+    """Return a reply or release that waits for its commit."""
+    return Pending(
+        ticket="",
+        workspace=record.workspace,
+        key=record.key,
+        digest=record.digest,
+        record=record,
+        due=now + options.end_group_s,
+        until=now + options.end_wait_s,
+    )
--- /dev/null
+++ b/masticdrum/core/servicecall.py
@@ -0,0 +1,126 @@
+"""One caller's plain service call at an entry, and all of them together."""
+
+from enum import StrEnum
+
+from msgspec import Struct, field
+
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.ledger import Record
+from masticdrum.model.tables import Route, Upstream
+
+
+class CallStage(StrEnum):
+    """What a call waits for.
+
+    ``GREETING`` waits for an agent's identity, ``CLAIMING`` for the ledger to take
+    the claim, ``RUNNING`` for the agent. ``LOOKING`` asks the ledger what became of
+    the key, and ``SETTLING`` asks an agent about the attempt of another request.
+    """
+
+    GREETING = "greeting"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    LOOKING = "looking"
+    SETTLING = "settling"
+
+
+class ServiceCall(Struct):
+    """A caller's request for a call, until everything about it is settled.
+
+    ``keyed`` calls may take effect at most once. ``claim`` is the ledger's record of
+    the present attempt, ``foreign`` that of another request under settlement.
+    ``answered`` means that the caller has an answer or is gone; a call goes on after
+    that while its attempt may still run. Times are seconds.
+    """
+
+    request: str
+    workspace: str
+    route: Route
+    key: str
+    body: bytes
+    digest: bytes
+    keyed: bool
+    arrived_at: float
+    deadline: float
+    stage: CallStage = CallStage.GREETING
+    attempt: str = ""
+    claim: Record | None = None
+    claimed_at: float = 0.0
+    foreign: Record | None = None
+    upstream: Upstream | None = None
+    incarnation: str = ""
+    link: str = ""
+    probes: int = 0
+    tried: list[str] = field(default_factory=list)
+    answered: bool = False
+    may_have_run: bool = False
+    last_kind: ErrorKind = ErrorKind.NO_UPSTREAM
+    last_retry_after_s: float = 0.0
+
+
+KeyName = tuple[str, str]
+
+
+class ServiceCalls:
+    """The calls of one entry, by request, by attempt and by key."""
+
+    __slots__ = ("by_attempt", "by_key", "by_request", "dispatched", "numbered")
+
+    def __init__(self) -> None:
+        self.by_request: dict[str, ServiceCall] = {}
+        self.by_attempt: dict[str, str] = {}
+        self.by_key: dict[KeyName, str] = {}
+        self.dispatched: set[str] = set()
+        self.numbered = 0
+
+    def add(self, call: ServiceCall) -> None:
+        """Remember a call; of keyed ones only one at a time has a key."""
+        self.by_request[call.request] = call
+        if call.keyed:
+            self.by_key[call.workspace, call.key] = call.request
+
+    def find(self, request: str) -> ServiceCall | None:
+        """Return a call by its request's name, or None."""
+        return self.by_request.get(request)
+
+    def is_followed(self, attempt: str) -> bool:
+        """Tell whether a call waits for an attempt."""
+        return attempt in self.by_attempt
+
+    def find_by_attempt(self, attempt: str) -> ServiceCall | None:
+        """Return the call that waits for an attempt, or None."""
+        request = self.by_attempt.get(attempt)
+        return None if request is None else self.by_request[request]
+
+    def find_by_key(self, workspace: str, key: str) -> ServiceCall | None:
+        """Return the call that has a key at this entry, or None."""
+        request = self.by_key.get((workspace, key))
+        return None if request is None else self.by_request[request]
+
+    def follow(self, call: ServiceCall, attempt: str) -> None:
+        """Hand an attempt's frames to a call."""
+        self.by_attempt[attempt] = call.request
+
+    def leave(self, attempt: str) -> None:
+        """Hand an attempt's frames to nobody any more."""
+        self.by_attempt.pop(attempt, None)
+        self.dispatched.discard(attempt)
+
+    def remove(self, call: ServiceCall) -> None:
+        """Forget a call."""
+        self.by_request.pop(call.request, None)
+        self.leave(call.attempt)
+        if call.foreign is not None:
+            self.leave(call.foreign.attempt)
+        if self.by_key.get((call.workspace, call.key)) == call.request:
+            del self.by_key[call.workspace, call.key]
+
+    def list_greeting(self, upstream: str) -> list[ServiceCall]:
+        """Return the calls that wait for the identity of an upstream's agent."""
+        return [
+            call
+            for call in self.by_request.values()
+            if call.stage is CallStage.GREETING
+            and call.upstream is not None
+            and call.upstream.name == upstream
+        ]
--- /dev/null
+++ b/masticdrum/core/stamps.py
@@ -0,0 +1,39 @@
+"""Attempt names that carry the time of their making, and keys that do.
+
+An attempt's name starts with its time in milliseconds as twelve hexadecimal digits,
+so that names compare by age as strings:
+
+    >>> make_attempt("entry-1", 7, 1.5)
+    '0000000005dc.entry-1.7'
+    >>> read_stamp("0000000005dc.entry-1.7")
+    '0000000005dc'
+"""
+
+import re
+
+STAMP_DIGITS = 12
+STAMP = re.compile(r"[0-9a-f]{12}\.")
+UUID7 = re.compile(
+    r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
+MS_PER_S = 1000
+
+
+def make_attempt(incarnation: str, number: int, wall_s: float) -> str:
+    """Name an attempt; ``incarnation`` and ``number`` together are used only once."""
+    return f"{int(wall_s * MS_PER_S):012x}.{incarnation}.{number:x}"
+
+
+def read_stamp(attempt: str) -> str | None:
+    """Return an attempt's time as comparable text, or None if it carries none."""
+    if STAMP.match(attempt) is None:
+        return None
+    return attempt[:STAMP_DIGITS]
+
+
+def read_key_time(key: str) -> float | None:
+    """Return the time in seconds that a UUID of version 7 carries, else None."""
+    text = key.lower()
+    if UUID7.fullmatch(text) is None:
+        return None
+    return int(text[:8] + text[9:13], 16) / MS_PER_S
--- /dev/null
+++ b/tests/core/test_calls.py
@@ -0,0 +1,157 @@
+"""Non-idempotent calls run at most once, and "not run" is true."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.callworld import START, Action, World
+from tests.core.mutants import MUTANTS, Patch, skip_ledger
+from tests.soak_calls import FAULTS, find_violation, make_episode, shrink, soak
+
+UNKNOWN = "outcome_unknown unknown"
+MUTANT_SEEDS = range(1, 200)
+IN_PROGRESS = "key_in_progress unknown"
+
+
+def ask(at: float, entry: int = 0, *, workspace: int = 0, body: int = 0) -> Action:
+    return Action(at, "ask", entry, 0.0, workspace, 0, body)
+
+
+def run(actions: list[Action], seed: int = 2) -> World:
+    world = World(seed)
+    world.run(actions)
+    return world
+
+
+def list_told(world: World, count: int) -> list[str]:
+    return [world.answered.get(f"r{number}", "") for number in range(count)]
+
+
+def count_executions(world: World) -> list[int]:
+    return [len(done) for done in world.executions.values()]
+
+
+def test_two_entries_with_one_key_at_once_run_it_once() -> None:
+    world = run([ask(0.0, 0), ask(0.0, 1), ask(20.0, 2)])
+    first = sorted(list_told(world, 2))
+    assert first == ["answered", IN_PROGRESS]
+    assert list_told(world, 3)[2] == "replayed"
+    assert count_executions(world) == [1]
+
+
+def test_a_retry_with_another_body_is_refused() -> None:
+    world = run([ask(0.0, 0), ask(5.0, 1, body=1), ask(6.0, 1)])
+    assert list_told(world, 3) == ["answered", "key_conflict unknown", "replayed"]
+    assert count_executions(world) == [1]
+
+
+def test_a_reply_is_replayed_to_its_own_workspace_alone() -> None:
+    world = run([ask(0.0, 0), ask(5.0, 0, workspace=1), ask(9.0, 1, workspace=1)])
+    assert list_told(world, 3) == ["answered", "answered", "replayed"]
+    assert count_executions(world) == [1, 1]
+
+
+def test_a_key_older_than_the_retention_is_refused_as_such() -> None:
+    world = run([ask(0.0, 0), ask(60.0, 1)], seed=1)
+    assert list_told(world, 2) == ["answered", "key_expired unknown"]
+    assert count_executions(world) == [1]
+
+
+def test_nothing_runs_while_the_platform_is_down() -> None:
+    down = Action(0.0, "down", 0, 300.0)
+    world = World(2)
+    for action in [down, *[ask(10.0 + 3 * n) for n in range(5)]]:
+        world.later(START + action.at, lambda action=action: world.act(action))
+    world.run_until(START + 200.0)
+    told = list_told(world, 5)
+    assert all(answer.startswith("ledger_unavailable") for answer in told)
+    assert count_executions(world) == []
+    world.until.clear()
+    world.act(ask(0.0, 1))
+    world.run_until(START + 220.0)
+    assert list_told(world, 6)[5] == "answered"
+    assert count_executions(world) == [1]
+
+
+def test_a_retry_in_an_outage_is_not_told_that_nothing_ran() -> None:
+    world = run([ask(0.0, 0), Action(3.0, "down", 0, 20.0), ask(5.0, 1)])
+    told = list_told(world, 2)
+    assert told == ["answered", "ledger_unavailable unknown"]
+
+
+def test_a_claim_whose_write_lost_its_answer_still_runs_once() -> None:
+    for seed in range(2, 40, 2):
+        world = run([Action(0.0, "lose", 0, 4.0), ask(0.1, 0), ask(0.2, 1)], seed)
+        assert max(count_executions(world), default=0) <= 1
+
+
+def test_an_agent_killed_after_the_service_acted_leaves_the_outcome_unknown() -> None:
+    world = World(2)
+    world.later(START, lambda: world.act(ask(0.0, 0)))
+    while not world.executions:
+        world.run_until(world.now + 0.001)
+    for number in range(3):
+        world.act(Action(0.0, "kill agent", number))
+    world.later(START + 30.0, lambda: world.act(ask(0.0, 1)))
+    world.run_until(START + 60.0)
+    assert list_told(world, 2) == [UNKNOWN, UNKNOWN]
+    assert count_executions(world) == [1]
+
+
+@pytest.mark.parametrize("frozen_s", [3.0, 15.0, 40.0])
+@pytest.mark.parametrize("after_s", [0.01, 0.02, 0.03, 0.04])
+def test_an_entry_frozen_with_its_claim_wakes_late(
+    frozen_s: float, after_s: float
+) -> None:
+    world = run(
+        [ask(0.0, 0), Action(after_s, "freeze entry", 0, frozen_s), ask(13.0, 1)]
+    )
+    assert count_executions(world) == [1]
+    assert list_told(world, 2)[1] in ("answered", "replayed")
+
+
+ACTIONS = st.builds(
+    Action,
+    at=st.floats(0.0, 60.0),
+    what=st.sampled_from(["ask", "ask", "ask", *FAULTS]),
+    target=st.integers(0, 2),
+    for_s=st.sampled_from([0.0, 0.5, 3.0, 15.0]),
+    workspace=st.integers(0, 1),
+    key=st.integers(0, 1),
+    body=st.integers(0, 1),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60, database=None)
+@given(seed=st.integers(0, 1000), actions=st.lists(ACTIONS, max_size=40))
+def test_any_faults_leave_at_most_one_execution(
+    seed: int, actions: list[Action]
+) -> None:
+    run(sorted(actions, key=lambda action: action.at), seed)
+
+
+def test_a_small_soak_finds_nothing() -> None:
+    events, _, told = soak(seed=7, events=20_000)
+    assert events >= 20_000
+    assert told["answered"] > 0 and told["replayed"] > 0
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.__name__)
+def test_a_mutant_is_caught(
+    mutant: Callable[[Patch], None], monkeypatch: Patch
+) -> None:
+    mutant(monkeypatch)
+    caught = (s for s in MUTANT_SEEDS if find_violation(s, make_episode(s)))
+    seed = next(caught, None)
+    assert seed is not None, f"mutant '{mutant.__name__}' lives"
+    monkeypatch.undo()
+    assert find_violation(seed, make_episode(seed)) == ""
+
+
+def test_a_violation_is_shrunk(monkeypatch: Patch) -> None:
+    skip_ledger(monkeypatch)
+    shrunk = shrink(1, make_episode(1))
+    assert len(shrunk) <= 4
+    assert find_violation(1, shrunk) != ""
