--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -1,5 +1,6 @@
 """The agent's reducer: every event in, effects as data out."""
 
+from masticdrum.core.agentcache import settle_cache, take_cache_event, update_rules
 from masticdrum.core.agentcalls import (
     LATE,
     refuse_late_calls,
@@ -29,6 +30,7 @@
     take_run_failed,
     take_run_tokens,
 )
+from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.agent_events import (
     AgentEffect,
     AgentEvent,
@@ -54,6 +56,7 @@
     Settle,
     Welcome,
 )
+from masticdrum.model.platform import ObjectAnswer
 from masticdrum.model.telemetry import Log, LogNumber
 
 
@@ -72,12 +75,17 @@
             effects = take_service_event(state, event, now)
         case LoadReported():
             effects = _take_load(state, event, now)
+        case ObjectAnswer():
+            effects = list(take_tables(state, event))
+            update_rules(state)
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
             effects = _begin_shutdown(state, event, now)
         case _:
             effects = []
+    effects += take_cache_event(state, event, now)
+    effects += settle_cache(state, now)
     return effects + _exit_if_done(state, now)
 
 
@@ -122,6 +130,7 @@
 
 def _take_load(state: AgentState, event: LoadReported, now: float) -> list[AgentEffect]:
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
+    update_rules(state)
     return start_waiting(state, now)
 
 
@@ -135,6 +144,8 @@
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
     if name.purpose == LATE:
         return refuse_late_calls(state, now)
+    if name.purpose == POLL:
+        return list(poll_tables(state, now))
     run = state.runs.get(name.owner)
     if run is None:
         return []
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from masticdrum.core.attempts import Attempts
+from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import Run
 from masticdrum.core.tableview import TableView
@@ -46,6 +47,7 @@
 
     __slots__ = (
         "attempts",
+        "cache",
         "engine",
         "leaving",
         "options",
@@ -63,10 +65,16 @@
         self.rng = Random(seed)
         self.view = TableView(Tables())
         self.timers: Timers[TimerName] = Timers()
+        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.engine = EngineView()
         self.attempts = Attempts(options.incarnation)
+        self.cache = KeptCache()
         self.runs: dict[str, Run] = {}
         self.waiting: deque[str] = deque()
         self.running: set[str] = set()
         self.leaving = False
         self.shutdown_by: float | None = None
+
+    def find_next_timer(self) -> float | None:
+        """Return when the reducer wants to be woken, in seconds, or None."""
+        return self.timers.find_next()
--- a/masticdrum/core/calls.py
+++ b/masticdrum/core/calls.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure
 
+from masticdrum.core.candidates import list_excluded
 from masticdrum.core.completions import refuse_request
 from masticdrum.core.entrance import check_call
 from masticdrum.core.entrystate import EntryState, TimerName
@@ -15,6 +16,7 @@
 from masticdrum.core.judgement import Decision
 from masticdrum.core.links import Peer
 from masticdrum.core.partition import Step, Verdict
+from masticdrum.core.placement import order_upstreams
 from masticdrum.core.segments import digest_request
 from masticdrum.core.servicecall import CallStage, ServiceCall
 from masticdrum.core.stamps import make_attempt, read_key_time
@@ -220,7 +222,7 @@
         return _give_up(state, call, ErrorKind.DEADLINE_EXCEEDED, now)
     upstream = None
     if len(call.tried) < state.options.max_attempts:
-        upstream = _choose_upstream(state, call)
+        upstream = _choose_upstream(state, call, now)
     if upstream is None and looked:
         return _refuse(state, call, call.last_kind, Outcome.NOT_RUN)
     if upstream is None:
@@ -238,28 +240,24 @@
     return effects
 
 
-def _choose_upstream(state: EntryState, call: ServiceCall) -> Upstream | None:
+def _choose_upstream(
+    state: EntryState, call: ServiceCall, now: float
+) -> Upstream | None:
     pool = state.view.find_pool(call.route.pool)
     if pool is None:
         return None
-    free = [
-        upstream
-        for upstream in pool.upstreams
-        if upstream.name not in call.tried
-        and not state.view.is_out(upstream.data_centre)
-    ]
-    if not free:
+    names = order_upstreams(
+        state.view.find_ranking(pool.name),
+        state.rng.getrandbits(64),
+        call.route.urgency,
+        state.links.hints,
+        list_excluded(state, pool) | set(call.tried),
+        now,
+        most=1,
+    )
+    if not names:
         return None
-    start = state.rng.randrange(len(free))
-    ordered = free[start:] + free[:start]
-    return min(ordered, key=lambda upstream: _rate_load(state, upstream))
-
-
-def _rate_load(state: EntryState, upstream: Upstream) -> tuple[bool, int]:
-    peer = state.links.find(upstream.name)
-    if peer is None:
-        return (False, 0)
-    return (peer.load.leaving, peer.load.running + peer.load.queued)
+    return state.view.find_upstream(pool.name, names[0])
 
 
 def greet_calls(state: EntryState, peer: Peer, now: float) -> list[EntryEffect]:
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -25,6 +25,7 @@
     take_tokens,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.entry_events import (
     CallAsked,
     CallerGone,
@@ -70,6 +71,8 @@
         case ShutdownAsked():
             return _begin_shutdown(state, event, now)
         case ObjectAnswer():
+            if event.call == POLL:
+                return list(take_tables(state, event))
             effects = take_object_answer(state, event, now)
             return effects + _exit_if_done(state, now)
         case InstancesListed():
@@ -148,6 +151,8 @@
     call = state.calls.find(name.owner)
     if call is not None:
         return take_call_timer(state, call, name.purpose, now)
+    if name.purpose == POLL:
+        return list(poll_tables(state, now))
     completion = state.completions.get(name.owner)
     if completion is None:
         return []
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -48,6 +48,7 @@
         "calls",
         "completions",
         "ledger",
+        "leaving",
         "links",
         "open_requests",
         "options",
@@ -65,14 +66,20 @@
         self.view = TableView(Tables())
         self.links = Links(options.name)
         self.timers: Timers[TimerName] = Timers()
+        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
         self.calls = ServiceCalls()
         writer = options.incarnation
         self.ledger = Ledger(ledger or LedgerOptions(writer=writer), self.rng)
         self.open_requests = OpenRequests()
+        self.leaving: set[str] = set()
         self.shutdown_by: float | None = None
 
     def make_id(self) -> str:
         """Return a name that no other attempt of any entry has."""
         return f"{self.options.incarnation}-{self.rng.getrandbits(64):016x}"
+
+    def find_next_timer(self) -> float | None:
+        """Return when the reducer wants to be woken, in seconds, or None."""
+        return self.timers.find_next()
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct, field
 
+from masticdrum.model.tables import PoolKind
+
 KIB = 1024  # bytes
 
 
@@ -57,13 +59,16 @@
     silence_s: float = 5.0
     service_s: float = 30.0
     load_every_s: float = 0.5
+    events_every_s: float = 0.5
 
 
 class AgentSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of ``masticdrum-agent``.
 
     ``listen`` is the address for entries, ``tcp://IP:PORT``; ``http`` is the
-    ``IP:PORT`` for metrics and health.
+    ``IP:PORT`` for metrics and health. ``kind`` says what the upstream is.
+    ``block_secret`` is known to all agents and to no store instance: it keys the
+    checksums of kept blocks. Without it only accidental damage is found.
     """
 
     name: str
@@ -75,8 +80,10 @@
     object_api: str
     instance_list: str
     http: str
+    kind: PoolKind = PoolKind.ENGINE
     timeouts: UpstreamTimeouts = field(default_factory=UpstreamTimeouts)
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    block_secret: str = ""
     grace_s: float = 30.0
 
 
--- a/tests/callworld.py
+++ b/tests/callworld.py
@@ -14,8 +14,9 @@
 from masticdrum.core.agent import reduce_agent
 from masticdrum.core.agentstate import AgentOptions, AgentState
 from masticdrum.core.entry import reduce_entry
-from masticdrum.core.entrystate import EntryOptions, EntryState
+from masticdrum.core.entrystate import EntryOptions, EntryState, TimerName
 from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.tablepoll import POLL
 from masticdrum.core.tableview import TableView
 from masticdrum.model.agent_events import (
     CallService,
@@ -145,6 +146,7 @@
             segment_limit=1600,
         )
         state = EntryState(options, self.rng.getrandbits(32), ledger)
+        state.timers.clear(TimerName(POLL, ""))
         state.view = TableView(TABLES)
         return Process(name, options.incarnation, state, reduce_entry)
 
@@ -153,6 +155,7 @@
         name = f"stall-{number}"
         options = AgentOptions(name, "bole", "stall", name, f"a{self.born}")
         state = AgentState(options, self.rng.getrandbits(32))
+        state.timers.clear(TimerName(POLL, ""))
         state.view = TableView(TABLES)
         state.attempts.max_kept = 6
         return Process(name, options.incarnation, state, reduce_agent)
