--- /dev/null
+++ b/tests/processes/deployment.py
@@ -0,0 +1,192 @@
+"""Real processes on loopback: stand-ins, entries and agents of a service pool."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+import httpcore
+from msgspec import Struct, to_builtins
+
+from masticdrum.model.tables import DataCentre, Pool, PoolKind, Route, Tables, Upstream
+
+READY_S = 20.0
+WORKSPACES = ["radkranz", "gebeya"]
+
+
+class Told(Struct, frozen=True):
+    """What a caller was told."""
+
+    status: int
+    replayed: bool
+    value: dict[str, Any]
+
+    @property
+    def kind(self) -> str:
+        """The refusal's kind and outcome, or nothing."""
+        error = self.value.get("error")
+        return f"{error['kind']} {error['outcome']}" if error else ""
+
+
+def find_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port: int = free.getsockname()[1]
+        return port
+
+
+def request(
+    method: str, url: str, headers: dict[str, str] | None = None, body: bytes = b""
+) -> httpcore.Response:
+    with httpcore.ConnectionPool() as pool:
+        return pool.request(
+            method,
+            url,
+            headers=headers,
+            content=body,
+            extensions={"timeout": {"connect": 5.0, "read": 60.0}},
+        )
+
+
+class Deployment:
+    """Two entries and one agent beside a service, with their platform."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.ports = {
+            name: find_port()
+            for name in ("objects", "instances", "service", "links")
+            + ("agent", "entry-1", "entry-2")
+        }
+
+    def name_url(self, name: str) -> str:
+        return f"http://127.0.0.1:{self.ports[name]}"
+
+    def start(self) -> None:
+        for name in ("objects", "instances", "service"):
+            self.run(name, f"tests.standins.{name}", "--port", str(self.ports[name]))
+        self.wait_for("objects", "/control")
+        self.wait_for("service", "/control")
+        self.put_tables()
+        self.start_agent()
+        for name in ("entry-1", "entry-2"):
+            self.start_entry(name)
+        for name in ("agent", "entry-1", "entry-2"):
+            self.wait_for(name, "/readyz")
+
+    def run(self, name: str, module: str, *args: str) -> None:
+        log = (self.folder / f"{name}.log").open("ab")
+        self.running[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *args], stdout=log, stderr=log
+        )
+
+    def put_tables(self) -> None:
+        agent = f"tcp://127.0.0.1:{self.ports['links']}"
+        tables = Tables(
+            serial=1,
+            data_centres=[DataCentre("bole", "addis")],
+            pools=[Pool("stall", PoolKind.SERVICE, [Upstream("stall", "bole", agent)])],
+            routes=[
+                Route("book", "stall", WORKSPACES, idempotent=False, deadline_s=6.0)
+            ],
+        )
+        body = json.dumps(to_builtins(tables)).encode()
+        url = f"{self.name_url('objects')}/objects/config/tables"
+        assert request("PUT", url, {"If-None-Match": "*"}, body).status == 201
+
+    def write_settings(self, name: str, more: dict[str, Any]) -> str:
+        settings = {
+            "name": name,
+            "data_centre": "bole",
+            "http": f"127.0.0.1:{self.ports[name]}",
+            "object_api": self.name_url("objects"),
+            "instance_list": self.name_url("instances"),
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings | more))
+        return str(path)
+
+    def start_agent(self) -> None:
+        more = {
+            "pool": "stall",
+            "upstream": "stall",
+            "kind": "service",
+            "block_secret": "shared by the agents of this test",
+            "listen": f"tcp://127.0.0.1:{self.ports['links']}",
+            "upstream_url": self.name_url("service"),
+        }
+        self.run(
+            "agent", "masticdrum.programs.agent", self.write_settings("agent", more)
+        )
+
+    def start_entry(self, name: str) -> None:
+        credentials = {sha256(w.encode()).hexdigest(): w for w in WORKSPACES}
+        path = self.folder / "credentials.json"
+        path.write_text(json.dumps(credentials))
+        settings = self.write_settings(name, {"credentials_file": str(path)})
+        self.run(name, "masticdrum.programs.entry", settings)
+
+    def wait_for(self, name: str, path: str) -> None:
+        end = time.monotonic() + READY_S
+        while time.monotonic() < end:
+            try:
+                if request("GET", self.name_url(name) + path).status == 200:
+                    return
+            except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+                pass
+            time.sleep(0.05)
+        log = (self.folder / f"{name}.log").read_text()
+        raise AssertionError(f"process '{name}' is not ready: {log}")
+
+    def control(self, name: str, **changes: Any) -> None:
+        body = json.dumps(changes).encode()
+        answer = request("POST", f"{self.name_url(name)}/control", body=body)
+        assert answer.status == 200, answer.content
+
+    def book(
+        self, entry: str, key: str, body: str = "{}", workspace: str = "gebeya"
+    ) -> Told:
+        url = f"{self.name_url(entry)}/v1/routes/book/calls"
+        headers = {"Authorization": f"Bearer {workspace}", "Idempotency-Key": key}
+        answer = request("POST", url, headers, body.encode())
+        replayed = (b"idempotent-replayed", b"true") in answer.headers
+        return Told(answer.status, replayed, json.loads(answer.content))
+
+    def book_again(self, entry: str, key: str) -> Told:
+        """Book as a caller does who is told that the key is still in progress."""
+        end = time.monotonic() + READY_S
+        told = self.book(entry, key)
+        while told.kind.startswith("key_in_progress") and time.monotonic() < end:
+            time.sleep(0.2)
+            told = self.book(entry, key)
+        return told
+
+    def count(self, key: str) -> int:
+        url = f"{self.name_url('service')}/executions"
+        counts: dict[str, int] = json.loads(request("GET", url).content)
+        return counts.get(key, 0)
+
+    def wait_until_run(self, key: str) -> None:
+        end = time.monotonic() + READY_S
+        while not self.count(key):
+            assert time.monotonic() < end, f"key '{key}' did not run"
+            time.sleep(0.02)
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self) -> None:
+        for name in list(self.running):
+            self.send_signal(name, signal.SIGCONT)
+            self.kill(name)
