Prove that an edit is in force everywhere and never reverts

Cause: the spread of the tables was shown only with three processes. Ruled out: trusting the first peer that answers a starting process, and going on with the tables at hand after a freeze: the two mutants show a process serving with old tables. A process in doubt gives its tables to nobody. A process that hears from nobody for 60 s says so (event 14) and serves on. The instance list is read the more seldom the longer it is.

--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -2,6 +2,13 @@
 
 from masticdrum.core.agentcache import settle_cache, take_cache_event, update_rules
 from masticdrum.core.agentstate import AgentState, EngineView
+from masticdrum.core.agenttables import (
+    take_instances,
+    take_tables_frame,
+    take_tables_object,
+    take_tables_time,
+    wake_tables,
+)
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.runs import (
     CHECK,
@@ -12,6 +19,7 @@
     forget_run,
     pass_run_deadline,
     refuse_all_waiting,
+    refuse_attempt,
     report_load,
     start_waiting,
     take_begun,
@@ -22,7 +30,6 @@
     take_run_failed,
     take_run_tokens,
 )
-from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.agent_events import (
     AgentEffect,
     AgentEvent,
@@ -39,12 +46,13 @@
     AnyMessage,
     Cancel,
     Dispatch,
+    Envelope,
     Hello,
     Received,
     Resume,
     Welcome,
 )
-from masticdrum.model.platform import ObjectAnswer
+from masticdrum.model.platform import InstancesListed, ObjectAnswer
 from masticdrum.model.telemetry import Log, LogNumber
 
 
@@ -54,16 +62,22 @@
     The state changes in place. The same state, event and time always give the same
     effects.
     """
+    begun = take_tables_time(state, now)
+    return begun + _take_event(state, event, now)
+
+
+def _take_event(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
     match event:
         case FrameReceived():
-            effects = _take_message(state, event.link, event.envelope.message, now)
+            effects = _take_frame(state, event, now)
         case RunBegun() | RunTokens() | RunEnded() | RunFailed():
             effects = _take_run_event(state, event, now)
         case LoadReported():
             effects = _take_load(state, event, now)
         case ObjectAnswer():
-            effects = list(take_tables(state, event))
-            update_rules(state)
+            effects = take_tables_object(state, event, now)
+        case InstancesListed():
+            effects = take_instances(state, event, now)
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
@@ -75,6 +89,26 @@
     return effects + _exit_if_done(state, now)
 
 
+def _take_frame(
+    state: AgentState, event: FrameReceived, now: float
+) -> list[AgentEffect]:
+    envelope = event.envelope
+    message = envelope.message
+    effects = take_tables_frame(state, event, now)
+    if isinstance(message, Dispatch) and _is_stale(state, message, envelope, now):
+        stale = ErrorKind.TABLES_STALE
+        return effects + refuse_attempt(state, event.link, message.attempt, stale)
+    return effects + _take_message(state, event.link, message, now)
+
+
+def _is_stale(
+    state: AgentState, message: Dispatch, envelope: Envelope, now: float
+) -> bool:
+    if message.attempt in state.runs:
+        return False
+    return state.sync.is_stale(envelope.serial, now)
+
+
 def _take_message(
     state: AgentState, link: str, message: AnyMessage, now: float
 ) -> list[AgentEffect]:
@@ -117,15 +151,13 @@
 
 
 def _take_woken(state: AgentState, now: float) -> list[AgentEffect]:
-    effects: list[AgentEffect] = []
+    effects = wake_tables(state, now)
     for name in state.timers.pop_due(now):
         effects += _take_timer(state, name, now)
     return effects
 
 
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
-    if name.purpose == POLL:
-        return list(poll_tables(state, now))
     run = state.runs.get(name.owner)
     if run is None:
         return []
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -8,6 +8,7 @@
 from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import Run
+from masticdrum.core.tablesync import SyncOptions, TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Tables
@@ -53,6 +54,7 @@
         "running",
         "runs",
         "shutdown_by",
+        "sync",
         "timers",
         "view",
         "waiting",
@@ -62,8 +64,9 @@
         self.options = options
         self.rng = Random(seed)
         self.view = TableView(Tables())
+        sync = SyncOptions(options.name, options.data_centre, is_entry=False)
+        self.sync = TableSync(sync, Random(seed))
         self.timers: Timers[TimerName] = Timers()
-        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.engine = EngineView()
         self.cache = KeptCache()
         self.runs: dict[str, Run] = {}
@@ -74,4 +77,6 @@
 
     def find_next_timer(self) -> float | None:
         """Return when the reducer wants to be woken, in seconds, or None."""
-        return self.timers.find_next()
+        due = self.timers.find_next()
+        sync_due = self.sync.find_next_timer()
+        return sync_due if due is None else min(due, sync_due)
--- /dev/null
+++ b/masticdrum/core/agenttables.py
@@ -0,0 +1,85 @@
+"""The tables at an agent: what ``TableSync`` asks for, done over entries' links."""
+
+from masticdrum.core.agentcache import update_rules
+from masticdrum.core.agentstate import AgentState
+from masticdrum.core.runs import report_load
+from masticdrum.core.tablesync import Ask, Give, Greet, SyncEffect
+from masticdrum.core.tableview import TableView
+from masticdrum.model.agent_events import AgentEffect, ReplyFrame
+from masticdrum.model.entry_events import FrameReceived
+from masticdrum.model.messages import TablesAsk, TablesGive, Welcome
+from masticdrum.model.platform import InstancesListed, InstanceState, ObjectAnswer
+from masticdrum.model.tables import Tables
+
+
+def install_tables(state: AgentState, tables: Tables, now: float) -> None:
+    """Put tables in force that the caller vouches for."""
+    state.sync.adopt(tables, now)
+    _refresh_view(state)
+
+
+def take_tables_time(state: AgentState, now: float) -> list[AgentEffect]:
+    """Begin, or notice that this process was frozen."""
+    return _carry_out(state, state.sync.check_time(now))
+
+
+def wake_tables(state: AgentState, now: float) -> list[AgentEffect]:
+    """Do what is due for the tables."""
+    return _carry_out(state, state.sync.wake(now))
+
+
+def take_tables_object(
+    state: AgentState, answer: ObjectAnswer, now: float
+) -> list[AgentEffect]:
+    """Take the platform's answer to a read of the tables."""
+    return _carry_out(state, state.sync.take_object(answer, now))
+
+
+def take_tables_frame(
+    state: AgentState, event: FrameReceived, now: float
+) -> list[AgentEffect]:
+    """Compare serials with the entry that sent a frame."""
+    effects: list[SyncEffect] = []
+    match event.envelope.message:
+        case TablesGive(body=body):
+            effects += state.sync.take_give(event.link, body, now)
+        case TablesAsk():
+            effects += state.sync.take_ask(event.link)
+    effects += state.sync.take_envelope(event.link, event.envelope.serial, now)
+    return _carry_out(state, effects)
+
+
+def take_instances(
+    state: AgentState, event: InstancesListed, now: float
+) -> list[AgentEffect]:
+    """Note whether this agent leaves, and how many processes there are."""
+    own = [row for row in event.instances if row.name == state.options.name]
+    if any(row.state is InstanceState.LEAVING for row in own):
+        state.leaving = True
+    return _carry_out(state, state.sync.take_instances(event.instances, now))
+
+
+def _carry_out(state: AgentState, effects: list[SyncEffect]) -> list[AgentEffect]:
+    _refresh_view(state)
+    return [_translate(state, effect) for effect in effects]
+
+
+def _translate(state: AgentState, effect: SyncEffect) -> AgentEffect:
+    match effect:
+        case Greet():
+            options = state.options
+            welcome = Welcome(options.pool, options.upstream, report_load(state))
+            return ReplyFrame(effect.peer, welcome)
+        case Ask():
+            return ReplyFrame(effect.peer, TablesAsk())
+        case Give():
+            return ReplyFrame(effect.peer, TablesGive(effect.body))
+        case _:
+            return effect
+
+
+def _refresh_view(state: AgentState) -> None:
+    if state.sync.serial <= state.view.serial:
+        return
+    state.view = TableView(state.sync.tables)
+    update_rules(state)
--- /dev/null
+++ b/masticdrum/core/election.py
@@ -0,0 +1,33 @@
+"""Choice of a few processes out of many by rendezvous hashing, agreed with nobody.
+
+Processes with the same instance list choose alike; while their lists differ, a little
+more or less work is done than needed and nothing breaks.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from xxhash import xxh3_64_intdigest
+
+
+def hash_name(name: str, seed: int = 0) -> int:
+    """Returns a 64-bit hash of a name."""
+    return xxh3_64_intdigest(name.encode(), seed=seed)
+
+
+def choose_top(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Returns the ``count`` names with the highest scores for ``key``."""
+    seed = hash_name(key)
+    ranked = sorted(names, key=lambda name: hash_name(name, seed))
+    return ranked[-count:][::-1]
+
+
+def is_among_top(key: str, name: str, names: Sequence[str], count: int) -> bool:
+    """Tells whether ``name`` would be chosen, scoring only as many as needed."""
+    seed = hash_name(key)
+    own = hash_name(name, seed)
+    better = 0
+    for other in names:
+        better += hash_name(other, seed) > own
+        if better >= count:
+            return False
+    return True
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -14,7 +14,13 @@
     take_tokens,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
-from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
+from masticdrum.core.entrytables import (
+    take_instances,
+    take_tables_frame,
+    take_tables_object,
+    take_tables_time,
+    wake_tables,
+)
 from masticdrum.model.entry_events import (
     CallAsked,
     CallerGone,
@@ -46,6 +52,11 @@
     The state changes in place. The same state, event and time always give the same
     effects.
     """
+    effects = take_tables_time(state, now)
+    return effects + _take_event(state, event, now)
+
+
+def _take_event(state: EntryState, event: EntryEvent, now: float) -> list[EntryEffect]:
     match event:
         case FrameReceived():
             return _take_frame(state, event, now)
@@ -60,9 +71,9 @@
         case ShutdownAsked():
             return _begin_shutdown(state, event, now)
         case ObjectAnswer():
-            return list(take_tables(state, event))
+            return take_tables_object(state, event, now)
         case InstancesListed():
-            return []
+            return take_instances(state, event, now)
 
 
 def _take_frame(
@@ -71,7 +82,8 @@
     peer = state.links.note(event.link, event.envelope, now)
     if peer is None:
         return [Count(Counter.FRAMES_DROPPED, "old link")]
-    effects = _take_message(state, event.link, event.envelope.message, now)
+    effects = take_tables_frame(state, peer, event.envelope, now)
+    effects += _take_message(state, event.link, event.envelope.message, now)
     return effects + _exit_if_done(state, now)
 
 
@@ -116,15 +128,13 @@
 
 
 def _take_woken(state: EntryState, now: float) -> list[EntryEffect]:
-    effects: list[EntryEffect] = []
+    effects = wake_tables(state, now)
     for name in state.timers.pop_due(now):
         effects += _take_timer(state, name, now)
     return effects + _exit_if_done(state, now)
 
 
 def _take_timer(state: EntryState, name: TimerName, now: float) -> list[EntryEffect]:
-    if name.purpose == POLL:
-        return list(poll_tables(state, now))
     completion = state.completions.get(name.owner)
     if completion is None:
         return []
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -7,9 +7,11 @@
 from masticdrum.core.completion import Completion
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
+from masticdrum.core.tablesync import SyncOptions, TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
-from masticdrum.model.tables import Tables
+from masticdrum.model.platform import Instance
+from masticdrum.model.tables import Tables, Upstream
 
 
 class EntryOptions(Struct, frozen=True):
@@ -43,12 +45,17 @@
     __slots__ = (
         "by_attempt",
         "completions",
+        "contacts",
+        "instances",
         "leaving",
+        "leaving_agents",
         "links",
+        "listed",
         "open_requests",
         "options",
         "rng",
         "shutdown_by",
+        "sync",
         "timers",
         "view",
     )
@@ -57,9 +64,14 @@
         self.options = options
         self.rng = Random(seed)
         self.view = TableView(Tables())
+        sync = SyncOptions(options.name, options.data_centre, is_entry=True)
+        self.sync = TableSync(sync, Random(seed))
+        self.contacts: dict[str, Upstream] = {}
+        self.instances: tuple[Instance, ...] = ()
+        self.listed: dict[str, Upstream] = {}
+        self.leaving_agents: set[str] = set()
         self.links = Links(options.name)
         self.timers: Timers[TimerName] = Timers()
-        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
         self.open_requests = OpenRequests()
@@ -72,4 +84,6 @@
 
     def find_next_timer(self) -> float | None:
         """Return when the reducer wants to be woken, in seconds, or None."""
-        return self.timers.find_next()
+        due = self.timers.find_next()
+        sync_due = self.sync.find_next_timer()
+        return sync_due if due is None else min(due, sync_due)
--- /dev/null
+++ b/masticdrum/core/entrytables.py
@@ -0,0 +1,134 @@
+"""The tables at an entry: what ``TableSync`` asks for, done over links to agents."""
+
+from masticdrum.core.completions import renew_link
+from masticdrum.core.entrystate import EntryState
+from masticdrum.core.links import Peer
+from masticdrum.core.tablesync import Ask, Give, Greet, SyncEffect
+from masticdrum.core.tableview import TableView
+from masticdrum.model.entry_events import EntryEffect, SendFrame
+from masticdrum.model.messages import (
+    AnyMessage,
+    Envelope,
+    Hello,
+    TablesAsk,
+    TablesGive,
+)
+from masticdrum.model.platform import InstancesListed, InstanceState, ObjectAnswer
+from masticdrum.model.tables import Tables, Upstream
+
+
+def install_tables(state: EntryState, tables: Tables, now: float) -> None:
+    """Put tables in force that the caller vouches for."""
+    state.sync.adopt(tables, now)
+    _refresh_view(state)
+
+
+def take_tables_time(state: EntryState, now: float) -> list[EntryEffect]:
+    """Begin, or notice that this process was frozen."""
+    return _carry_out(state, state.sync.check_time(now), now)
+
+
+def wake_tables(state: EntryState, now: float) -> list[EntryEffect]:
+    """Do what is due for the tables."""
+    return _carry_out(state, state.sync.wake(now), now)
+
+
+def take_tables_object(
+    state: EntryState, answer: ObjectAnswer, now: float
+) -> list[EntryEffect]:
+    """Take the platform's answer to a read of the tables."""
+    return _carry_out(state, state.sync.take_object(answer, now), now)
+
+
+def take_tables_frame(
+    state: EntryState, peer: Peer, envelope: Envelope, now: float
+) -> list[EntryEffect]:
+    """Compare serials with the agent that sent a frame."""
+    address = peer.upstream.agent
+    effects: list[SyncEffect] = []
+    match envelope.message:
+        case TablesGive(body=body):
+            effects += state.sync.take_give(address, body, now)
+        case TablesAsk():
+            effects += state.sync.take_ask(address)
+    effects += state.sync.take_envelope(address, envelope.serial, now)
+    return _carry_out(state, effects, now)
+
+
+def take_instances(
+    state: EntryState, event: InstancesListed, now: float
+) -> list[EntryEffect]:
+    """Note which agents leave, and choose contacts anew, when the list changed."""
+    if event.instances == state.instances:
+        return []
+    state.instances = event.instances
+    leaving = InstanceState.LEAVING
+    state.leaving_agents = {
+        row.address for row in event.instances if row.state is leaving
+    }
+    state.listed = {
+        row.address: Upstream(f"@{row.address}", row.data_centre, row.address)
+        for row in event.instances
+        if row.role == "agent"
+    }
+    _refresh_contacts(state)
+    effects = state.sync.take_instances(event.instances, now)
+    return _carry_out(state, effects, now)
+
+
+def _carry_out(
+    state: EntryState, effects: list[SyncEffect], now: float
+) -> list[EntryEffect]:
+    _refresh_view(state)
+    carried: list[EntryEffect] = []
+    for effect in effects:
+        match effect:
+            case Greet():
+                carried += _greet(state, effect, now)
+            case Ask():
+                carried += _send(state, effect.peer, TablesAsk())
+            case Give():
+                carried += _send(state, effect.peer, TablesGive(effect.body))
+            case _:
+                carried.append(effect)
+    return carried
+
+
+def _greet(state: EntryState, effect: Greet, now: float) -> list[EntryEffect]:
+    upstream = state.contacts.get(effect.peer)
+    if upstream is None:
+        return []
+    if effect.renew and state.links.find(upstream.name) is not None:
+        return renew_link(state, upstream.name, now)
+    return _send(state, effect.peer, Hello())
+
+
+def _send(state: EntryState, address: str, message: AnyMessage) -> list[EntryEffect]:
+    upstream = state.contacts.get(address)
+    if upstream is None:
+        return []
+    peer, opened = state.links.reach(upstream)
+    if opened and isinstance(message, Hello):
+        return opened
+    return [*opened, SendFrame(peer.link, message)]
+
+
+def _refresh_view(state: EntryState) -> None:
+    if state.sync.serial <= state.view.serial:
+        return
+    state.view = TableView(state.sync.tables)
+    _refresh_contacts(state)
+
+
+def _refresh_contacts(state: EntryState) -> None:
+    named = {
+        upstream.agent: upstream
+        for pool in state.view.tables.pools
+        for upstream in pool.upstreams
+    }
+    state.contacts = state.listed | named
+    state.leaving = {
+        upstream.name
+        for address, upstream in named.items()
+        if address in state.leaving_agents
+    }
--- /dev/null
+++ b/masticdrum/core/explanation.py
@@ -0,0 +1,147 @@
+"""Why a request would go where it goes, told without sending it."""
+
+from collections.abc import Mapping, Sequence
+
+from msgspec import Struct
+
+from masticdrum.core.placement import (
+    Hint,
+    build_ranking,
+    hash_prompt,
+    is_full,
+    order_upstreams,
+)
+from masticdrum.core.tableview import TableView
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.platform import Instance, InstanceState
+from masticdrum.model.tables import Pool, Route, Upstream
+
+
+class Candidate(Struct, frozen=True):
+    """One upstream in the order of trial; ``excluded`` says why it gets nothing."""
+
+    upstream: str
+    data_centre: str
+    excluded: str = ""
+    full: bool = False
+
+
+class Explanation(Struct, frozen=True):
+    """What would become of a request; ``refusal`` is None where it is served."""
+
+    serial: int
+    route: str
+    workspace: str
+    refusal: ErrorKind | None = None
+    pool: str = ""
+    urgency: str = ""
+    version: str = ""
+    candidates: tuple[Candidate, ...] = ()
+
+
+def explain_request(
+    view: TableView,
+    instances: Sequence[Instance],
+    hints: Mapping[str, Hint],
+    route: str,
+    workspace: str,
+    prompt: str,
+    now: float,
+) -> Explanation:
+    """Explains where a workspace's prompt on a route would go, and why.
+
+    ``hints`` are the loads of upstreams by name, as last heard.
+    """
+    bare = Explanation(view.serial, route, workspace)
+    row = view.find_route(route)
+    refusal = find_refusal(view, row, workspace, prompt)
+    if row is None or refusal is not None:
+        return refuse(bare, refusal)
+    pool = view.find_pool(row.pool)
+    if pool is None:
+        return refuse(bare, ErrorKind.NO_UPSTREAM)
+    excluded = find_excluded(view, pool, instances)
+    candidates = list_candidates(pool, row, workspace, prompt, hints, excluded, now)
+    served = any(not candidate.excluded for candidate in candidates)
+    return Explanation(
+        serial=view.serial,
+        route=route,
+        workspace=workspace,
+        refusal=None if served else ErrorKind.NO_UPSTREAM,
+        pool=pool.name,
+        urgency=row.urgency.value,
+        version=pool.version,
+        candidates=candidates,
+    )
+
+
+def refuse(bare: Explanation, kind: ErrorKind | None) -> Explanation:
+    """Returns an explanation that ends in a refusal."""
+    return Explanation(bare.serial, bare.route, bare.workspace, kind)
+
+
+def find_refusal(
+    view: TableView, route: Route | None, workspace: str, prompt: str
+) -> ErrorKind | None:
+    """Returns why the request is refused before an upstream is chosen, or None."""
+    if not view.serial:
+        return ErrorKind.TABLES_MISSING
+    if route is None:
+        return ErrorKind.ROUTE_UNKNOWN
+    if workspace not in route.workspaces:
+        return ErrorKind.ROUTE_FORBIDDEN
+    if len(prompt.encode()) > route.max_prompt_bytes:
+        return ErrorKind.PROMPT_TOO_LONG
+    return None
+
+
+def find_excluded(
+    view: TableView, pool: Pool, instances: Sequence[Instance]
+) -> dict[str, str]:
+    """Returns why upstreams of a pool get no new work, by their names."""
+    states = {instance.address: instance.state for instance in instances}
+    excluded: dict[str, str] = {}
+    for upstream in pool.upstreams:
+        if view.is_out(upstream.data_centre):
+            excluded[upstream.name] = "data centre out"
+        elif states.get(upstream.agent) is InstanceState.LEAVING:
+            excluded[upstream.name] = "leaving"
+        elif states and upstream.agent not in states:
+            excluded[upstream.name] = "agent not listed"
+    return excluded
+
+
+def list_candidates(
+    pool: Pool,
+    route: Route,
+    workspace: str,
+    prompt: str,
+    hints: Mapping[str, Hint],
+    excluded: Mapping[str, str],
+    now: float,
+) -> tuple[Candidate, ...]:
+    """Lists a pool's upstreams in the order of trial, the excluded ones last."""
+    key = hash_prompt(workspace, prompt, pool.block_bytes)
+    order = order_upstreams(
+        build_ranking(pool),
+        key,
+        route.urgency,
+        hints,
+        excluded,
+        now,
+        most=len(pool.upstreams),
+    )
+    rows: dict[str, Upstream] = {row.name: row for row in pool.upstreams}
+    tried = tuple(
+        Candidate(
+            name,
+            rows[name].data_centre,
+            full=is_full(hints.get(name), route.urgency, now),
+        )
+        for name in order
+    )
+    left_out = tuple(
+        Candidate(name, rows[name].data_centre, excluded=reason)
+        for name, reason in excluded.items()
+    )
+    return tried + left_out
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -57,6 +57,8 @@
     """Return why this agent takes no new work, or None if it does."""
     if state.view.serial == 0:
         return ErrorKind.TABLES_MISSING
+    if state.sync.is_doubted:
+        return ErrorKind.TABLES_STALE
     if state.shutdown_by is not None:
         return ErrorKind.SHUTTING_DOWN
     if state.leaving:
@@ -84,7 +86,7 @@
     if refusal is None and pool is not None and len(state.waiting) >= pool.max_queued:
         refusal = ErrorKind.QUEUE_FULL
     if refusal is not None:
-        return _refuse(state, link, message.attempt, refusal)
+        return refuse_attempt(state, link, message.attempt, refusal)
     run = Run(message, link, now, now, len(message.delivered), sent_at=now)
     state.runs[run.attempt] = run
     state.waiting.append(run.attempt)
@@ -296,7 +298,7 @@
     ]
 
 
-def _refuse(
+def refuse_attempt(
     state: AgentState, link: str, attempt: str, kind: ErrorKind
 ) -> list[AgentEffect]:
     hint = ANSWERS[kind].retry_after_s
--- a/masticdrum/core/settingscheck.py
+++ b/masticdrum/core/settingscheck.py
@@ -33,7 +33,7 @@
             yield from check_values(f"{where}.", value)
         if isinstance(value, int | float) and value <= 0:
             yield Fault(where, f"{value} is not above 0")
-        if isinstance(value, str):
+        if isinstance(value, str) and (value or entry.default != ""):
             yield from check_text(where, entry.name, value)
 
 
--- /dev/null
+++ b/masticdrum/core/syncpeers.py
@@ -0,0 +1,91 @@
+"""Which processes watch the platform, and which agents an entry keeps informed."""
+
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from masticdrum.core.election import choose_top, is_among_top
+from masticdrum.model.platform import Instance, InstanceState
+
+ENTRY = "entry"
+AGENT = "agent"
+WATCHERS = 3  # entries that watch the platform, in each data centre
+FEEDERS = 3  # entries that keep one agent informed
+OWN_CONTACTS = 2  # agents that an entry talks to at least
+WATCH_KEY = "watch"
+
+
+class SyncPeers(Struct, frozen=True):
+    """The part of one process; ``contacts`` are addresses of agents.
+
+    ``processes`` counts the entries and agents that are listed.
+    """
+
+    watches: bool = False
+    contacts: tuple[str, ...] = ()
+    processes: int = 0
+
+
+def choose_entry_peers(
+    name: str, data_centre: str, instances: Sequence[Instance]
+) -> SyncPeers:
+    """Returns the part of the entry ``name``.
+
+    An agent is fed by the best entries of its own data centre, or of all of them
+    where its own has none. Every entry has some contacts, and each watcher has one
+    more in every other data centre, so that the data centres inform each other.
+    """
+    entries = list_entries(name, data_centre, instances)
+    agents = group_agents(instances)
+    watches = is_among_top(WATCH_KEY, name, entries[data_centre], WATCHERS)
+    contacts: set[str] = set()
+    for centre, addresses in agents.items():
+        contacts |= choose_fed(name, centre, entries, addresses)
+        if watches and centre != data_centre:
+            contacts |= set(choose_top(name, addresses, 1))
+    near = agents.get(data_centre) or [a for rows in agents.values() for a in rows]
+    contacts |= set(choose_top(name, near, OWN_CONTACTS))
+    return SyncPeers(watches, tuple(sorted(contacts)), count_processes(instances))
+
+
+def list_entries(
+    name: str, data_centre: str, instances: Sequence[Instance]
+) -> dict[str, list[str]]:
+    """Returns the live entries of each data centre; this one counts, listed or not."""
+    entries: dict[str, list[str]] = {data_centre: [name]}
+    for row in instances:
+        if row.role != ENTRY or row.state is not InstanceState.LIVE:
+            continue
+        if row.name != name:
+            entries.setdefault(row.data_centre, []).append(row.name)
+    return entries
+
+
+def group_agents(instances: Sequence[Instance]) -> dict[str, list[str]]:
+    """Returns the agents' addresses by data centre, the leaving ones too."""
+    agents: dict[str, list[str]] = {}
+    for row in instances:
+        if row.role == AGENT:
+            agents.setdefault(row.data_centre, []).append(row.address)
+    return agents
+
+
+def choose_fed(
+    name: str, centre: str, entries: dict[str, list[str]], addresses: list[str]
+) -> set[str]:
+    """Returns those agents of a data centre that the entry ``name`` feeds."""
+    feeders = entries.get(centre)
+    if feeders is None:
+        feeders = [entry for names in entries.values() for entry in names]
+    if name not in feeders:
+        return set()
+    return {
+        address
+        for address in addresses
+        if is_among_top(address, name, feeders, FEEDERS)
+    }
+
+
+def count_processes(instances: Sequence[Instance]) -> int:
+    """Returns how many entries and agents are listed."""
+    return sum(row.role in (ENTRY, AGENT) for row in instances)
--- a/masticdrum/model/messages.py
+++ b/masticdrum/model/messages.py
@@ -195,7 +195,7 @@
 
 
 class TablesGive(Message, frozen=True):
-    """Carries a peer's tables as the JSON that the platform holds."""
+    """Carries a peer's tables: the platform's JSON, compressed with zlib."""
 
     body: bytes
 
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -67,8 +67,8 @@
 
     ``listen`` is the address for entries, ``tcp://IP:PORT``; ``http`` is the
     ``IP:PORT`` for metrics and health. ``kind`` says what the upstream is.
-    ``block_secret`` is known to all agents and to no store instance: it keys the
-    checksums of kept blocks. Without it only accidental damage is found.
+    ``block_secret_file`` holds a secret known to all agents and to no store instance:
+    it keys the checksums of kept blocks. Without it only accidental damage is found.
     """
 
     name: str
@@ -83,17 +83,19 @@
     kind: PoolKind = PoolKind.ENGINE
     timeouts: UpstreamTimeouts = field(default_factory=UpstreamTimeouts)
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
-    block_secret: str = ""
+    block_secret_file: str = ""
     grace_s: float = 30.0
 
 
 class CtlSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of ``masticdrumctl``.
 
-    ``apply_timeout_s`` is how long an edit may take to be in force everywhere.
+    ``edit_timeout_s`` is how long the platform may take to accept an edit, and
+    ``apply_timeout_s`` how long the edit may then take to be in force everywhere.
     """
 
     object_api: str
     instance_list: str
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    edit_timeout_s: float = 10.0
     apply_timeout_s: float = 18.0
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -15,6 +15,8 @@
     TABLES_INSTALLED = 10
     TABLES_REJECTED = 11
     PLATFORM_FAILED = 12
+    TABLES_DOUBTED = 13
+    TABLES_UNCONFIRMED = 14
     REQUEST_REFUSED = 20
     REQUEST_FINISHED = 21
     REQUEST_FAILED = 22
@@ -38,6 +40,7 @@
     RETRIES = "retries"
     FRAMES_DROPPED = "frames_dropped"
     PLATFORM_CALLS = "platform_calls"
+    TABLES = "tables"
     LINK_BYTES = "link_bytes"
     BLOCKS = "blocks"
 
--- /dev/null
+++ b/masticdrum/programs/ctltext.py
@@ -0,0 +1,94 @@
+"""How ``masticdrumctl`` lays out its answers for people."""
+
+from masticdrum.core.explanation import Explanation
+from masticdrum.core.tablediff import Change
+from masticdrum.model.tables import Tables
+from masticdrum.programs.ctloutput import format_rows
+from masticdrum.shell.fleet import Report
+
+
+def describe_changes(current: Tables, changes: list[Change]) -> str:
+    """Lists changes for people, with the serial that they are made against."""
+    lines = [str(change) for change in changes] or ["no changes"]
+    return "\n".join([*lines, f"against serial {current.serial}"])
+
+
+def describe_tables(tables: Tables) -> str:
+    """Lays out the tables for people."""
+    centres = [
+        (row.name, row.region, "out" if row.out else "in service")
+        for row in tables.data_centres
+    ]
+    pools = [
+        (row.name, row.kind, row.model, row.version, len(row.upstreams))
+        for row in tables.pools
+    ]
+    routes = [
+        (
+            row.name,
+            row.pool,
+            row.urgency,
+            "yes" if row.idempotent else "no",
+            len(row.workspaces),
+        )
+        for row in tables.routes
+    ]
+    return "\n\n".join(
+        [
+            f"serial {tables.serial}",
+            format_rows(("data centre", "region", "state"), centres),
+            format_rows(("pool", "kind", "model", "version", "upstreams"), pools),
+            format_rows(
+                ("route", "pool", "urgency", "idempotent", "workspaces"), routes
+            ),
+        ]
+    )
+
+
+def describe_status(tables: Tables, reports: list[Report]) -> str:
+    """Lays out the processes for people."""
+    rows = [
+        (
+            row.name,
+            row.role,
+            row.data_centre,
+            row.state,
+            "no answer" if row.serial is None else row.serial,
+            describe_load(row),
+        )
+        for row in reports
+    ]
+    heads = ("process", "role", "data centre", "state", "serial", "load")
+    return f"serial {tables.serial}\n\n{format_rows(heads, rows)}"
+
+
+def describe_load(report: Report) -> str:
+    """Writes an agent's load in a few words."""
+    load = report.load
+    if load is None:
+        return ""
+    cold = ", cold" if load.cold else ""
+    return f"{load.running} of {load.limit} running, {load.queued} queued{cold}"
+
+
+def describe_explanation(explanation: Explanation) -> str:
+    """Lays out an explanation for people."""
+    if explanation.refusal is not None and not explanation.pool:
+        return f"refused: {explanation.refusal} (serial {explanation.serial})"
+    head = (
+        f"route '{explanation.route}' -> pool '{explanation.pool}', "
+        f"{explanation.urgency}, serial {explanation.serial}"
+    )
+    rows = [
+        (number, row.upstream, row.data_centre, row.excluded or describe_room(row.full))
+        for number, row in enumerate(explanation.candidates, start=1)
+    ]
+    table = format_rows(("order", "upstream", "data centre", "why"), rows)
+    if explanation.refusal is not None:
+        return f"refused: {explanation.refusal}\n{head}\n\n{table}"
+    return f"{head}\n\n{table}"
+
+
+def describe_room(full: bool) -> str:
+    """Says whether an upstream has room."""
+    return "looks full, tried later" if full else "has room"
--- a/masticdrum/shell/applying.py
+++ b/masticdrum/shell/applying.py
@@ -13,6 +13,7 @@
 import msgspec
 import trio
 from msgspec import Struct
+from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
 from masticdrum.core.decoding import decode_json
@@ -204,6 +205,8 @@
 def judge_conflict(current: Tables, serial: int, wanted: Tables) -> Applied:
     """Judges an edit of a serial that stands no more: its own repeat, or too late."""
     edit = Edit(serial + 1, digest_tables(wanted))
+    if not serial and current.edits:
+        edit = replace(edit, serial=current.edits[0].serial)
     if is_forgotten(current, edit.serial):
         return Applied(Ending.UNKNOWN, current)
     if not holds_edit(current, edit):
--- a/masticdrum/shell/blockclient.py
+++ b/masticdrum/shell/blockclient.py
@@ -18,6 +18,7 @@
 from masticdrum.model.settings import AgentSettings
 from masticdrum.shell.blockclients import HttpEngineBlocks, HttpStoreBlocks, call_http
 from masticdrum.shell.blocktransfer import BlockTransfer, TransferFailed
+from masticdrum.shell.settings import load_secret
 
 MAX_CONNECTIONS = 32
 
@@ -57,7 +58,7 @@
             HttpEngineBlocks(self._pool, self._url),
             HttpStoreBlocks(self._pool),
             holder,
-            derive_key(settings.block_secret),
+            derive_key(load_secret(settings.block_secret_file).unwrap()),
             trio.current_time,
         )
 
--- a/masticdrum/shell/instanceclient.py
+++ b/masticdrum/shell/instanceclient.py
@@ -8,6 +8,8 @@
 
 from masticdrum.model.platform import Instance, InstancesListed
 
+LISTED_PER_S = 50  # rows that one process reads a second at most, on average
+
 
 class InstanceRows(msgspec.Struct):
     """The answer of the instance list."""
@@ -34,13 +36,16 @@
 
     async def run(self) -> None:
         """Read for ever; a failed read changes nothing."""
+        share_s = 0.0
         while True:
-            listed = await self._read()
+            listed = await self.read()
             if listed is not None:
                 self._submit(listed)
-            await trio.sleep(self._every_s)
+                share_s = len(listed.instances) / LISTED_PER_S
+            await trio.sleep(max(self._every_s, share_s))
 
-    async def _read(self) -> InstancesListed | None:
+    async def read(self) -> InstancesListed | None:
+        """Read once; None means that the list gave no answer."""
         with trio.move_on_after(self._timeout_s):
             try:
                 response = await self._pool.request("GET", self._url)
--- a/masticdrum/shell/settings.py
+++ b/masticdrum/shell/settings.py
@@ -31,6 +31,10 @@
     faults = [f"{path}: {fault}" for fault in find_settings_faults(settings)]
     if faults:
         return Failure("\n".join(faults))
+    if isinstance(settings, AgentSettings):
+        secret = load_secret(settings.block_secret_file)
+        if isinstance(secret, Failure):
+            return Failure(secret.failure())
     return Success(settings)
 
 
@@ -54,6 +58,14 @@
     return Success(credentials)
 
 
+def load_secret(path: str) -> Result[str, str]:
+    """Reads a secret from a file's first line; no path means no secret."""
+    if not path:
+        return Success("")
+    body = read_file(Path(path))
+    return body.map(lambda octets: octets.decode(errors="replace").partition("\n")[0])
+
+
 def read_file(path: Path) -> Result[bytes, str]:
     """Reads a whole file, or says which one can't be read and why."""
     try:
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -6,12 +6,12 @@
 
 from msgspec import Struct, field
 
+from masticdrum.core import agenttables, entrytables
 from masticdrum.core.agent import reduce_agent
 from masticdrum.core.agentstate import AgentOptions, AgentState
 from masticdrum.core.entry import reduce_entry
 from masticdrum.core.entrystate import EntryOptions, EntryState
 from masticdrum.core.invariants import require
-from masticdrum.core.tableview import TableView
 from masticdrum.model.agent_events import (
     CancelRun,
     LoadReported,
@@ -126,7 +126,7 @@
             incarnation=f"{name}/{self.rng.getrandbits(32)}",
         )
         state = AgentState(options, self.rng.getrandbits(32))
-        state.view = TableView(self.tables)
+        agenttables.install_tables(state, self.tables, self.driver.now)
         self.driver.add(name, state, reduce_agent)
         self._report_load(name, self.driver.processes[name].epoch)
 
@@ -135,7 +135,7 @@
         incarnation = f"{name}/{self.rng.getrandbits(32)}"
         options = EntryOptions(name, "dc-0", incarnation)
         state = EntryState(options, self.rng.getrandbits(32))
-        state.view = TableView(self.tables)
+        entrytables.install_tables(state, self.tables, self.driver.now)
         self.driver.add(name, state, reduce_entry)
 
     def ask(self, entry: str, max_tokens: int = 40) -> str:
