--- a/masticdrum/core/explanation.py
+++ b/masticdrum/core/explanation.py
@@ -1,4 +1,8 @@
-"""Why a request would go where it goes, told without sending it."""
+"""Why a request would go where it goes, told without sending it.
+
+Entries learn which beginnings many prompts share; the explanation is that of an entry
+that has learned nothing yet.
+"""
 
 from collections.abc import Mapping, Sequence
 
@@ -7,10 +11,10 @@
 from masticdrum.core.placement import (
     Hint,
     build_ranking,
-    hash_prompt,
-    is_full,
+    find_load,
     order_upstreams,
 )
+from masticdrum.core.preambles import Preambles
 from masticdrum.core.tableview import TableView
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.platform import Instance, InstanceState
@@ -18,12 +22,15 @@
 
 
 class Candidate(Struct, frozen=True):
-    """One upstream in the order of trial; ``excluded`` says why it gets nothing."""
+    """One upstream in the order of trial; ``excluded`` says why it gets nothing.
+
+    ``load`` is its runs and waiting requests by its limit, None where it said nothing.
+    """
 
     upstream: str
     data_centre: str
     excluded: str = ""
-    full: bool = False
+    load: float | None = None
 
 
 class Explanation(Struct, frozen=True):
@@ -121,7 +128,7 @@
     now: float,
 ) -> tuple[Candidate, ...]:
     """Lists a pool's upstreams in the order of trial, the excluded ones last."""
-    key = hash_prompt(workspace, prompt, pool.block_bytes)
+    key = Preambles().find_key(workspace, prompt, pool.block_bytes)
     order = order_upstreams(
         build_ranking(pool),
         key,
@@ -136,7 +143,7 @@
         Candidate(
             name,
             rows[name].data_centre,
-            full=is_full(hints.get(name), route.urgency, now),
+            load=find_load(hints.get(name), now),
         )
         for name in order
     )
--- a/masticdrum/programs/ctlsession.py
+++ b/masticdrum/programs/ctlsession.py
@@ -12,6 +12,7 @@
 from masticdrum.model.platform import Instance
 from masticdrum.model.settings import CtlSettings
 from masticdrum.model.tables import Tables
+from masticdrum.programs.commands import load_keys_or_exit
 from masticdrum.programs.ctloutput import (
     ENDINGS,
     ExitCode,
@@ -41,6 +42,7 @@
             settings.object_api,
             timeout_s=settings.platform.call_s,
         )
+        self._keys = load_keys_or_exit(settings.keys_file)
         self.editor = Editor(objects, Random(randbits(64)), settings.edit_timeout_s)
         self._instances = InstanceClient(
             lambda listed: None,
@@ -66,7 +68,7 @@
 
     async def ask_fleet(self, tables: Tables) -> list[Report]:
         """Asks every process once which tables it has."""
-        fleet = Fleet(self.nursery, tables)
+        fleet = Fleet(self.nursery, tables, self._keys)
         return await fleet.ask(await self.list_instances())
 
     async def find_floor(self, tables: Tables) -> int:
--- a/masticdrum/programs/ctltext.py
+++ b/masticdrum/programs/ctltext.py
@@ -80,7 +80,7 @@
         f"{explanation.urgency}, serial {explanation.serial}"
     )
     rows = [
-        (number, row.upstream, row.data_centre, row.excluded or describe_room(row.full))
+        (number, row.upstream, row.data_centre, row.excluded or describe_room(row.load))
         for number, row in enumerate(explanation.candidates, start=1)
     ]
     table = format_rows(("order", "upstream", "data centre", "why"), rows)
@@ -89,6 +89,6 @@
     return f"{head}\n\n{table}"
 
 
-def describe_room(full: bool) -> str:
-    """Says whether an upstream has room."""
-    return "looks full, tried later" if full else "has room"
+def describe_room(load: float | None) -> str:
+    """Says how much of an upstream's limit is in use."""
+    return "load not known" if load is None else f"{load:.0%} in use"
--- a/masticdrum/shell/fleet.py
+++ b/masticdrum/shell/fleet.py
@@ -22,6 +22,7 @@
 from masticdrum.model.platform import Instance
 from masticdrum.model.tables import Tables
 from masticdrum.shell.entrylinks import EntryLinks
+from masticdrum.shell.keys import LinkKeys
 
 SENDER = "masticdrumctl"
 ENTRY = "entry"
@@ -57,11 +58,13 @@
     them ask for them and are given them, which helps while the platform is down.
     """
 
-    def __init__(self, nursery: trio.Nursery, tables: Tables) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, tables: Tables, keys: LinkKeys | None = None
+    ) -> None:
         self._name = f"{SENDER}-{token_hex(4)}"
         self._tables = tables
         self._body = pack_tables(tables)
-        self._links = EntryLinks(nursery, self._take_frame)
+        self._links = EntryLinks(nursery, self._take_frame, keys)
         self._pool = httpcore.AsyncConnectionPool(max_connections=BATCH)
         self._reports: dict[str, Report] = {}
 
--- a/masticdrum/shell/settings.py
+++ b/masticdrum/shell/settings.py
@@ -58,9 +58,9 @@
     return Success(credentials)
 
 
-def load_secret(path: str) -> Result[str, str]:
+def load_secret(path: str | None) -> Result[str, str]:
     """Reads a secret from a file's first line; no path means no secret."""
-    if not path:
+    if path is None:
         return Success("")
     body = read_file(Path(path))
     return body.map(lambda octets: octets.decode(errors="replace").partition("\n")[0])
