--- a/demo/system.py
+++ b/demo/system.py
@@ -240,7 +240,8 @@
     def _write_settings(self) -> None:
         upstreams = self.plan.engines | self.plan.services
         ports = iter(pick_ports(2 * len(upstreams) + len(self.plan.entries)))
-        secret = token_hex(SECRET_BYTES)
+        secret = self.directory / "block_secret"
+        secret.write_text(token_hex(SECRET_BYTES))
         credentials = self.directory / "credentials.json"
         digests = {sha256(t.encode()).hexdigest(): w for w, t in TOKENS.items()}
         credentials.write_text(json.dumps(digests))
@@ -262,7 +263,7 @@
                 "listen": self._agents[name],
                 "upstream_url": self.addresses[upstream],
                 "kind": PoolKind.ENGINE if is_engine else PoolKind.SERVICE,
-                "block_secret": secret,
+                "block_secret_file": str(secret),
             }
             self._write_file(name, place, own | self.plan.agent)
 
--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -16,6 +16,13 @@
     take_settle,
 )
 from masticdrum.core.agentstate import AgentState, EngineView
+from masticdrum.core.agenttables import (
+    take_instances,
+    take_tables_frame,
+    take_tables_object,
+    take_tables_time,
+    wake_tables,
+)
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.runs import (
     CHECK,
@@ -26,6 +33,7 @@
     forget_run,
     pass_run_deadline,
     refuse_all_waiting,
+    refuse_attempt,
     report_load,
     start_waiting,
     take_begun,
@@ -36,7 +44,6 @@
     take_run_failed,
     take_run_tokens,
 )
-from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.agent_events import (
     AgentEffect,
     AgentEvent,
@@ -56,13 +63,14 @@
     Call,
     Cancel,
     Dispatch,
+    Envelope,
     Hello,
     Received,
     Resume,
     Settle,
     Welcome,
 )
-from masticdrum.model.platform import ObjectAnswer
+from masticdrum.model.platform import InstancesListed, ObjectAnswer
 from masticdrum.model.telemetry import Log, LogNumber
 
 
@@ -73,9 +81,14 @@
     effects.
     """
     update_admission(state, now)
+    begun = take_tables_time(state, now)
+    return begun + _take_event(state, event, now)
+
+
+def _take_event(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
     match event:
         case FrameReceived():
-            effects = _take_message(state, event.link, event.envelope.message, now)
+            effects = _take_frame(state, event, now)
         case RunBegun() | RunTokens() | RunEnded() | RunFailed():
             effects = _take_run_event(state, event, now)
         case ServiceAnswered() | ServiceFailed():
@@ -83,8 +96,9 @@
         case LoadReported():
             effects = _take_load(state, event, now)
         case ObjectAnswer():
-            effects = list(take_tables(state, event))
-            update_rules(state)
+            effects = take_tables_object(state, event, now)
+        case InstancesListed():
+            effects = take_instances(state, event, now)
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
@@ -96,6 +110,26 @@
     return effects + _exit_if_done(state, now)
 
 
+def _take_frame(
+    state: AgentState, event: FrameReceived, now: float
+) -> list[AgentEffect]:
+    envelope = event.envelope
+    message = envelope.message
+    effects = take_tables_frame(state, event, now)
+    if isinstance(message, Dispatch) and _is_stale(state, message, envelope, now):
+        stale = ErrorKind.TABLES_STALE
+        return effects + refuse_attempt(state, event.link, message.attempt, stale)
+    return effects + _take_message(state, event.link, message, now)
+
+
+def _is_stale(
+    state: AgentState, message: Dispatch, envelope: Envelope, now: float
+) -> bool:
+    if message.attempt in state.runs:
+        return False
+    return state.sync.is_stale(envelope.serial, now)
+
+
 def _take_message(
     state: AgentState, link: str, message: AnyMessage, now: float
 ) -> list[AgentEffect]:
@@ -143,7 +177,7 @@
 
 
 def _take_woken(state: AgentState, now: float) -> list[AgentEffect]:
-    effects: list[AgentEffect] = []
+    effects = wake_tables(state, now)
     for name in state.timers.pop_due(now):
         effects += _take_timer(state, name, now)
     return effects
@@ -152,8 +186,6 @@
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
     if name.purpose == LATE:
         return refuse_late_calls(state, now)
-    if name.purpose == POLL:
-        return list(poll_tables(state, now))
     if name.purpose == ADMISSION:
         arm_tick(state, now)
         return start_waiting(state, now)
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -27,7 +27,14 @@
     try_next,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
-from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
+from masticdrum.core.entrytables import (
+    take_instances,
+    take_tables_frame,
+    take_tables_object,
+    take_tables_time,
+    wake_tables,
+)
+from masticdrum.core.tablesync import owns_call
 from masticdrum.model.entry_events import (
     CallAsked,
     CallerGone,
@@ -59,6 +66,11 @@
     The state changes in place. The same state, event and time always give the same
     effects.
     """
+    effects = take_tables_time(state, now)
+    return effects + _take_event(state, event, now)
+
+
+def _take_event(state: EntryState, event: EntryEvent, now: float) -> list[EntryEffect]:
     match event:
         case FrameReceived():
             return _take_frame(state, event, now)
@@ -73,12 +85,17 @@
         case ShutdownAsked():
             return _begin_shutdown(state, event, now)
         case ObjectAnswer():
-            if event.call == POLL:
-                return list(take_tables(state, event))
-            effects = take_object_answer(state, event, now)
-            return effects + _exit_if_done(state, now)
+            return _take_object(state, event, now) + _exit_if_done(state, now)
         case InstancesListed():
-            return []
+            return take_instances(state, event, now)
+
+
+def _take_object(
+    state: EntryState, event: ObjectAnswer, now: float
+) -> list[EntryEffect]:
+    if owns_call(event):
+        return take_tables_object(state, event, now)
+    return take_object_answer(state, event, now)
 
 
 def _take_frame(
@@ -87,7 +104,8 @@
     peer = state.links.note(event.link, event.envelope, now)
     if peer is None:
         return [Count(Counter.FRAMES_DROPPED, "old link")]
-    effects = greet_calls(state, peer, now)
+    effects = take_tables_frame(state, peer, event.envelope, now)
+    effects += greet_calls(state, peer, now)
     message = event.envelope.message
     if isinstance(message, CallMessage) and state.calls.is_followed(message.attempt):
         incarnation = event.envelope.incarnation
@@ -141,7 +159,7 @@
 
 
 def _take_woken(state: EntryState, now: float) -> list[EntryEffect]:
-    effects: list[EntryEffect] = []
+    effects = wake_tables(state, now)
     for name in state.timers.pop_due(now):
         effects += _take_timer(state, name, now)
     return effects + _exit_if_done(state, now)
@@ -153,8 +171,6 @@
     call = state.calls.find(name.owner)
     if call is not None:
         return take_call_timer(state, call, name.purpose, now)
-    if name.purpose == POLL:
-        return list(poll_tables(state, now))
     completion = state.completions.get(name.owner)
     if completion is None:
         return []
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -53,6 +53,8 @@
     """Return why this agent takes no new work, or None if it does."""
     if state.view.serial == 0:
         return ErrorKind.TABLES_MISSING
+    if state.sync.is_doubted:
+        return ErrorKind.TABLES_STALE
     if state.shutdown_by is not None:
         return ErrorKind.SHUTTING_DOWN
     if state.leaving:
@@ -77,7 +79,7 @@
         return take_resume(state, link, Resume(message.attempt, known.kept_from), now)
     refusal = find_refusal(state, message.version)
     if refusal is not None:
-        return _refuse(state, link, message.attempt, refusal)
+        return refuse_attempt(state, link, message.attempt, refusal)
     run = Run(message, link, now, now, len(message.delivered), sent_at=now)
     state.runs[run.attempt] = run
     displaced: list[AgentEffect] = []
@@ -299,7 +301,7 @@
     ]
 
 
-def _refuse(
+def refuse_attempt(
     state: AgentState, link: str, attempt: str, kind: ErrorKind
 ) -> list[AgentEffect]:
     hint = ANSWERS[kind].retry_after_s
--- a/tests/callworld.py
+++ b/tests/callworld.py
@@ -9,15 +9,16 @@
 from random import Random
 from typing import Any
 
+import msgspec
 from msgspec import Struct, structs
 
+from masticdrum.core import agenttables, entrytables
 from masticdrum.core.agent import reduce_agent
 from masticdrum.core.agentstate import AgentOptions, AgentState
 from masticdrum.core.entry import reduce_entry
-from masticdrum.core.entrystate import EntryOptions, EntryState, TimerName
+from masticdrum.core.entrystate import EntryOptions, EntryState
 from masticdrum.core.partition import LedgerOptions
-from masticdrum.core.tablepoll import POLL
-from masticdrum.core.tableview import TableView
+from masticdrum.core.tablesync import TABLES_PATH
 from masticdrum.model.agent_events import (
     CallService,
     ReplyFrame,
@@ -57,7 +58,10 @@
         Pool(
             "stall",
             PoolKind.SERVICE,
-            [Upstream(f"stall-{n}", "bole", f"tcp://127.0.0.1:{n}") for n in range(3)],
+            [
+                Upstream(f"stall-{n}", "bole", f"tcp://127.0.0.1:{n + 1}")
+                for n in range(3)
+            ],
             max_running=3,
             max_queued=2,
         )
@@ -113,6 +117,8 @@
         self.last_asks = 0
         self.keys: dict[int, str] = {}
         self.objects = FakeObjects()
+        body = msgspec.json.encode(TABLES)
+        self.objects.apply(ObjectPut("tables", TABLES_PATH, body, 0))
         self.until: dict[str, float] = {}
         self.entries = [self.make_entry(n) for n in range(3)]
         self.agents = [self.make_agent(n) for n in range(3)]
@@ -146,8 +152,7 @@
             segment_limit=1600,
         )
         state = EntryState(options, self.rng.getrandbits(32), ledger)
-        state.timers.clear(TimerName(POLL, ""))
-        state.view = TableView(TABLES)
+        entrytables.install_tables(state, TABLES, self.now)
         return Process(name, options.incarnation, state, reduce_entry)
 
     def make_agent(self, number: int) -> Process:
@@ -155,8 +160,7 @@
         name = f"stall-{number}"
         options = AgentOptions(name, "bole", "stall", name, f"a{self.born}")
         state = AgentState(options, self.rng.getrandbits(32))
-        state.timers.clear(TimerName(POLL, ""))
-        state.view = TableView(TABLES)
+        agenttables.install_tables(state, TABLES, self.now)
         state.attempts.max_kept = 6
         return Process(name, options.incarnation, state, reduce_agent)
 
@@ -174,7 +178,7 @@
         self.events += 1
         for effect in process.reduce(process.state, event, self.now):
             self.carry_out(process, effect)
-        due = process.state.timers.find_next()
+        due = process.state.find_next_timer()
         if due is not None and due < process.wakes_at:
             process.wakes_at = due
             self.later(max(due, self.now), lambda: self.wake(process, due))
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -117,7 +117,6 @@
             "pool": "stall",
             "upstream": "stall",
             "kind": "service",
-            "block_secret": "shared by the agents of this test",
             "listen": f"tcp://127.0.0.1:{self.ports['links']}",
             "upstream_url": self.name_url("service"),
         }
