Stop new work where none may go, and hand streams over at a shutdown

Cause: an agent that shut down exited before its last frames were acknowledged and cut streams of a hanging upstream; an entry exited at the end of its grace without a word to callers; attempts queued in a data centre taken out still started. Ruled out: waiting for the whole grace time where nothing is open; moving a caller's own connection, which the platform's balancer holds. Change: agentdeparture sheds what waits when the agent is out, leaving or shutting down, hands running attempts over 3 s before the grace ends, and exits once entries have everything. An entry ends what outlasts its grace with shutting_down. Edits moved behind the older fields of Tables.

--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -1,6 +1,13 @@
 """The agent's reducer: every event in, effects as data out."""
 
 from masticdrum.core.agentcache import settle_cache, take_cache_event, update_rules
+from masticdrum.core.agentdeparture import (
+    HAND_OVER,
+    begin_shutdown,
+    exit_if_done,
+    hand_over,
+    shed_waiting,
+)
 from masticdrum.core.agentstate import AgentState, EngineView
 from masticdrum.core.agenttables import (
     take_instances,
@@ -18,7 +25,6 @@
     check_run,
     forget_run,
     pass_run_deadline,
-    refuse_all_waiting,
     refuse_attempt,
     report_load,
     start_waiting,
@@ -40,7 +46,7 @@
     RunFailed,
     RunTokens,
 )
-from masticdrum.model.entry_events import Exit, FrameReceived, ShutdownAsked, Woken
+from masticdrum.model.entry_events import FrameReceived, ShutdownAsked, Woken
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import (
     AnyMessage,
@@ -53,7 +59,6 @@
     Welcome,
 )
 from masticdrum.model.platform import InstancesListed, ObjectAnswer
-from masticdrum.model.telemetry import Log, LogNumber
 
 
 def reduce_agent(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
@@ -81,12 +86,13 @@
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
-            effects = _begin_shutdown(state, event, now)
+            effects = begin_shutdown(state, event, now)
         case _:
             effects = []
     effects += take_cache_event(state, event, now)
     effects += settle_cache(state, now)
-    return effects + _exit_if_done(state, now)
+    effects += shed_waiting(state, now)
+    return effects + exit_if_done(state, now)
 
 
 def _take_frame(
@@ -158,6 +164,8 @@
 
 
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
+    if name.purpose == HAND_OVER:
+        return hand_over(state, now)
     run = state.runs.get(name.owner)
     if run is None:
         return []
@@ -168,19 +176,3 @@
     if name.purpose == FORGET:
         forget_run(state, run)
     return []
-
-
-def _begin_shutdown(
-    state: AgentState, event: ShutdownAsked, now: float
-) -> list[AgentEffect]:
-    state.shutdown_by = now + event.grace_s
-    begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
-    return [begun, *refuse_all_waiting(state, ErrorKind.SHUTTING_DOWN, now)]
-
-
-def _exit_if_done(state: AgentState, now: float) -> list[AgentEffect]:
-    if state.shutdown_by is None:
-        return []
-    if state.running and now < state.shutdown_by:
-        return []
-    return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -49,6 +49,7 @@
         "cache",
         "engine",
         "leaving",
+        "linger_until",
         "options",
         "rng",
         "running",
@@ -74,6 +75,7 @@
         self.running: set[str] = set()
         self.leaving = False
         self.shutdown_by: float | None = None
+        self.linger_until = 0.0
 
     def find_next_timer(self) -> float | None:
         """Return when the reducer wants to be woken, in seconds, or None."""
--- a/masticdrum/core/completions.py
+++ b/masticdrum/core/completions.py
@@ -99,6 +99,14 @@
     return effects + _fail(state, completion, ErrorKind.DEADLINE_EXCEEDED)
 
 
+def cut_completion(
+    state: EntryState, completion: Completion, now: float
+) -> list[EntryEffect]:
+    """End a completion that outlasts this entry's shutdown, with an explicit error."""
+    effects = _cancel_attempt(state, completion)
+    return effects + _fail(state, completion, ErrorKind.SHUTTING_DOWN)
+
+
 def take_accepted(
     state: EntryState, completion: Completion, message: Accepted, now: float
 ) -> list[EntryEffect]:
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -6,6 +6,7 @@
     abandon_completion,
     begin_completion,
     check_silence,
+    cut_completion,
     pass_deadline,
     take_accepted,
     take_failed,
@@ -45,6 +46,8 @@
 from masticdrum.model.platform import InstancesListed, ObjectAnswer
 from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
 
+GRACE_END = "shutdown grace end"
+
 
 def reduce_entry(state: EntryState, event: EntryEvent, now: float) -> list[EntryEffect]:
     """Take one event at time ``now``, in seconds, and return what is to be done.
@@ -135,6 +138,8 @@
 
 
 def _take_timer(state: EntryState, name: TimerName, now: float) -> list[EntryEffect]:
+    if name.purpose == GRACE_END:
+        return _cut_all(state, now)
     completion = state.completions.get(name.owner)
     if completion is None:
         return []
@@ -148,11 +153,21 @@
 def _begin_shutdown(
     state: EntryState, event: ShutdownAsked, now: float
 ) -> list[EntryEffect]:
+    if state.shutdown_by is not None:
+        return []
     state.shutdown_by = now + event.grace_s
+    state.timers.set(TimerName(GRACE_END, ""), state.shutdown_by)
     begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
     return [begun, *_exit_if_done(state, now)]
 
 
+def _cut_all(state: EntryState, now: float) -> list[EntryEffect]:
+    effects: list[EntryEffect] = []
+    for completion in list(state.completions.values()):
+        effects += cut_completion(state, completion, now)
+    return effects
+
+
 def _exit_if_done(state: EntryState, now: float) -> list[EntryEffect]:
     if state.shutdown_by is None:
         return []
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -59,6 +59,18 @@
         return ErrorKind.TABLES_MISSING
     if state.sync.is_doubted:
         return ErrorKind.TABLES_STALE
+    departure = find_departure(state)
+    if departure is not None:
+        return departure
+    if not state.engine.reachable:
+        return ErrorKind.COLD_START
+    if version and version != state.engine.version:
+        return ErrorKind.WRONG_VERSION
+    return None
+
+
+def find_departure(state: AgentState) -> ErrorKind | None:
+    """Return why this agent starts nothing new for good, or None if it does."""
     if state.shutdown_by is not None:
         return ErrorKind.SHUTTING_DOWN
     if state.leaving:
@@ -67,10 +79,6 @@
         return ErrorKind.DATA_CENTRE_OUT
     if state.view.find_upstream(state.options.pool, state.options.upstream) is None:
         return ErrorKind.LEAVING
-    if not state.engine.reachable:
-        return ErrorKind.COLD_START
-    if version and version != state.engine.version:
-        return ErrorKind.WRONG_VERSION
     return None
 
 
@@ -244,6 +252,16 @@
     return [*_end(state, run, end, now), logged, *start_waiting(state, now)]
 
 
+def fail_run(
+    state: AgentState, run: Run, kind: ErrorKind, now: float
+) -> list[AgentEffect]:
+    """End a running attempt without a whole answer."""
+    _leave(state, run)
+    end = Failed(run.attempt, kind, Outcome.UNKNOWN, report_load(state))
+    logged = Log(LogNumber.RUN_FAILED, attempt=run.attempt, detail=kind.value)
+    return [*_end(state, run, end, now), logged]
+
+
 def check_run(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
     """Show life on a quiet attempt, and end one whose entry shows none."""
     if run.end is not None:
@@ -302,6 +320,7 @@
 def refuse_attempt(
     state: AgentState, link: str, attempt: str, kind: ErrorKind
 ) -> list[AgentEffect]:
+    """Refuse an attempt that this agent knows nothing of."""
     hint = ANSWERS[kind].retry_after_s
     refused = Refused(attempt, kind, hint, report_load(state))
     return [ReplyFrame(link, refused), Count(Counter.REFUSALS, kind.value)]
--- a/masticdrum/model/tables.py
+++ b/masticdrum/model/tables.py
@@ -112,8 +112,8 @@
     """
 
     serial: int = 0
-    edits: list[Edit] = field(default_factory=list)
     data_centres: list[DataCentre] = field(default_factory=list)
     stores: list[Store] = field(default_factory=list)
     pools: list[Pool] = field(default_factory=list)
     routes: list[Route] = field(default_factory=list)
+    edits: list[Edit] = field(default_factory=list)
