--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -1,6 +1,19 @@
 """The agent's reducer: every event in, effects as data out."""
 
+from masticdrum.core.agentadmission import (
+    ADMISSION,
+    arm_tick,
+    take_report,
+    update_admission,
+)
 from masticdrum.core.agentcache import settle_cache, take_cache_event, update_rules
+from masticdrum.core.agentcalls import (
+    LATE,
+    refuse_late_calls,
+    take_call,
+    take_service_event,
+    take_settle,
+)
 from masticdrum.core.agentdeparture import (
     HAND_OVER,
     begin_shutdown,
@@ -45,17 +58,20 @@
     RunEnded,
     RunFailed,
     RunTokens,
+    ServiceAnswered,
+    ServiceFailed,
 )
 from masticdrum.model.entry_events import FrameReceived, ShutdownAsked, Woken
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import (
     AnyMessage,
+    Call,
     Cancel,
     Dispatch,
-    Envelope,
     Hello,
     Received,
     Resume,
+    Settle,
     Welcome,
 )
 from masticdrum.model.platform import InstancesListed, ObjectAnswer
@@ -67,6 +83,7 @@
     The state changes in place. The same state, event and time always give the same
     effects.
     """
+    update_admission(state, now)
     begun = take_tables_time(state, now)
     return begun + _take_event(state, event, now)
 
@@ -77,6 +94,8 @@
             effects = _take_frame(state, event, now)
         case RunBegun() | RunTokens() | RunEnded() | RunFailed():
             effects = _take_run_event(state, event, now)
+        case ServiceAnswered() | ServiceFailed():
+            effects = take_service_event(state, event, now)
         case LoadReported():
             effects = _take_load(state, event, now)
         case ObjectAnswer():
@@ -101,20 +120,15 @@
     envelope = event.envelope
     message = envelope.message
     effects = take_tables_frame(state, event, now)
-    if isinstance(message, Dispatch) and _is_stale(state, message, envelope, now):
-        stale = ErrorKind.TABLES_STALE
-        return effects + refuse_attempt(state, event.link, message.attempt, stale)
+    stale = state.sync.is_stale(envelope.serial, now)
+    if isinstance(message, Call):
+        return effects + take_call(state, event.link, message, now, stale)
+    if stale and isinstance(message, Dispatch) and message.attempt not in state.runs:
+        kind = ErrorKind.TABLES_STALE
+        return effects + refuse_attempt(state, event.link, message.attempt, kind)
     return effects + _take_message(state, event.link, message, now)
 
 
-def _is_stale(
-    state: AgentState, message: Dispatch, envelope: Envelope, now: float
-) -> bool:
-    if message.attempt in state.runs:
-        return False
-    return state.sync.is_stale(envelope.serial, now)
-
-
 def _take_message(
     state: AgentState, link: str, message: AnyMessage, now: float
 ) -> list[AgentEffect]:
@@ -125,6 +139,8 @@
             return [ReplyFrame(link, welcome)]
         case Dispatch():
             return take_dispatch(state, link, message, now)
+        case Settle():
+            return take_settle(state, link, message, now)
         case Resume():
             return take_resume(state, link, message, now)
         case Received():
@@ -153,6 +169,7 @@
 def _take_load(state: AgentState, event: LoadReported, now: float) -> list[AgentEffect]:
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
     update_rules(state)
+    take_report(state, event, now)
     return start_waiting(state, now)
 
 
@@ -166,6 +183,11 @@
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
     if name.purpose == HAND_OVER:
         return hand_over(state, now)
+    if name.purpose == LATE:
+        return refuse_late_calls(state, now)
+    if name.purpose == ADMISSION:
+        arm_tick(state, now)
+        return start_waiting(state, now)
     run = state.runs.get(name.owner)
     if run is None:
         return []
--- a/masticdrum/core/agentdeparture.py
+++ b/masticdrum/core/agentdeparture.py
@@ -5,10 +5,12 @@
 go on with them elsewhere behind the tokens delivered.
 """
 
+from masticdrum.core.agentcalls import refuse_waiting_calls
 from masticdrum.core.agentstate import AgentState
+from masticdrum.core.departure import find_departure
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import RunStage
-from masticdrum.core.runs import fail_run, find_departure, refuse_all_waiting
+from masticdrum.core.runs import fail_run, refuse_all_waiting
 from masticdrum.model.agent_events import AgentEffect, CancelRun
 from masticdrum.model.entry_events import Exit, ShutdownAsked
 from masticdrum.model.errors import ErrorKind
@@ -34,7 +36,7 @@
     state.timers.set(TimerName(HAND_OVER, ""), state.shutdown_by - before_end)
     state.timers.set(TimerName(GRACE_END, ""), state.shutdown_by)
     begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
-    return [begun, *refuse_all_waiting(state, ErrorKind.SHUTTING_DOWN, now)]
+    return [begun, *shed_waiting(state, now)]
 
 
 def hand_over(state: AgentState, now: float) -> list[AgentEffect]:
@@ -53,9 +55,10 @@
 def shed_waiting(state: AgentState, now: float) -> list[AgentEffect]:
     """Refuse what waits once this agent may start nothing new."""
     kind = find_departure(state)
-    if kind is None or not state.waiting:
+    if kind is None:
         return []
-    return refuse_all_waiting(state, kind, now)
+    effects = refuse_all_waiting(state, kind, now)
+    return effects + refuse_waiting_calls(state, kind, now)
 
 
 def exit_if_done(state: AgentState, now: float) -> list[AgentEffect]:
@@ -69,6 +72,8 @@
 
 def has_duties(state: AgentState, now: float) -> bool:
     """Tell whether an entry still waits for something from this agent."""
-    if state.running or now < state.linger_until:
+    if state.running or state.attempts.count_running():
+        return True
+    if now < state.linger_until:
         return True
     return any(isinstance(run.end, Finished) for run in state.runs.values())
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -1,7 +1,20 @@
 """The entry's reducer: every event in, effects as data out."""
 
+from masticdrum.core.calls import DEADLINE as CALL_DEADLINE
+from masticdrum.core.calls import (
+    LEDGER,
+    CallMessage,
+    abandon_call,
+    advance_ledger,
+    begin_call,
+    greet_calls,
+    take_call_message,
+    take_call_timer,
+    take_object_answer,
+)
 from masticdrum.core.completions import (
     DEADLINE,
+    RETRY,
     SILENCE,
     abandon_completion,
     begin_completion,
@@ -13,6 +26,7 @@
     take_finished,
     take_refused,
     take_tokens,
+    try_next,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
 from masticdrum.core.entrytables import (
@@ -22,6 +36,7 @@
     take_tables_time,
     wake_tables,
 )
+from masticdrum.core.tablesync import owns_call
 from masticdrum.model.entry_events import (
     CallAsked,
     CallerGone,
@@ -66,7 +81,7 @@
         case CompletionAsked():
             return begin_completion(state, event, now)
         case CallAsked():
-            return []
+            return begin_call(state, event, now)
         case CallerGone():
             return _take_caller_gone(state, event, now)
         case Woken():
@@ -74,7 +89,10 @@
         case ShutdownAsked():
             return _begin_shutdown(state, event, now)
         case ObjectAnswer():
-            return take_tables_object(state, event, now)
+            if owns_call(event):
+                return take_tables_object(state, event, now)
+            effects = take_object_answer(state, event, now)
+            return effects + _exit_if_done(state, now)
         case InstancesListed():
             return take_instances(state, event, now)
 
@@ -86,7 +104,13 @@
     if peer is None:
         return [Count(Counter.FRAMES_DROPPED, "old link")]
     effects = take_tables_frame(state, peer, event.envelope, now)
-    effects += _take_message(state, event.link, event.envelope.message, now)
+    effects += greet_calls(state, peer, now)
+    message = event.envelope.message
+    if isinstance(message, CallMessage) and state.calls.is_followed(message.attempt):
+        incarnation = event.envelope.incarnation
+        effects += take_call_message(state, message, incarnation, now)
+    else:
+        effects += _take_message(state, event.link, message, now)
     return effects + _exit_if_done(state, now)
 
 
@@ -124,6 +148,9 @@
 def _take_caller_gone(
     state: EntryState, event: CallerGone, now: float
 ) -> list[EntryEffect]:
+    call = state.calls.find(event.request)
+    if call is not None:
+        return abandon_call(state, call, now) + _exit_if_done(state, now)
     completion = state.completions.get(event.request)
     if completion is None:
         return []
@@ -140,6 +167,11 @@
 def _take_timer(state: EntryState, name: TimerName, now: float) -> list[EntryEffect]:
     if name.purpose == GRACE_END:
         return _cut_all(state, now)
+    if name.purpose == LEDGER:
+        return advance_ledger(state, now)
+    call = state.calls.find(name.owner)
+    if call is not None:
+        return take_call_timer(state, call, name.purpose, now)
     completion = state.completions.get(name.owner)
     if completion is None:
         return []
@@ -147,6 +179,8 @@
         return pass_deadline(state, completion, now)
     if name.purpose == SILENCE:
         return check_silence(state, completion, now)
+    if name.purpose == RETRY:
+        return try_next(state, completion, now)
     return []
 
 
@@ -165,12 +199,15 @@
     effects: list[EntryEffect] = []
     for completion in list(state.completions.values()):
         effects += cut_completion(state, completion, now)
+    for call in list(state.calls.by_request.values()):
+        effects += take_call_timer(state, call, CALL_DEADLINE, now)
     return effects
 
 
 def _exit_if_done(state: EntryState, now: float) -> list[EntryEffect]:
     if state.shutdown_by is None:
         return []
-    if state.completions and now < state.shutdown_by:
+    busy = state.completions or state.calls.by_request or not state.ledger.is_idle()
+    if busy and now < state.shutdown_by:
         return []
     return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -5,9 +5,13 @@
 from msgspec import Struct
 
 from masticdrum.core.completion import Completion
+from masticdrum.core.ledger import Ledger
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
+from masticdrum.core.partition import LedgerOptions
 from masticdrum.core.preambles import Preambles
+from masticdrum.core.retries import RetryBudget
+from masticdrum.core.servicecall import ServiceCalls
 from masticdrum.core.tablesync import SyncOptions, TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
@@ -45,9 +49,11 @@
 
     __slots__ = (
         "by_attempt",
+        "calls",
         "completions",
         "contacts",
         "instances",
+        "ledger",
         "leaving",
         "leaving_agents",
         "links",
@@ -55,6 +61,7 @@
         "open_requests",
         "options",
         "preambles",
+        "retries",
         "rng",
         "shutdown_by",
         "sync",
@@ -62,9 +69,12 @@
         "view",
     )
 
-    def __init__(self, options: EntryOptions, seed: int) -> None:
+    def __init__(
+        self, options: EntryOptions, seed: int, ledger: LedgerOptions | None = None
+    ) -> None:
         self.options = options
         self.rng = Random(seed)
+        self.retries = RetryBudget(seed)
         self.view = TableView(Tables())
         sync = SyncOptions(options.name, options.data_centre, is_entry=True)
         self.sync = TableSync(sync, Random(seed))
@@ -76,6 +86,9 @@
         self.timers: Timers[TimerName] = Timers()
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
+        self.calls = ServiceCalls()
+        writer = options.incarnation
+        self.ledger = Ledger(ledger or LedgerOptions(writer=writer), self.rng)
         self.open_requests = OpenRequests()
         self.preambles = Preambles()
         self.leaving: set[str] = set()
