--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -10,11 +10,17 @@
 from masticdrum.core.agentcalls import (
     LATE,
     refuse_late_calls,
-    refuse_waiting_calls,
     take_call,
     take_service_event,
     take_settle,
 )
+from masticdrum.core.agentdeparture import (
+    HAND_OVER,
+    begin_shutdown,
+    exit_if_done,
+    hand_over,
+    shed_waiting,
+)
 from masticdrum.core.agentstate import AgentState, EngineView
 from masticdrum.core.agenttables import (
     take_instances,
@@ -32,7 +38,6 @@
     check_run,
     forget_run,
     pass_run_deadline,
-    refuse_all_waiting,
     refuse_attempt,
     report_load,
     start_waiting,
@@ -56,14 +61,13 @@
     ServiceAnswered,
     ServiceFailed,
 )
-from masticdrum.model.entry_events import Exit, FrameReceived, ShutdownAsked, Woken
+from masticdrum.model.entry_events import FrameReceived, ShutdownAsked, Woken
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import (
     AnyMessage,
     Call,
     Cancel,
     Dispatch,
-    Envelope,
     Hello,
     Received,
     Resume,
@@ -71,7 +75,6 @@
     Welcome,
 )
 from masticdrum.model.platform import InstancesListed, ObjectAnswer
-from masticdrum.model.telemetry import Log, LogNumber
 
 
 def reduce_agent(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
@@ -102,12 +105,13 @@
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
-            effects = _begin_shutdown(state, event, now)
+            effects = begin_shutdown(state, event, now)
         case _:
             effects = []
     effects += take_cache_event(state, event, now)
     effects += settle_cache(state, now)
-    return effects + _exit_if_done(state, now)
+    effects += shed_waiting(state, now)
+    return effects + exit_if_done(state, now)
 
 
 def _take_frame(
@@ -116,20 +120,15 @@
     envelope = event.envelope
     message = envelope.message
     effects = take_tables_frame(state, event, now)
-    if isinstance(message, Dispatch) and _is_stale(state, message, envelope, now):
-        stale = ErrorKind.TABLES_STALE
-        return effects + refuse_attempt(state, event.link, message.attempt, stale)
+    stale = state.sync.is_stale(envelope.serial, now)
+    if isinstance(message, Call):
+        return effects + take_call(state, event.link, message, now, stale)
+    if stale and isinstance(message, Dispatch) and message.attempt not in state.runs:
+        kind = ErrorKind.TABLES_STALE
+        return effects + refuse_attempt(state, event.link, message.attempt, kind)
     return effects + _take_message(state, event.link, message, now)
 
 
-def _is_stale(
-    state: AgentState, message: Dispatch, envelope: Envelope, now: float
-) -> bool:
-    if message.attempt in state.runs:
-        return False
-    return state.sync.is_stale(envelope.serial, now)
-
-
 def _take_message(
     state: AgentState, link: str, message: AnyMessage, now: float
 ) -> list[AgentEffect]:
@@ -140,8 +139,6 @@
             return [ReplyFrame(link, welcome)]
         case Dispatch():
             return take_dispatch(state, link, message, now)
-        case Call():
-            return take_call(state, link, message, now)
         case Settle():
             return take_settle(state, link, message, now)
         case Resume():
@@ -184,6 +181,8 @@
 
 
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
+    if name.purpose == HAND_OVER:
+        return hand_over(state, now)
     if name.purpose == LATE:
         return refuse_late_calls(state, now)
     if name.purpose == ADMISSION:
@@ -199,22 +198,3 @@
     if name.purpose == FORGET:
         forget_run(state, run)
     return []
-
-
-def _begin_shutdown(
-    state: AgentState, event: ShutdownAsked, now: float
-) -> list[AgentEffect]:
-    state.shutdown_by = now + event.grace_s
-    begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
-    kind = ErrorKind.SHUTTING_DOWN
-    refused = refuse_all_waiting(state, kind, now)
-    return [begun, *refused, *refuse_waiting_calls(state, kind, now)]
-
-
-def _exit_if_done(state: AgentState, now: float) -> list[AgentEffect]:
-    if state.shutdown_by is None:
-        return []
-    busy = state.running or state.attempts.count_running()
-    if busy and now < state.shutdown_by:
-        return []
-    return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/core/agentcalls.py
+++ b/masticdrum/core/agentcalls.py
@@ -2,6 +2,7 @@
 
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.attempts import Gate
+from masticdrum.core.departure import find_standstill
 from masticdrum.core.entrystate import TimerName
 from masticdrum.model.agent_events import AgentEffect, ServiceAnswered, ServiceFailed
 from masticdrum.model.errors import ErrorKind
@@ -11,8 +12,8 @@
 LATE_CHECK_S = 0.5
 
 
-def make_gate(state: AgentState) -> Gate:
-    """Return what the agent lets in now."""
+def make_gate(state: AgentState, stale: bool = False) -> Gate:
+    """Return what the agent lets in now; ``stale`` is a sender that stays behind."""
     pool = state.view.find_pool(state.options.pool)
     load = Load(
         running=state.attempts.count_running(),
@@ -20,32 +21,19 @@
         limit=0 if pool is None else pool.max_running,
         leaving=state.leaving or state.shutdown_by is not None,
     )
-    refusal = find_call_refusal(state)
+    refusal = find_standstill(state)
+    if refusal is None and stale:
+        refusal = ErrorKind.TABLES_STALE
     if pool is None:
         return Gate(refusal, 0, 0, load)
     return Gate(refusal, pool.max_running, pool.max_queued, load)
 
 
-def find_call_refusal(state: AgentState) -> ErrorKind | None:
-    """Return why this agent takes no new calls, or None if it does."""
-    if state.view.serial == 0:
-        return ErrorKind.TABLES_MISSING
-    if state.shutdown_by is not None:
-        return ErrorKind.SHUTTING_DOWN
-    if state.leaving:
-        return ErrorKind.LEAVING
-    if state.view.is_out(state.options.data_centre):
-        return ErrorKind.DATA_CENTRE_OUT
-    if state.view.find_upstream(state.options.pool, state.options.upstream) is None:
-        return ErrorKind.LEAVING
-    return None
-
-
 def take_call(
-    state: AgentState, link: str, message: Call, now: float
+    state: AgentState, link: str, message: Call, now: float, stale: bool = False
 ) -> list[AgentEffect]:
-    """Take one copy of an attempt's dispatch."""
-    effects = state.attempts.take_call(link, message, make_gate(state), now)
+    """Take one copy of an attempt's dispatch; its sender's tables may be stale."""
+    effects = state.attempts.take_call(link, message, make_gate(state, stale), now)
     _arm(state, now)
     return effects
 
--- a/masticdrum/core/completions.py
+++ b/masticdrum/core/completions.py
@@ -41,6 +41,7 @@
 DEADLINE = "completion deadline"
 SILENCE = "completion silence"
 RETRY = "completion retry"
+MOVE_RETRY_S = 1.0
 GAP_RETRY_S = 0.2
 
 
@@ -101,6 +102,14 @@
     return effects + _fail(state, completion, ErrorKind.DEADLINE_EXCEEDED)
 
 
+def cut_completion(
+    state: EntryState, completion: Completion, now: float
+) -> list[EntryEffect]:
+    """End a completion that outlasts this entry's shutdown, with an explicit error."""
+    effects = _cancel_attempt(state, completion)
+    return effects + _fail(state, completion, ErrorKind.SHUTTING_DOWN)
+
+
 def take_accepted(
     state: EntryState, completion: Completion, message: Accepted, now: float
 ) -> list[EntryEffect]:
@@ -184,6 +193,7 @@
 ) -> list[EntryEffect]:
     """Go on at another upstream behind the tokens already delivered."""
     completion.last_kind = message.kind
+    completion.moved |= message.kind is ErrorKind.SHUTTING_DOWN
     may_have_run = message.outcome is not Outcome.NOT_RUN
     _end_attempt(state, completion, may_have_run=may_have_run)
     if not ANSWERS[message.kind].elsewhere:
@@ -283,10 +293,10 @@
 ) -> list[EntryEffect]:
     """Give the completion to the best upstream that is left, or end it."""
     if len(completion.tried) >= state.options.max_attempts:
-        return _fail(state, completion, completion.last_kind)
+        return _give_up(state, completion, completion.last_kind, now)
     upstream = choose_upstream(state, completion, now)
     if upstream is None:
-        return _fail(state, completion, completion.last_kind)
+        return _give_up(state, completion, completion.last_kind, now)
     return _dispatch(state, completion, upstream, now)
 
 
@@ -333,7 +343,9 @@
 ) -> list[EntryEffect]:
     tries = len(completion.tried)
     if tries >= state.options.max_attempts:
-        return _fail(state, completion, completion.last_kind)
+        return _give_up(state, completion, completion.last_kind, now)
+    if completion.moved:
+        return [Count(Counter.RETRIES, kind.value), *try_next(state, completion, now)]
     at = state.retries.plan_retry(tries, refused, now, completion.deadline)
     if at is None:
         return _fail(state, completion, ErrorKind.RETRY_BUDGET_SPENT)
@@ -344,6 +356,17 @@
     return [counted, *try_next(state, completion, now)]
 
 
+def _give_up(
+    state: EntryState, completion: Completion, kind: ErrorKind, now: float
+) -> list[EntryEffect]:
+    # A stream that its agent's shutdown moved is not cut while others are full.
+    if not completion.moved or now + MOVE_RETRY_S >= completion.deadline:
+        return _fail(state, completion, kind)
+    completion.tried.clear()
+    state.timers.set(TimerName(RETRY, completion.request), now + MOVE_RETRY_S)
+    return [Count(Counter.RETRIES, "moved")]
+
+
 def _fail(
     state: EntryState, completion: Completion, kind: ErrorKind
 ) -> list[EntryEffect]:
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -1,5 +1,6 @@
 """The entry's reducer: every event in, effects as data out."""
 
+from masticdrum.core.calls import DEADLINE as CALL_DEADLINE
 from masticdrum.core.calls import (
     LEDGER,
     CallMessage,
@@ -18,6 +19,7 @@
     abandon_completion,
     begin_completion,
     check_silence,
+    cut_completion,
     pass_deadline,
     take_accepted,
     take_failed,
@@ -59,6 +61,8 @@
 from masticdrum.model.platform import InstancesListed, ObjectAnswer
 from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
 
+GRACE_END = "shutdown grace end"
+
 
 def reduce_entry(state: EntryState, event: EntryEvent, now: float) -> list[EntryEffect]:
     """Take one event at time ``now``, in seconds, and return what is to be done.
@@ -85,19 +89,14 @@
         case ShutdownAsked():
             return _begin_shutdown(state, event, now)
         case ObjectAnswer():
-            return _take_object(state, event, now) + _exit_if_done(state, now)
+            if owns_call(event):
+                return take_tables_object(state, event, now)
+            effects = take_object_answer(state, event, now)
+            return effects + _exit_if_done(state, now)
         case InstancesListed():
             return take_instances(state, event, now)
 
 
-def _take_object(
-    state: EntryState, event: ObjectAnswer, now: float
-) -> list[EntryEffect]:
-    if owns_call(event):
-        return take_tables_object(state, event, now)
-    return take_object_answer(state, event, now)
-
-
 def _take_frame(
     state: EntryState, event: FrameReceived, now: float
 ) -> list[EntryEffect]:
@@ -166,6 +165,8 @@
 
 
 def _take_timer(state: EntryState, name: TimerName, now: float) -> list[EntryEffect]:
+    if name.purpose == GRACE_END:
+        return _cut_all(state, now)
     if name.purpose == LEDGER:
         return advance_ledger(state, now)
     call = state.calls.find(name.owner)
@@ -186,11 +187,23 @@
 def _begin_shutdown(
     state: EntryState, event: ShutdownAsked, now: float
 ) -> list[EntryEffect]:
+    if state.shutdown_by is not None:
+        return []
     state.shutdown_by = now + event.grace_s
+    state.timers.set(TimerName(GRACE_END, ""), state.shutdown_by)
     begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
     return [begun, *_exit_if_done(state, now)]
 
 
+def _cut_all(state: EntryState, now: float) -> list[EntryEffect]:
+    effects: list[EntryEffect] = []
+    for completion in list(state.completions.values()):
+        effects += cut_completion(state, completion, now)
+    for call in list(state.calls.by_request.values()):
+        effects += take_call_timer(state, call, CALL_DEADLINE, now)
+    return effects
+
+
 def _exit_if_done(state: EntryState, now: float) -> list[EntryEffect]:
     if state.shutdown_by is None:
         return []
--- a/tests/callworld.py
+++ b/tests/callworld.py
@@ -9,8 +9,7 @@
 from random import Random
 from typing import Any
 
-import msgspec
-from msgspec import Struct, structs
+from msgspec import Struct, json, structs
 
 from masticdrum.core import agenttables, entrytables
 from masticdrum.core.agent import reduce_agent
@@ -18,7 +17,7 @@
 from masticdrum.core.entry import reduce_entry
 from masticdrum.core.entrystate import EntryOptions, EntryState
 from masticdrum.core.partition import LedgerOptions
-from masticdrum.core.tablesync import TABLES_PATH
+from masticdrum.core.tableedit import TABLES_PATH
 from masticdrum.model.agent_events import (
     CallService,
     ReplyFrame,
@@ -59,7 +58,7 @@
             "stall",
             PoolKind.SERVICE,
             [
-                Upstream(f"stall-{n}", "bole", f"tcp://127.0.0.1:{n + 1}")
+                Upstream(f"stall-{n}", "bole", f"tcp://127.0.0.1:{7000 + n}")
                 for n in range(3)
             ],
             max_running=3,
@@ -117,7 +116,7 @@
         self.last_asks = 0
         self.keys: dict[int, str] = {}
         self.objects = FakeObjects()
-        body = msgspec.json.encode(TABLES)
+        body = json.encode(TABLES)
         self.objects.apply(ObjectPut("tables", TABLES_PATH, body, 0))
         self.until: dict[str, float] = {}
         self.entries = [self.make_entry(n) for n in range(3)]
@@ -231,7 +230,9 @@
         wire = f"{entry.incarnation}|{effect.link}"
         self.links[wire] = entry
         number = int(effect.link.split("/")[1].split("-")[1])
-        frame = Envelope(entry.name, entry.incarnation, 1, message)
+        frame = Envelope(
+            entry.name, entry.incarnation, entry.state.view.serial, message
+        )
         for delay in self.list_delays():
             self.later(
                 self.now + delay,
@@ -243,7 +244,9 @@
             return
         entry = self.links[effect.link]
         link = effect.link.split("|")[1]
-        frame = Envelope(agent.name, agent.incarnation, 1, effect.message)
+        frame = Envelope(
+            agent.name, agent.incarnation, agent.state.view.serial, effect.message
+        )
         for delay in self.list_delays():
             self.later(
                 self.now + delay, lambda: self.give(entry, FrameReceived(link, frame))
