--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -9,6 +9,7 @@
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
 from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.preambles import Preambles
 from masticdrum.core.servicecall import ServiceCalls
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
@@ -52,6 +53,7 @@
         "links",
         "open_requests",
         "options",
+        "preambles",
         "rng",
         "shutdown_by",
         "timers",
@@ -73,6 +75,7 @@
         writer = options.incarnation
         self.ledger = Ledger(ledger or LedgerOptions(writer=writer), self.rng)
         self.open_requests = OpenRequests()
+        self.preambles = Preambles()
         self.leaving: set[str] = set()
         self.shutdown_by: float | None = None
 
