--- a/masticdrum/core/ledger.py
+++ b/masticdrum/core/ledger.py
@@ -20,6 +20,7 @@
     make_release,
 )
 from masticdrum.core.segments import choose_partition
+from masticdrum.core.timers import Timers
 from masticdrum.model.ledger import Record
 from masticdrum.model.platform import ObjectAnswer
 
@@ -27,12 +28,13 @@
 class Ledger:
     """What one process knows of the ledger, and its records on their way there."""
 
-    __slots__ = ("_options", "_partitions")
+    __slots__ = ("_options", "_partitions", "_timers")
 
     def __init__(self, options: LedgerOptions, rng: Random) -> None:
         self._options = options
         numbers = range(options.partitions)
         self._partitions = [Partition(n, options, rng) for n in numbers]
+        self._timers: Timers[int] = Timers()
 
     @property
     def retention_s(self) -> float:
@@ -79,39 +81,48 @@
 
     def find(self, workspace: str, key: str) -> Record | None:
         """Return the newest record known of a key, which may be old."""
-        return self._choose(workspace, key).find(workspace, key)
+        return self._partitions[self._choose(workspace, key)].find(workspace, key)
 
     def take(self, answer: ObjectAnswer, now: float) -> Step:
         """Take an object call's answer; calls of others are left alone."""
         parts = answer.call.split("/")
         if parts[0] != "ledger":
             return Step()
-        return self._partitions[int(parts[1])].take(answer, now)
+        number = int(parts[1])
+        step = self._partitions[number].take(answer, now)
+        self._set_timer(number)
+        return step
 
     def advance(self, now: float) -> Step:
         """Do what is due at ``now``."""
         total = Step()
-        for partition in self._partitions:
-            at = partition.find_next()
-            if at is None or at > now:
-                continue
-            step = partition.advance(now)
+        for number in self._timers.pop_due(now):
+            step = self._partitions[number].advance(now)
+            self._set_timer(number)
             total.calls += step.calls
             total.verdicts += step.verdicts
         return total
 
     def find_next(self) -> float | None:
         """Return when ``advance`` has something to do, or None."""
-        times = [partition.find_next() for partition in self._partitions]
-        return min((at for at in times if at is not None), default=None)
+        return self._timers.find_next()
 
     def is_idle(self) -> bool:
         """Tell whether nothing waits for its commit."""
         return all(partition.is_idle() for partition in self._partitions)
 
     def _add(self, pending: Pending, now: float) -> Step:
-        return self._choose(pending.workspace, pending.key).add(pending, now)
-
-    def _choose(self, workspace: str, key: str) -> Partition:
-        count = self._options.partitions
-        return self._partitions[choose_partition(workspace, key, count)]
+        number = self._choose(pending.workspace, pending.key)
+        step = self._partitions[number].add(pending, now)
+        self._set_timer(number)
+        return step
+
+    def _set_timer(self, number: int) -> None:
+        at = self._partitions[number].find_next()
+        if at is None:
+            self._timers.clear(number)
+        else:
+            self._timers.set(number, at)
+
+    def _choose(self, workspace: str, key: str) -> int:
+        return choose_partition(workspace, key, self._options.partitions)
--- a/masticdrum/core/partition.py
+++ b/masticdrum/core/partition.py
@@ -385,7 +385,9 @@
         self._head = head
         self._version = version
         self._size = size
-        self._apply(list(enumerate(head.records, head.sealed)))
+        first = max(head.sealed, self._applied)
+        fresh = head.records[first - head.sealed :]
+        self._apply(list(enumerate(fresh, first)))
         if head.sealed > self._applied:
             self._unread = [ref for ref in head.segments if ref.last > self._applied]
         self._finish_reading()
