--- /dev/null
+++ b/masticdrum/core/callframes.py
@@ -0,0 +1,270 @@
+"""What agents and timers tell of the attempts of plain service calls."""
+
+from msgspec import structs
+
+from masticdrum.core.callends import (
+    DEADLINE,
+    PROBE,
+    RETRY,
+    forget_call,
+    linger_call,
+    mark_answered,
+    refuse_call,
+    replay_reply,
+)
+from masticdrum.core.calls import (
+    PROBE_S,
+    give_up,
+    release_claim,
+    send_probe,
+    take_step,
+    try_next,
+)
+from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.servicecall import CallStage, ServiceCall
+from masticdrum.model.entry_events import (
+    EntryEffect,
+    GiveAnswer,
+)
+from masticdrum.model.errors import ANSWERS, ErrorKind, Outcome
+from masticdrum.model.ledger import KeyState, Record
+from masticdrum.model.messages import (
+    Accepted,
+    Answered,
+    Failed,
+    Refused,
+    Settled,
+)
+from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
+
+MAX_PROBES = 3
+MAX_REPLY_BYTES = 128 * 1024
+
+CallMessage = Accepted | Answered | Refused | Failed | Settled
+
+
+def take_call_message(
+    state: EntryState, message: CallMessage, incarnation: str, now: float
+) -> list[EntryEffect]:
+    """Act on an agent's frame about an attempt; ``incarnation`` is the sender's."""
+    call = state.calls.find_by_attempt(message.attempt)
+    if call is None:
+        return [Count(Counter.FRAMES_DROPPED, "unknown attempt")]
+    call.probes = 0
+    if call.stage is CallStage.SETTLING:
+        return _take_foreign(state, call, message, incarnation, now)
+    if call.stage is not CallStage.RUNNING:
+        return [Count(Counter.FRAMES_DROPPED, "not running")]
+    match message:
+        case Accepted():
+            state.timers.set(TimerName(PROBE, call.request), now + PROBE_S)
+            return []
+        case Answered():
+            return _take_answer(state, call, message, now)
+    kind, hint = _read_end(message)
+    if _tells_not_run(message) and _is_from(call.incarnation, incarnation):
+        return _take_not_run(state, call, kind, hint, now)
+    return _take_unknown(state, call, now)
+
+
+def _read_end(message: Refused | Failed | Settled) -> tuple[ErrorKind, float]:
+    match message:
+        case Refused():
+            return message.kind, message.retry_after_s
+        case Failed():
+            return message.kind, ANSWERS[message.kind].retry_after_s
+        case Settled():
+            return ErrorKind.UPSTREAM_SILENT, 0.0
+
+
+def _tells_not_run(message: Refused | Failed | Settled) -> bool:
+    return isinstance(message, Refused) or message.outcome is Outcome.NOT_RUN
+
+
+def _is_from(expected: str, incarnation: str) -> bool:
+    return expected in ("", incarnation)
+
+
+def _take_answer(
+    state: EntryState, call: ServiceCall, message: Answered, now: float
+) -> list[EntryEffect]:
+    effects: list[EntryEffect] = []
+    if call.claim is not None:
+        effects += _record(state, call.claim, message, now)
+    if not call.answered:
+        effects.append(
+            GiveAnswer(call.request, message.status, message.content_type, message.body)
+        )
+        effects.append(Log(LogNumber.REQUEST_FINISHED, request=call.request))
+        mark_answered(state, call)
+    forget_call(state, call)
+    return effects
+
+
+def _record(
+    state: EntryState, claim: Record, message: Answered, now: float
+) -> list[EntryEffect]:
+    if len(message.body) > MAX_REPLY_BYTES:
+        # The claim stays without an end: the key reads as outcome unknown.
+        too_long = f"reply of {len(message.body)} bytes"
+        return [Log(LogNumber.REQUEST_FAILED, attempt=message.attempt, detail=too_long)]
+    reply = make_reply(claim, message)
+    return take_step(state, state.ledger.record(reply, now), now)
+
+
+def make_reply(claim: Record, message: Answered) -> Record:
+    """Return the record of an attempt's reply."""
+    return structs.replace(
+        claim,
+        state=KeyState.DONE,
+        status=message.status,
+        content_type=message.content_type,
+        body=message.body,
+    )
+
+
+def _take_not_run(
+    state: EntryState, call: ServiceCall, kind: ErrorKind, hint: float, now: float
+) -> list[EntryEffect]:
+    state.timers.clear(TimerName(PROBE, call.request))
+    call.last_kind = kind
+    call.last_retry_after_s = hint
+    if call.answered:
+        released = release_claim(state, call, now)
+        forget_call(state, call)
+        return released
+    if ANSWERS[kind].elsewhere:
+        return _retry(state, call, kind, now, refused=True)
+    return give_up(state, call, kind, now)
+
+
+def _retry(
+    state: EntryState, call: ServiceCall, kind: ErrorKind, now: float, *, refused: bool
+) -> list[EntryEffect]:
+    tries = len(call.tried)
+    at = state.retries.plan_retry(tries, refused, now, call.deadline)
+    if at is None:
+        return give_up(state, call, ErrorKind.RETRY_BUDGET_SPENT, now)
+    counted = Count(Counter.RETRIES, kind.value)
+    if at > now:
+        state.timers.set(TimerName(RETRY, call.request), at)
+        return [counted]
+    return [counted, *try_next(state, call, now)]
+
+
+def _take_unknown(
+    state: EntryState, call: ServiceCall, now: float
+) -> list[EntryEffect]:
+    state.timers.clear(TimerName(PROBE, call.request))
+    if call.answered:
+        forget_call(state, call)
+        return []
+    if call.keyed:
+        refused = refuse_call(
+            state, call, ErrorKind.OUTCOME_UNKNOWN, Outcome.UNKNOWN, keep=True
+        )
+        linger_call(state, call, now)
+        return refused
+    call.may_have_run = True
+    call.last_kind = ErrorKind.UPSTREAM_FAILED
+    return _retry(state, call, ErrorKind.UPSTREAM_FAILED, now, refused=False)
+
+
+def _take_foreign(
+    state: EntryState,
+    call: ServiceCall,
+    message: CallMessage,
+    incarnation: str,
+    now: float,
+) -> list[EntryEffect]:
+    record = call.foreign
+    assert record is not None
+    state.timers.clear(TimerName(PROBE, call.request))
+    state.calls.leave(record.attempt)
+    call.foreign = None
+    match message:
+        case Accepted():
+            return refuse_call(state, call, ErrorKind.KEY_IN_PROGRESS, Outcome.UNKNOWN)
+        case Answered():
+            recorded = _record(state, record, message, now)
+            return recorded + replay_reply(state, call, make_reply(record, message))
+    if _tells_not_run(message) and _is_from(record.incarnation, incarnation):
+        released = take_step(state, state.ledger.release(record, now), now)
+        return released + try_next(state, call, now)
+    return refuse_call(state, call, ErrorKind.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+
+
+def take_call_timer(
+    state: EntryState, call: ServiceCall, purpose: str, now: float
+) -> list[EntryEffect]:
+    """Act on one of a call's timers."""
+    if purpose == PROBE:
+        return _probe_call(state, call, now)
+    if purpose == DEADLINE:
+        return _pass_deadline(state, call, now)
+    if purpose == RETRY:
+        return try_next(state, call, now)
+    forget_call(state, call)
+    return []
+
+
+def _probe_call(state: EntryState, call: ServiceCall, now: float) -> list[EntryEffect]:
+    # A link on which an earlier probe had no answer is replaced by a new one.
+    if call.stage is CallStage.GREETING:
+        return _pass_over(state, call, now)
+    if call.stage not in (CallStage.RUNNING, CallStage.SETTLING):
+        return []
+    assert call.upstream is not None
+    peer, effects = state.links.reach(call.upstream)
+    expected = call.incarnation if call.foreign is None else call.foreign.incarnation
+    if peer.incarnation and not _is_from(expected, peer.incarnation):
+        return effects + _take_replaced(state, call, now)
+    if call.probes >= MAX_PROBES and call.stage is CallStage.SETTLING:
+        return refuse_call(state, call, ErrorKind.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+    if call.probes >= MAX_PROBES and not call.keyed:
+        return _take_unknown(state, call, now)
+    if call.probes > 0 and peer.link == call.link:
+        peer, effects = state.links.renew(call.upstream)
+    return effects + send_probe(state, call, peer, now)
+
+
+def _pass_over(state: EntryState, call: ServiceCall, now: float) -> list[EntryEffect]:
+    assert call.upstream is not None
+    call.tried.append(call.upstream.name)
+    counted = Count(Counter.RETRIES, ErrorKind.UPSTREAM_SILENT.value)
+    _, effects = state.links.renew(call.upstream)
+    return [*effects, counted, *try_next(state, call, now)]
+
+
+def _take_replaced(
+    state: EntryState, call: ServiceCall, now: float
+) -> list[EntryEffect]:
+    if call.stage is CallStage.SETTLING:
+        return refuse_call(state, call, ErrorKind.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+    return _take_unknown(state, call, now)
+
+
+def _pass_deadline(
+    state: EntryState, call: ServiceCall, now: float
+) -> list[EntryEffect]:
+    if call.answered:
+        return []
+    if call.stage is CallStage.RUNNING:
+        kind = ErrorKind.OUTCOME_UNKNOWN
+        refused = refuse_call(state, call, kind, Outcome.UNKNOWN, keep=True)
+        linger_call(state, call, now)
+        return refused
+    return refuse_call(state, call, ErrorKind.DEADLINE_EXCEEDED, Outcome.UNKNOWN)
+
+
+def abandon_call(state: EntryState, call: ServiceCall, now: float) -> list[EntryEffect]:
+    """Go on without the caller, who is gone."""
+    if call.answered:
+        return []
+    mark_answered(state, call)
+    gone = Log(LogNumber.CALLER_GONE, request=call.request)
+    if call.stage is CallStage.RUNNING:
+        linger_call(state, call, now)
+    else:
+        forget_call(state, call)
+    return [gone]
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -1,18 +1,21 @@
 """The entry's reducer: every event in, effects as data out."""
 
-from masticdrum.core.calls import (
-    LEDGER,
+from masticdrum.core.callframes import (
     CallMessage,
     abandon_call,
+    take_call_message,
+    take_call_timer,
+)
+from masticdrum.core.calls import (
+    LEDGER,
     advance_ledger,
     begin_call,
     greet_calls,
-    take_call_message,
-    take_call_timer,
     take_object_answer,
 )
 from masticdrum.core.completions import (
     DEADLINE,
+    RETRY,
     SILENCE,
     abandon_completion,
     begin_completion,
@@ -23,6 +26,7 @@
     take_finished,
     take_refused,
     take_tokens,
+    try_next,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
 from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
@@ -160,6 +164,8 @@
         return pass_deadline(state, completion, now)
     if name.purpose == SILENCE:
         return check_silence(state, completion, now)
+    if name.purpose == RETRY:
+        return try_next(state, completion, now)
     return []
 
 
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -10,6 +10,7 @@
 from masticdrum.core.openrequests import OpenRequests
 from masticdrum.core.partition import LedgerOptions
 from masticdrum.core.preambles import Preambles
+from masticdrum.core.retries import RetryBudget
 from masticdrum.core.servicecall import ServiceCalls
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
@@ -54,6 +55,7 @@
         "open_requests",
         "options",
         "preambles",
+        "retries",
         "rng",
         "shutdown_by",
         "timers",
@@ -65,6 +67,7 @@
     ) -> None:
         self.options = options
         self.rng = Random(seed)
+        self.retries = RetryBudget(seed)
         self.view = TableView(Tables())
         self.links = Links(options.name)
         self.timers: Timers[TimerName] = Timers()
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from masticdrum.model.entry_events import CallAsked
 from tests.callworld import START, Action, World
 from tests.core.mutants import MUTANTS, Patch, skip_ledger
 from tests.soak_calls import FAULTS, find_violation, make_episode, shrink, soak
@@ -112,6 +113,22 @@
     assert list_told(world, 2)[1] in ("answered", "replayed")
 
 
+def test_a_repeatable_call_is_tried_again_after_its_agent_died() -> None:
+    world = World(2)
+    asked = CallAsked("r0", "gebeya", "look", "", b"b0")
+    world.asked["r0"] = (asked, START)
+    world.give(world.entries[0], asked)
+    while not world.executions:
+        world.run_until(world.now + 0.001)
+    [(_, attempt, _)] = world.executions["gebeya", ""]
+    running = [a.state.attempts.count_running() for a in world.agents]
+    world.act(Action(0.0, "kill agent", running.index(1)))
+    world.run_until(START + 10.0)
+    assert list_told(world, 1) == ["answered"]
+    assert [a for _, a, _ in world.executions["gebeya", ""]] != [attempt]
+    assert world.objects.writes == 0
+
+
 ACTIONS = st.builds(
     Action,
     at=st.floats(0.0, 60.0),
