Commit through the partition's preferred writer, so that entries don't contend

Cause: entries that share partitions overtake each other.

Change: an entry that others can reach asks the live entry that rendezvous hashing ranks first for the partition to commit its record, and commits it itself when no answer comes in time. Records name attempts, so both may write; only the entry that made a claim dispatches under it or gives it back.

--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -17,13 +17,12 @@
 from msgspec import Struct, structs, to_builtins
 from msgspec.msgpack import encode
 
-from masticdrum.core.judgement import Decision
 from masticdrum.core.ledger import Ledger
 from masticdrum.core.partition import LedgerOptions, Step
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.segments import choose_partition, digest_request
 from masticdrum.core.stamps import make_attempt
-from masticdrum.model.ledger import KeyState, Record
+from masticdrum.model.ledger import Decision, KeyState, Record
 from masticdrum.model.platform import ObjectAnswer, ObjectPut, ObjectStatus
 from tests.core.fakes import FakeObjects
 
--- a/masticdrum/core/callframes.py
+++ b/masticdrum/core/callframes.py
@@ -14,13 +14,14 @@
 )
 from masticdrum.core.calls import (
     PROBE_S,
+    commit_end,
     give_up,
     release_claim,
     send_probe,
-    take_step,
     try_next,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.partition import release
 from masticdrum.core.servicecall import CallStage, ServiceCall
 from masticdrum.model.entry_events import (
     EntryEffect,
@@ -109,7 +110,7 @@
         too_long = f"reply of {len(message.body)} bytes"
         return [Log(LogNumber.REQUEST_FAILED, attempt=message.attempt, detail=too_long)]
     reply = make_reply(claim, message)
-    return take_step(state, state.ledger.record(reply, now), now)
+    return commit_end(state, reply, now)
 
 
 def make_reply(claim: Record, message: Answered) -> Record:
@@ -189,7 +190,7 @@
             recorded = _record(state, record, message, now)
             return recorded + replay_reply(state, call, make_reply(record, message))
     if _tells_not_run(message) and _is_from(record.incarnation, incarnation):
-        released = take_step(state, state.ledger.release(record, now), now)
+        released = commit_end(state, release(record), now)
         return released + try_next(state, call, now)
     return refuse_call(state, call, ErrorKind.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
 
--- a/masticdrum/core/calls.py
+++ b/masticdrum/core/calls.py
@@ -18,10 +18,19 @@
 from masticdrum.core.completions import refuse_request
 from masticdrum.core.entrance import check_call
 from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.forwarding import (
+    END_WAIT_S,
+    PEER,
+    answer_commit,
+    fall_back,
+    find_writer,
+    forward,
+    serve_commit,
+    take_committed,
+)
 from masticdrum.core.invariants import require
-from masticdrum.core.judgement import Decision
 from masticdrum.core.links import Peer
-from masticdrum.core.partition import Step, Verdict
+from masticdrum.core.partition import Step, Verdict, release
 from masticdrum.core.placement import order_upstreams
 from masticdrum.core.segments import digest_request
 from masticdrum.core.servicecall import CallStage, ServiceCall
@@ -32,9 +41,11 @@
     SendFrame,
 )
 from masticdrum.model.errors import ErrorKind, Outcome
-from masticdrum.model.ledger import KeyState, Record
+from masticdrum.model.ledger import Decision, KeyState, Record
 from masticdrum.model.messages import (
     Call,
+    Commit,
+    Committed,
     Hello,
     Settle,
 )
@@ -128,6 +139,8 @@
 
 def _take_verdict(state: EntryState, verdict: Verdict, now: float) -> list[EntryEffect]:
     purpose, _, ticket = verdict.ticket.partition("/")
+    if purpose == PEER:
+        return answer_commit(state, verdict)
     if purpose == "claim":
         return _take_claim_verdict(state, ticket, verdict, now)
     call = state.calls.find(ticket)
@@ -146,7 +159,7 @@
     if call is None or call.attempt != attempt:
         if not granted or verdict.record is None:
             return []
-        return take_step(state, state.ledger.release(verdict.record, now), now)
+        return commit_end(state, release(verdict.record), now)
     if granted:
         return _dispatch(state, call, now)
     state.calls.leave(attempt)
@@ -250,9 +263,8 @@
 def _claim(
     state: EntryState, call: ServiceCall, peer: Peer, now: float
 ) -> list[EntryEffect]:
-    effects: list[EntryEffect] = []
-    if call.claim is not None:
-        effects += release_claim(state, call, now)
+    before = None if call.claim is None else release(call.claim)
+    state.calls.leave(call.attempt)
     assert call.upstream is not None
     require(
         peer.incarnation != "",
@@ -273,8 +285,48 @@
     )
     state.calls.follow(call, call.attempt)
     until = min(call.deadline, now + LEDGER_WAIT_S)
-    step = state.ledger.claim(f"claim/{call.attempt}", call.claim, until, now)
-    return effects + take_step(state, step, now)
+    return _commit_claim(state, call.claim, before, until, now)
+
+
+def _commit_claim(
+    state: EntryState, claim: Record, before: Record | None, until: float, now: float
+) -> list[EntryEffect]:
+    ticket = f"claim/{claim.attempt}"
+    writer = find_writer(state, claim, now)
+    if writer is not None:
+        return forward(state, ticket, claim, writer, until, now, before)
+    effects: list[EntryEffect] = []
+    if before is not None:
+        effects += take_step(state, state.ledger.record("", before, now), now)
+    return effects + take_step(
+        state, state.ledger.claim(ticket, claim, until, now), now
+    )
+
+
+def commit_end(state: EntryState, end: Record, now: float) -> list[EntryEffect]:
+    """Write down a reply or a release, for which nobody waits."""
+    writer = find_writer(state, end, now)
+    if writer is None:
+        return take_step(state, state.ledger.record("", end, now), now)
+    ticket = f"end/{end.attempt}"
+    return forward(state, ticket, end, writer, now + END_WAIT_S, now)
+
+
+def take_commit(
+    state: EntryState, link: str, message: Commit | Committed, now: float
+) -> list[EntryEffect]:
+    """Commit for another entry, or take another entry's answer."""
+    if isinstance(message, Commit):
+        return take_step(state, serve_commit(state, link, message, now), now)
+    verdict = take_committed(state, message)
+    if verdict is None:
+        return []
+    return _take_verdict(state, verdict, now)
+
+
+def fall_back_commit(state: EntryState, ticket: str, now: float) -> list[EntryEffect]:
+    """Commit here what another entry did not answer for."""
+    return take_step(state, fall_back(state, ticket, now), now)
 
 
 def _make_attempt(state: EntryState, now: float) -> str:
@@ -370,7 +422,7 @@
     call.attempt = ""
     if claim is None:
         return []
-    return take_step(state, state.ledger.release(claim, now), now)
+    return commit_end(state, release(claim), now)
 
 
 def _settle_foreign(
--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -10,7 +10,9 @@
     LEDGER,
     advance_ledger,
     begin_call,
+    fall_back_commit,
     greet_calls,
+    take_commit,
     take_object_answer,
 )
 from masticdrum.core.completions import (
@@ -29,6 +31,7 @@
     try_next,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.forwarding import FALL_BACK, has_commits, take_instances
 from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.entry_events import (
     CallAsked,
@@ -46,6 +49,8 @@
     Accepted,
     AnyMessage,
     Cancel,
+    Commit,
+    Committed,
     Failed,
     Finished,
     Refused,
@@ -80,17 +85,21 @@
             effects = take_object_answer(state, event, now)
             return effects + _exit_if_done(state, now)
         case InstancesListed():
+            take_instances(state, event)
             return []
 
 
 def _take_frame(
     state: EntryState, event: FrameReceived, now: float
 ) -> list[EntryEffect]:
+    message = event.envelope.message
+    if isinstance(message, Commit | Committed):
+        effects = take_commit(state, event.link, message, now)
+        return effects + _exit_if_done(state, now)
     peer = state.links.note(event.link, event.envelope, now)
     if peer is None:
         return [Count(Counter.FRAMES_DROPPED, "old link")]
     effects = greet_calls(state, peer, now)
-    message = event.envelope.message
     if isinstance(message, CallMessage) and state.calls.is_followed(message.attempt):
         incarnation = event.envelope.incarnation
         effects += take_call_message(state, message, incarnation, now)
@@ -152,6 +161,8 @@
 def _take_timer(state: EntryState, name: TimerName, now: float) -> list[EntryEffect]:
     if name.purpose == LEDGER:
         return advance_ledger(state, now)
+    if name.purpose == FALL_BACK:
+        return fall_back_commit(state, name.owner, now)
     call = state.calls.find(name.owner)
     if call is not None:
         return take_call_timer(state, call, name.purpose, now)
@@ -180,7 +191,7 @@
 def _exit_if_done(state: EntryState, now: float) -> list[EntryEffect]:
     if state.shutdown_by is None:
         return []
-    busy = state.completions or state.calls.by_request or not state.ledger.is_idle()
+    busy = state.completions or state.calls.by_request or has_commits(state)
     if busy and now < state.shutdown_by:
         return []
     return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -9,6 +9,7 @@
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
 from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.peers import Peers
 from masticdrum.core.preambles import Preambles
 from masticdrum.core.retries import RetryBudget
 from masticdrum.core.servicecall import ServiceCalls
@@ -23,6 +24,7 @@
     ``max_attempts`` bounds how many upstreams one completion may be given to, and
     ``max_resumes`` how often one attempt may go on over a new connection.
     ``ack_every`` is the number of tokens after which receipt is acknowledged.
+    ``forwards`` says that this entry can be reached by others and commits through them.
     """
 
     name: str
@@ -33,6 +35,7 @@
     max_resumes: int = 3
     ack_every: int = 64
     ack_after_s: float = 3.0
+    forwards: bool = False
 
 
 class TimerName(Struct, frozen=True):
@@ -54,6 +57,7 @@
         "links",
         "open_requests",
         "options",
+        "peers",
         "preambles",
         "retries",
         "rng",
@@ -77,6 +81,7 @@
         self.calls = ServiceCalls()
         writer = options.incarnation
         self.ledger = Ledger(ledger or LedgerOptions(writer=writer), self.rng)
+        self.peers = Peers(options.name)
         self.open_requests = OpenRequests()
         self.preambles = Preambles()
         self.leaving: set[str] = set()
--- /dev/null
+++ b/masticdrum/core/forwarding.py
@@ -0,0 +1,146 @@
+"""Commits go to the partition's preferred writer, so that entries don't contend.
+
+Every entry ranks the live entries alike for each partition. Which of them commits is
+a matter of cost alone: a record names its attempt, so the entry that made it may
+commit it itself whenever the other does not answer, and finds what the other wrote.
+Only that entry dispatches or gives back a claim.
+"""
+
+from msgspec import Struct
+
+from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.partition import Step, Verdict
+from masticdrum.core.peers import Forwarded
+from masticdrum.core.rendezvous import Ranking
+from masticdrum.model.entry_events import EntryEffect, ReplyFrame, SendFrame
+from masticdrum.model.ledger import Decision, KeyState, Record
+from masticdrum.model.messages import Commit, Committed
+from masticdrum.model.platform import InstancesListed, InstanceState
+from masticdrum.model.tables import Upstream
+from masticdrum.model.telemetry import Count, Counter
+
+FALL_BACK = "commit fall back"
+CLAIM_WAIT_S = 0.25
+END_WAIT_S = 2.0
+FALL_BACK_AFTER_S = 0.1
+SUSPECT_S = 2.0
+PEER = "peer"
+
+
+class Served(Struct, frozen=True):
+    """A commit that another entry asked for: its link and its ticket."""
+
+    link: str
+    ticket: str
+
+
+def take_instances(state: EntryState, event: InstancesListed) -> None:
+    """Choose each partition's preferred writer among the live entries."""
+    if not state.options.forwards:
+        return
+    listed = [
+        Upstream(row.name, row.data_centre, row.address)
+        for row in event.instances
+        if row.role == "entry"
+        and row.state is InstanceState.LIVE
+        and row.address.startswith("tcp://")
+    ]
+    others = {entry.name: entry for entry in listed if entry.name != state.options.name}
+    if others == state.peers.entries and state.peers.writers:
+        return
+    state.peers.entries = others
+    own = (state.options.name, state.options.data_centre, 1.0)
+    members = [own, *((e.name, e.data_centre, 1.0) for e in others.values())]
+    ranking = Ranking(sorted(members))
+    numbers = range(state.ledger.partitions)
+    state.peers.writers = [next(ranking.rank(number)) for number in numbers]
+
+
+def find_writer(state: EntryState, record: Record, now: float) -> Upstream | None:
+    """Return the entry that should commit a record, or None for this one."""
+    if not state.peers.writers:
+        return None
+    name = state.peers.writers[state.ledger.choose(record.workspace, record.key)]
+    if now < state.peers.suspects.get(name, 0.0):
+        return None
+    return state.peers.entries.get(name)
+
+
+def forward(
+    state: EntryState,
+    ticket: str,
+    record: Record,
+    writer: Upstream,
+    until: float,
+    now: float,
+    before: Record | None = None,
+) -> list[EntryEffect]:
+    """Ask another entry to commit ``before``, if any, and then ``record``."""
+    claimed = record.state is KeyState.CLAIMED
+    wait_s = min(CLAIM_WAIT_S if claimed else END_WAIT_S, until - now)
+    peer, effects = state.peers.links.reach(writer)
+    state.peers.waiting[ticket] = Forwarded(record, before, writer.name, until)
+    at = now + wait_s + FALL_BACK_AFTER_S
+    state.timers.set(TimerName(FALL_BACK, ticket), at)
+    asked = Commit(ticket, record, wait_s, before)
+    return [*effects, SendFrame(peer.link, asked), Count(Counter.COMMITS, "forwarded")]
+
+
+def take_committed(state: EntryState, message: Committed) -> Verdict | None:
+    """Return the verdict in another entry's answer, if it is one and still wanted."""
+    if message.ticket not in state.peers.waiting:
+        return None
+    if message.decision is Decision.UNAVAILABLE:
+        return None
+    del state.peers.waiting[message.ticket]
+    state.timers.clear(TimerName(FALL_BACK, message.ticket))
+    return Verdict(message.ticket, message.decision, message.record, message.unclaimed)
+
+
+def fall_back(state: EntryState, ticket: str, now: float) -> Step:
+    """Commit here what another entry did not answer for."""
+    forwarded = state.peers.waiting.pop(ticket, None)
+    if forwarded is None:
+        return Step()
+    state.peers.suspects[forwarded.writer] = now + SUSPECT_S
+    state.peers.links.drop(forwarded.writer)
+    step = Step()
+    if forwarded.before is not None:
+        step = state.ledger.record("", forwarded.before, now)
+    record = forwarded.record
+    if record.state is KeyState.CLAIMED:
+        until = forwarded.until
+        more = state.ledger.claim(ticket, record, until, now, forwarded=True)
+    else:
+        more = state.ledger.record(ticket, record, now)
+    return Step(step.calls + more.calls, step.verdicts + more.verdicts)
+
+
+def serve_commit(state: EntryState, link: str, message: Commit, now: float) -> Step:
+    """Commit another entry's record; the verdict goes back to it."""
+    oldest = state.ledger.tell_wall(now) - state.ledger.retention_s
+    if message.record.at < oldest:
+        return Step()
+    state.peers.served += 1
+    ticket = f"{PEER}/{state.peers.served}"
+    state.peers.serving[ticket] = Served(link, message.ticket)
+    step = Step()
+    if message.before is not None:
+        step = state.ledger.record("", message.before, now)
+    until = now + message.wait_s
+    more = state.ledger.serve(ticket, message.record, until, now)
+    return Step(step.calls + more.calls, step.verdicts + more.verdicts)
+
+
+def answer_commit(state: EntryState, verdict: Verdict) -> list[EntryEffect]:
+    """Tell the entry that asked what became of its record."""
+    served = state.peers.serving.pop(verdict.ticket)
+    answer = Committed(
+        served.ticket, verdict.decision, verdict.record, verdict.unclaimed
+    )
+    return [ReplyFrame(served.link, answer)]
+
+
+def has_commits(state: EntryState) -> bool:
+    """Tell whether a record waits for its commit, here or at another entry."""
+    return bool(state.peers.waiting) or not state.ledger.is_idle()
--- a/masticdrum/core/ledger.py
+++ b/masticdrum/core/ledger.py
@@ -17,11 +17,10 @@
     Partition,
     Step,
     make_end,
-    make_release,
 )
 from masticdrum.core.segments import choose_partition
 from masticdrum.core.timers import Timers
-from masticdrum.model.ledger import Record
+from masticdrum.model.ledger import KeyState, Record
 from masticdrum.model.platform import ObjectAnswer
 
 
@@ -45,17 +44,37 @@
         """Return the wall-clock time at ``now``, in seconds."""
         return now + self._options.wall_offset_s
 
-    def claim(self, ticket: str, record: Record, until: float, now: float) -> Step:
-        """Ask for a claim; one that is granted after ``until`` is given back."""
-        pending = Pending(
-            ticket=ticket,
-            workspace=record.workspace,
-            key=record.key,
-            digest=record.digest,
-            record=record,
-            due=now + self._options.group_s,
-            until=until,
-        )
+    @property
+    def partitions(self) -> int:
+        """How many partitions there are."""
+        return self._options.partitions
+
+    def claim(
+        self,
+        ticket: str,
+        record: Record,
+        until: float,
+        now: float,
+        *,
+        forwarded: bool = False,
+    ) -> Step:
+        """Ask for a claim; one that is granted after ``until`` is given back.
+
+        ``forwarded`` tells that another process may have written it already.
+        """
+        pending = self._make_claim(ticket, record, until, now)
+        pending.lost = forwarded
+        return self._add(pending, now)
+
+    def serve(self, ticket: str, record: Record, until: float, now: float) -> Step:
+        """Commit another process's record, which only that process may give back."""
+        if record.state is KeyState.CLAIMED:
+            pending = self._make_claim(ticket, record, until, now)
+        else:
+            pending = make_end(record, self._options, now)
+            pending.ticket = ticket
+            pending.until = until
+        pending.owned = False
         return self._add(pending, now)
 
     def look_up(
@@ -71,17 +90,18 @@
         pending = Pending(ticket, workspace, key, digest, None, now, until)
         return self._add(pending, now)
 
-    def record(self, reply: Record, now: float) -> Step:
-        """Write down the reply of an attempt that ran; there is no verdict."""
-        return self._add(make_end(reply, self._options, now), now)
+    def record(self, ticket: str, end: Record, now: float) -> Step:
+        """Write down the reply of an attempt, or that it did not run.
 
-    def release(self, claim: Record, now: float) -> Step:
-        """Give up a claim whose attempt never ran and never will; no verdict."""
-        return self._add(make_release(claim, self._options, now), now)
+        There is a verdict only if the ticket is not empty.
+        """
+        pending = make_end(end, self._options, now)
+        pending.ticket = ticket
+        return self._add(pending, now)
 
     def find(self, workspace: str, key: str) -> Record | None:
         """Return the newest record known of a key, which may be old."""
-        return self._partitions[self._choose(workspace, key)].find(workspace, key)
+        return self._partitions[self.choose(workspace, key)].find(workspace, key)
 
     def take(self, answer: ObjectAnswer, now: float) -> Step:
         """Take an object call's answer; calls of others are left alone."""
@@ -111,8 +131,25 @@
         """Tell whether nothing waits for its commit."""
         return all(partition.is_idle() for partition in self._partitions)
 
+    def choose(self, workspace: str, key: str) -> int:
+        """Return the number of a key's partition."""
+        return choose_partition(workspace, key, self._options.partitions)
+
+    def _make_claim(
+        self, ticket: str, record: Record, until: float, now: float
+    ) -> Pending:
+        return Pending(
+            ticket=ticket,
+            workspace=record.workspace,
+            key=record.key,
+            digest=record.digest,
+            record=record,
+            due=now + self._options.group_s,
+            until=until,
+        )
+
     def _add(self, pending: Pending, now: float) -> Step:
-        number = self._choose(pending.workspace, pending.key)
+        number = self.choose(pending.workspace, pending.key)
         step = self._partitions[number].add(pending, now)
         self._set_timer(number)
         return step
@@ -123,6 +160,3 @@
             self._timers.clear(number)
         else:
             self._timers.set(number, at)
-
-    def _choose(self, workspace: str, key: str) -> int:
-        return choose_partition(workspace, key, self._options.partitions)
--- a/masticdrum/core/partition.py
+++ b/masticdrum/core/partition.py
@@ -13,7 +13,7 @@
 from returns.result import Success
 
 from masticdrum.core.invariants import require
-from masticdrum.core.judgement import Decision, Pending, Refresh, Write, judge
+from masticdrum.core.judgement import Pending, Refresh, Write, judge
 from masticdrum.core.segments import (
     KeyName,
     Numbered,
@@ -27,7 +27,7 @@
     name_head,
     plan_seal,
 )
-from masticdrum.model.ledger import Head, KeyState, Record, SegmentRef
+from masticdrum.model.ledger import Decision, Head, KeyState, Record, SegmentRef
 from masticdrum.model.platform import (
     ObjectAnswer,
     ObjectDelete,
@@ -249,10 +249,12 @@
         record = pending.record
         if record is None or record.state is not KeyState.CLAIMED:
             return
+        if not pending.owned:
+            return
         in_flight = self._op is not None and pending in self._op.written
         if not pending.lost and not in_flight:
             return
-        self._pending.append(make_release(record, self._options, now))
+        self._pending.append(make_end(release(record), self._options, now))
 
     def _decide(self, step: Step, now: float) -> None:
         planned: dict[KeyName, Record] = {}
@@ -492,9 +494,9 @@
         return wall - options.retention_s - options.prune_margin_s
 
 
-def make_release(claim: Record, options: LedgerOptions, now: float) -> Pending:
+def release(claim: Record) -> Record:
     """Return the release of a claim under which nothing will run."""
-    return make_end(structs.replace(claim, state=KeyState.RELEASED), options, now)
+    return structs.replace(claim, state=KeyState.RELEASED)
 
 
 def make_end(record: Record, options: LedgerOptions, now: float) -> Pending:
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -2,8 +2,15 @@
 
 from msgspec import Struct
 
-from masticdrum.model.entry_events import Exit, FrameReceived, ShutdownAsked, Woken
-from masticdrum.model.messages import AnyMessage
+from masticdrum.model.entry_events import (
+    Exit,
+    FrameReceived,
+    ShutdownAsked,
+    Woken,
+)
+from masticdrum.model.entry_events import (
+    ReplyFrame as ReplyFrame,
+)
 from masticdrum.model.platform import (
     InstancesListed,
     ObjectAnswer,
@@ -153,13 +160,6 @@
 )
 
 
-class ReplyFrame(Struct, frozen=True):
-    """Sends a message back on the link that a peer opened."""
-
-    link: str
-    message: AnyMessage
-
-
 class StartRun(Struct, frozen=True):
     """Starts a run on the engine; ``blocks`` are the keys of the prompt's blocks."""
 
--- a/masticdrum/model/entry_events.py
+++ b/masticdrum/model/entry_events.py
@@ -91,6 +91,13 @@
     message: AnyMessage
 
 
+class ReplyFrame(Struct, frozen=True):
+    """Sends a message back on the link that a peer opened."""
+
+    link: str
+    message: AnyMessage
+
+
 class GiveTokens(Struct, frozen=True):
     """Hands tokens to the caller, in order and each once."""
 
@@ -137,6 +144,7 @@
     OpenLink
     | CloseLink
     | SendFrame
+    | ReplyFrame
     | GiveTokens
     | GiveEnd
     | GiveAnswer
--- a/masticdrum/model/ledger.py
+++ b/masticdrum/model/ledger.py
@@ -1,6 +1,6 @@
 """The ledger's records and objects, as the platform holds them."""
 
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 from msgspec import Struct
 
@@ -17,6 +17,24 @@
     RELEASED = 3
 
 
+class Decision(StrEnum):
+    """What the ledger says of a claim, a look-up or the end of an attempt.
+
+    ``GRANTED`` is in the ledger. ``REPLAY`` has a recorded reply, ``CONFLICT`` another
+    body under the key, ``BUSY`` another attempt without an end. ``ABSENT`` answers a
+    look-up of a key under which nothing ran. ``OVERTAKEN`` means that another entry
+    has ended this attempt. ``UNAVAILABLE`` means that time ran out.
+    """
+
+    GRANTED = "granted"
+    REPLAY = "replay"
+    CONFLICT = "conflict"
+    BUSY = "busy"
+    ABSENT = "absent"
+    OVERTAKEN = "overtaken"
+    UNAVAILABLE = "unavailable"
+
+
 class Record(Struct, frozen=True, array_like=True):
     """The whole state of one key after one change.
 
--- a/masticdrum/model/messages.py
+++ b/masticdrum/model/messages.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from masticdrum.model.errors import ErrorKind, Outcome
+from masticdrum.model.ledger import Decision, Record
 from masticdrum.model.tables import Urgency
 
 
@@ -204,6 +205,31 @@
     body: bytes
 
 
+class Commit(Message, frozen=True):
+    """Asks another entry to commit a record to the ledger, after ``before`` if any.
+
+    The answer is ``Committed``, within ``wait_s`` seconds or not at all.
+    """
+
+    ticket: str
+    record: Record
+    wait_s: float
+    before: Record | None = None
+
+
+class Committed(Message, frozen=True):
+    """Says what became of the record of a ``Commit``.
+
+    ``record`` is the key's newest one. ``unclaimed`` tells that the key was read after
+    the request came and nothing ran under it.
+    """
+
+    ticket: str
+    decision: Decision
+    record: Record | None
+    unclaimed: bool
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -222,6 +248,8 @@
     | Failed
     | TablesAsk
     | TablesGive
+    | Commit
+    | Committed
 )
 
 
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -39,6 +39,7 @@
     RETRIES = "retries"
     FRAMES_DROPPED = "frames_dropped"
     PLATFORM_CALLS = "platform_calls"
+    COMMITS = "commits"
     LINK_BYTES = "link_bytes"
     BLOCKS = "blocks"
 
--- a/masticdrum/programs/entry.py
+++ b/masticdrum/programs/entry.py
@@ -10,6 +10,7 @@
 from masticdrum.core.entry import reduce_entry
 from masticdrum.core.entrystate import EntryOptions, EntryState
 from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.peers import is_peer_link
 from masticdrum.model.entry_events import (
     CloseLink,
     EntryEffect,
@@ -20,6 +21,7 @@
     GiveRefusal,
     GiveTokens,
     OpenLink,
+    ReplyFrame,
     SendFrame,
     ShutdownAsked,
     Woken,
@@ -43,6 +45,7 @@
 from masticdrum.shell.loop import Loop
 from masticdrum.shell.meters import Meters
 from masticdrum.shell.objectclient import ObjectClient
+from masticdrum.shell.peerlinks import PeerLinks
 from masticdrum.shell.probes import Probes
 from masticdrum.shell.settings import load_credentials, load_settings
 from masticdrum.shell.signals import watch_signals
@@ -66,7 +69,12 @@
         self.meters = Meters()
         self.ended = trio.Event()
         incarnation = secrets.token_hex(INCARNATION_BYTES)
-        options = EntryOptions(settings.name, settings.data_centre, incarnation)
+        options = EntryOptions(
+            settings.name,
+            settings.data_centre,
+            incarnation,
+            forwards=settings.listen is not None,
+        )
         ledger = LedgerOptions(
             writer=incarnation, wall_offset_s=time.time() - trio.current_time()
         )
@@ -76,6 +84,7 @@
         )
         submit = self.loop.submit
         self.links = EntryLinks(nursery, submit, keys)
+        self.peers = PeerLinks(nursery, submit, self.meters, keys)
         self.callers = Callers(submit, credentials, settings.limits, self.meters)
         self.objects = ObjectClient(
             nursery,
@@ -106,25 +115,32 @@
 
     def _settle(self) -> None:
         self.links.settle()
+        self.peers.settle()
+
+    def _choose_links(self, link: str) -> EntryLinks | PeerLinks:
+        return self.peers if is_peer_link(link) else self.links
 
     def _carry_out(self, effect: EntryEffect) -> None:
         match effect:
             case SendFrame():
-                self.links.send(effect.link, self._make_envelope(effect))
+                links = self._choose_links(effect.link)
+                links.send(effect.link, self._make_envelope(effect))
+            case ReplyFrame():
+                self.peers.reply(effect.link, self._make_envelope(effect))
             case GiveTokens() | GiveEnd() | GiveAnswer() | GiveRefusal():
                 self.callers.give(effect)
             case Log() | Count() | Observe():
                 carry_out_telemetry(self.meters, effect)
             case OpenLink():
-                self.links.open(effect.link, effect.address)
+                self._choose_links(effect.link).open(effect.link, effect.address)
             case CloseLink():
-                self.links.close(effect.link)
+                self._choose_links(effect.link).close(effect.link)
             case ObjectGet() | ObjectPut() | ObjectDelete() | ObjectList():
                 self.objects.start(effect)
             case Exit():
                 self.ended.set()
 
-    def _make_envelope(self, effect: SendFrame) -> Envelope:
+    def _make_envelope(self, effect: SendFrame | ReplyFrame) -> Envelope:
         options = self.state.options
         return Envelope(
             options.name, options.incarnation, self.state.view.serial, effect.message
@@ -151,6 +167,8 @@
     write_event(Log(LogNumber.STARTED, detail=f"http {settings.http}"))
     async with trio.open_nursery() as nursery:
         process = EntryProcess(settings, credentials, keys, nursery)
+        if settings.listen is not None:
+            process.peers.listen(settings.listen)
         nursery.start_soon(process.loop.run_timers)
         nursery.start_soon(process.instances.run)
         nursery.start_soon(watch_signals, process.ask_shutdown)
@@ -163,6 +181,7 @@
             until=process.ended.wait,
         )
         process.links.close_all()
+        process.peers.close_all()
         nursery.cancel_scope.cancel()
 
 
--- a/tests/core/mutants.py
+++ b/tests/core/mutants.py
@@ -183,6 +183,27 @@
     patch.setattr(partition, "plan_seal", drop)
 
 
+def give_back_for_others(patch: Patch) -> None:
+    """Gives back claims that another entry made and may have dispatched under."""
+    withdraw = Partition._withdraw
+
+    def withdraw_all(self: Any, pending: Any, now: float) -> None:
+        pending.owned = True
+        withdraw(self, pending, now)
+
+    patch.setattr(Partition, "_withdraw", withdraw_all)
+
+
+def judge_on_old_records(patch: Patch) -> None:
+    """Judges ends that others wrote without reading what came since."""
+    judge_end = judgement.judge_end
+
+    def judge(current: Any, wanted: Any, fresh: bool) -> Any:
+        return judge_end(current, wanted, True)
+
+    patch.setattr(judgement, "judge_end", judge)
+
+
 MUTANTS: list[Callable[[Patch], None]] = [
     steal_claims,
     believe_conflicts,
@@ -199,4 +220,6 @@
     mix_workspaces,
     prune_early,
     seal_without_merged,
+    give_back_for_others,
+    judge_on_old_records,
 ]
--- a/tests/processes/test_calls.py
+++ b/tests/processes/test_calls.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.processes.deployment import Deployment
+from tests.processes.deployment import Deployment, request
 
 
 @pytest.fixture(scope="module")
@@ -115,3 +115,11 @@
     deployment.control("objects", outage=False)
     assert deployment.book("entry-2", "down").status == 200
     assert deployment.count("down") == 1
+
+
+def test_entries_commit_through_each_other(deployment: Deployment) -> None:
+    for entry in ("entry-1", "entry-2"):
+        for number in range(12):
+            assert deployment.book(entry, f"{entry} {number}").status == 200
+        metrics = request("GET", f"{deployment.name_url(entry)}/metrics").content
+        assert b'reason="forwarded"' in metrics
