Delete segments that no head names; let settings state the retention

A process that died between its segment and the head that names it left up to 900 kB for ever. Before a seal the objects are listed; what was listed and is named neither by the head that is replaced nor by the new one can't be named any more, since every other writer's head fails. Costs one read a seal.

--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -36,6 +36,7 @@
 CEILING_WINDOW_S = 0.1
 REPLY_BYTES = 200
 WRITERS = [1, 3, 10, 30]
+HOURS = 6
 RATES = [50, 200, 800]  # calls a second
 
 
@@ -59,7 +60,15 @@
 class Bench:
     """Many ledgers against one table, in virtual time."""
 
-    def __init__(self, mode: str, writers: int, offered: int) -> None:
+    def __init__(
+        self,
+        mode: str,
+        writers: int,
+        offered: int,
+        run_s: float = RUN_S,
+        retention_s: float = 24 * 3600.0,
+    ) -> None:
+        self.run_s = run_s
         self.rng = Random(1)
         self.mode = mode
         self.now = START_S
@@ -74,7 +83,7 @@
         self.window_writes = 0
         self.cpu_s = 0.0
         self.wakes = [0.0] * writers
-        options = LedgerOptions(writer="")
+        options = LedgerOptions(writer="", retention_s=retention_s)
         if mode == "single":
             options = structs.replace(
                 options, group_s=0.0, end_group_s=0.0, group_limit=1
@@ -94,10 +103,10 @@
         heappush(self.queue, (at, self.order, do))
 
     def run(self) -> Result:
-        for number in range(int(self.offered * RUN_S)):
-            at = START_S + self.rng.uniform(0.0, RUN_S)
+        for number in range(int(self.offered * self.run_s)):
+            at = START_S + self.rng.uniform(0.0, self.run_s)
             self.later(at, lambda number=number: self.ask(number))
-        while self.queue and self.queue[0][0] <= START_S + RUN_S + WAIT_S:
+        while self.queue and self.queue[0][0] <= START_S + self.run_s + WAIT_S:
             self.now, _, do = heappop(self.queue)
             do()
         return self.sum_up()
@@ -174,7 +183,7 @@
             record, state=KeyState.DONE, status=200, content_type="json", body=body
         )
         begun = time.process_time()
-        self.take(writer, self.ledgers[writer].record(reply, self.now), begun)
+        self.take(writer, self.ledgers[writer].record("", reply, self.now), begun)
 
     def sum_up(self) -> Result:
         waits = sorted(self.waits) or [0.0]
@@ -183,11 +192,11 @@
             mode=self.mode,
             writers=len(self.ledgers),
             offered=self.offered,
-            committed=round(len(self.waits) / RUN_S, 1),
-            refused=round(self.refused / RUN_S, 1),
-            writes=round(writes / RUN_S, 1),
-            reads=round(self.objects.reads / RUN_S, 1),
-            written_kb=round(self.objects.written_bytes / RUN_S / 1000, 1),
+            committed=round(len(self.waits) / self.run_s, 1),
+            refused=round(self.refused / self.run_s, 1),
+            writes=round(writes / self.run_s, 1),
+            reads=round(self.objects.reads / self.run_s, 1),
+            written_kb=round(self.objects.written_bytes / self.run_s / 1000, 1),
             records_a_write=round(2 * len(self.waits) / max(1, writes), 2),
             claim_ms_50=round(1000 * waits[len(waits) // 2], 1),
             claim_ms_95=round(1000 * waits[len(waits) * 95 // 100], 1),
@@ -195,6 +204,32 @@
         )
 
 
+class Sample(Struct, frozen=True):
+    """What the object API holds after some seconds."""
+
+    after_s: float
+    calls: int
+    objects: int
+    stored_bytes: int
+
+
+def measure_retention() -> list[Sample]:
+    """Return what one call a second leaves with a retention of one hour."""
+    bench = Bench("grouped", 1, 1, run_s=HOURS * 3600.0, retention_s=3600.0)
+    samples: list[Sample] = []
+
+    def sample() -> None:
+        bodies = [body for _, body in bench.objects.objects.values()]
+        size = sum(len(body) for body in bodies)
+        after_s = bench.now - START_S
+        samples.append(Sample(after_s, len(bench.waits), len(bodies), size))
+
+    for half_hour in range(1, 2 * HOURS + 1):
+        bench.later(START_S + 1800.0 * half_hour, sample)
+    bench.run()
+    return samples
+
+
 def measure_sizes() -> dict[str, float]:
     """Return the bytes of a claim and a reply, and of a call kept in memory."""
     bench = Bench("grouped", 1, 100)
@@ -230,8 +265,15 @@
                 click.echo(" ".join(f"{value:>15}" for value in row))
     sizes = measure_sizes()
     click.echo(json.dumps(sizes))
+    kept = measure_retention()
+    for sample in kept:
+        click.echo(sample)
     RESULTS.parent.mkdir(exist_ok=True)
-    document = {"sizes": sizes, "runs": to_builtins(results)}
+    document = {
+        "sizes": sizes,
+        "retention": to_builtins(kept),
+        "runs": to_builtins(results),
+    }
     RESULTS.write_text(json.dumps(document, indent=1) + "\n")
 
 
--- a/masticdrum/core/partition.py
+++ b/masticdrum/core/partition.py
@@ -25,6 +25,7 @@
     find_expired,
     measure,
     name_head,
+    name_prefix,
     plan_seal,
 )
 from masticdrum.model.ledger import Decision, Head, KeyState, Record, SegmentRef
@@ -32,6 +33,7 @@
     ObjectAnswer,
     ObjectDelete,
     ObjectGet,
+    ObjectList,
     ObjectPut,
     ObjectStatus,
 )
@@ -82,7 +84,7 @@
     unclaimed: bool = False
 
 
-ObjectCall = ObjectGet | ObjectPut | ObjectDelete
+ObjectCall = ObjectGet | ObjectPut | ObjectDelete | ObjectList
 
 
 class Step(Struct):
@@ -97,6 +99,7 @@
 
     READ_HEAD = "read head"
     READ_SEGMENT = "read segment"
+    LIST_OBJECTS = "list objects"
     WRITE_SEGMENT = "write segment"
     WRITE_HEAD = "write head"
     FIND_DOOMED = "find doomed"
@@ -127,6 +130,7 @@
         "_failures",
         "_head",
         "_known",
+        "_listed",
         "_number",
         "_op",
         "_options",
@@ -157,6 +161,7 @@
         self._op: Op | None = None
         self._pending: list[Pending] = []
         self._seal: Seal | None = None
+        self._listed: list[str] | None = None
         self._dropping: list[SegmentRef] = []
         self._doomed: list[str] = []
         self._serial = 0
@@ -293,7 +298,7 @@
 
     def _write(self, chosen: list[Pending], step: Step, now: float) -> None:
         if self._size > self._options.head_limit and self._seal is None:
-            self._write_segment(step, now)
+            self._seal_head(step, now)
             return
         records = [p.record for p in chosen if p.record is not None]
         expired = find_expired(self._head, self._find_horizon(now))
@@ -307,6 +312,13 @@
         path = name_head(self._number)
         step.calls.append(ObjectPut(op.call, path, body, self._version))
 
+    def _seal_head(self, step: Step, now: float) -> None:
+        if self._listed is not None:
+            self._write_segment(step, now)
+            return
+        op = self._start(OpKind.LIST_OBJECTS, now)
+        step.calls.append(ObjectList(op.call, name_prefix(self._number)))
+
     def _write_segment(self, step: Step, now: float) -> None:
         self._forget_expired(now)
         op = self._start(OpKind.WRITE_SEGMENT, now)
@@ -345,6 +357,8 @@
                 self._take_head(op, answer, now)
             case OpKind.READ_SEGMENT:
                 self._take_segment(answer, now)
+            case OpKind.LIST_OBJECTS:
+                self._take_names(answer, now)
             case OpKind.WRITE_SEGMENT:
                 self._take_sealed(op, answer, now)
             case OpKind.WRITE_HEAD:
@@ -373,7 +387,10 @@
         if not isinstance(decoded, Success):
             self._back_off(now)
             return
-        self._install(decoded.unwrap(), answer.version, len(answer.body))
+        head = decoded.unwrap()
+        if head.sealed != self._head.sealed:
+            self._forget_expired(now)
+        self._install(head, answer.version, len(answer.body))
         if not self._unread:
             self._confirmed = op.serial
 
@@ -434,6 +451,24 @@
         # The head was read before the segments, so it is read again if that matters.
         self._finish_reading()
 
+    def _take_names(self, answer: ObjectAnswer, now: float) -> None:
+        if answer.status is not ObjectStatus.OK:
+            self._back_off(now)
+            return
+        kept = {ref.path for ref in self._head.segments}
+        kept.add(name_head(self._number))
+        self._listed = [name for name in answer.names if name not in kept]
+
+    def _doom_listed(self) -> None:
+        # What was listed before this head replaced another and is in neither was left
+        # by a process that can't put it into a head any more.
+        if self._listed is None:
+            return
+        kept = {ref.path for ref in self._head.segments}
+        kept.update(self._doomed)
+        self._doomed += [name for name in self._listed if name not in kept]
+        self._listed = None
+
     def _take_sealed(self, op: Op, answer: ObjectAnswer, now: float) -> None:
         assert op.seal is not None
         if answer.status is ObjectStatus.OK:
@@ -452,6 +487,7 @@
         if answer.status is not ObjectStatus.OK:
             self._stale = True
             self._shared = True
+            self._listed = None
             if answer.status is ObjectStatus.LOST:
                 for pending in op.written:
                     pending.lost = True
@@ -459,6 +495,7 @@
             return
         self._confirmed = op.serial
         self._install(op.head, answer.version, op.size)
+        self._doom_listed()
         written = {id(pending) for pending in op.written}
         done = [p for p in self._pending if id(p) in written]
         self._pending = [p for p in self._pending if id(p) not in written]
--- a/masticdrum/core/segments.py
+++ b/masticdrum/core/segments.py
@@ -47,14 +47,19 @@
     return xxhash.xxh3_128_digest(f"{len(route)}:{route}".encode() + body)
 
 
+def name_prefix(partition: int) -> str:
+    """Return the start of the paths of a partition's objects."""
+    return f"ledger/{partition:03d}/"
+
+
 def name_head(partition: int) -> str:
     """Return the path of a partition's head."""
-    return f"ledger/{partition:03d}/head"
+    return f"{name_prefix(partition)}head"
 
 
 def name_segment(partition: int, first: int, last: int, writer: str) -> str:
     """Return a path that no other segment will ever have."""
-    return f"ledger/{partition:03d}/{first:012d}-{last:012d}-{writer}"
+    return f"{name_prefix(partition)}{first:012d}-{last:012d}-{writer}"
 
 
 def encode(value: Head | Segment) -> bytes:
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -37,7 +37,8 @@
     workspace. ``keys_file`` holds the keys of links to agents; without it links are
     neither encrypted nor checked. ``grace_s`` bounds a shutdown. ``listen`` is the
     address for other entries, ``tcp://IP:PORT``, which the instance list must show;
-    either all entries of a deployment have one, or none.
+    either all entries of a deployment have one, or none. The ledger keeps the keys of
+    calls that may not be repeated for ``ledger_retention_s``, the same at all entries.
     """
 
     name: str
@@ -50,6 +51,7 @@
     keys_file: str | None = None
     limits: EntryLimits = field(default_factory=EntryLimits)
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    ledger_retention_s: float = 24 * 3600.0
     grace_s: float = 30.0
 
 
--- a/masticdrum/programs/entry.py
+++ b/masticdrum/programs/entry.py
@@ -76,7 +76,9 @@
             forwards=settings.listen is not None,
         )
         ledger = LedgerOptions(
-            writer=incarnation, wall_offset_s=time.time() - trio.current_time()
+            writer=incarnation,
+            retention_s=settings.ledger_retention_s,
+            wall_offset_s=time.time() - trio.current_time(),
         )
         self.state = EntryState(options, secrets.randbits(64), ledger)
         self.loop: Loop[EntryEvent, EntryEffect] = Loop(
--- a/tests/callworld.py
+++ b/tests/callworld.py
@@ -44,6 +44,7 @@
     ObjectAnswer,
     ObjectDelete,
     ObjectGet,
+    ObjectList,
     ObjectPut,
     ObjectStatus,
 )
@@ -210,7 +211,7 @@
                 self.send_to_agent(process, effect)
             case ReplyFrame():
                 self.send_to_entry(process, effect)
-            case ObjectGet() | ObjectPut() | ObjectDelete():
+            case ObjectGet() | ObjectPut() | ObjectDelete() | ObjectList():
                 self.call_platform(process, effect)
             case CallService():
                 self.call_service(process, effect)
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -6,7 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from masticdrum.core.segments import decode_head
 from masticdrum.model.entry_events import CallAsked
+from masticdrum.model.platform import ObjectPut
 from tests.callworld import START, Action, World
 from tests.core.mutants import MUTANTS, Patch, skip_ledger
 from tests.soak_calls import FAULTS, find_violation, make_episode, shrink, soak
@@ -128,6 +130,21 @@
     assert list_told(world, 2)[1] in ("answered", "replayed")
 
 
+def test_segments_that_no_head_names_are_deleted() -> None:
+    world = World(2)
+    for number in range(2):
+        left = f"ledger/00{number}/000000000000-000000000005-dead-1"
+        world.objects.apply(ObjectPut("left", left, b"left behind", 0))
+    world.run([Action(3.0 * n, "ask", n % 3, key=n) for n in range(30)])
+    assert world.told["answered"] == 30
+    named: list[str] = []
+    for number in range(2):
+        head = decode_head(world.objects.objects[f"ledger/00{number}/head"][1])
+        named += [ref.path for ref in head.unwrap().segments]
+    segments = [name for name in world.objects.objects if not name.endswith("head")]
+    assert named and sorted(segments) == sorted(named)
+
+
 def test_a_repeatable_call_is_tried_again_after_its_agent_died() -> None:
     world = World(2)
     asked = CallAsked("r0", "gebeya", "look", "", b"b0")
