Say "not run" of no keyed request that the HTTP layer refuses

Cause: a retry whose credential was withdrawn after its request ran was told not_run. Seen failing first: test_a_retry_without_a_credential_is_not_told_that_nothing_ran on the code before.

--- a/masticdrum/shell/callers.py
+++ b/masticdrum/shell/callers.py
@@ -79,7 +79,7 @@
         """Answer one request of a caller."""
         refusal = self._check_headers(scope)
         if refusal is not None:
-            await self._refuse(send, refusal)
+            await self._refuse(scope, send, refusal)
             return
         path = str(scope["path"])
         if scope["method"] == "POST" and path == "/v1/completions":
@@ -90,7 +90,7 @@
             await self._answer_call(scope, receive, send, route)
             return
         detail = f"{scope['method']} {path} does not exist"
-        await self._refuse(send, Refusal(ErrorKind.ROUTE_UNKNOWN, detail))
+        await self._refuse(scope, send, Refusal(ErrorKind.ROUTE_UNKNOWN, detail))
 
     async def _answer_completion(
         self, scope: Scope, receive: Receive, send: Send
@@ -98,7 +98,7 @@
         body = await read_body(receive, self._limits)
         parsed = body.bind(parse_completion)
         if isinstance(parsed, Failure):
-            await self._refuse(send, parsed.failure())
+            await self._refuse(scope, send, parsed.failure())
             return
         asked = parsed.unwrap()
         request = uuid4().hex
@@ -118,7 +118,7 @@
     ) -> None:
         body = await read_body(receive, self._limits)
         if isinstance(body, Failure):
-            await self._refuse(send, body.failure())
+            await self._refuse(scope, send, body.failure())
             return
         keys = find_header(scope, b"idempotency-key")
         key = keys[0].decode("latin-1") if keys else ""
@@ -226,9 +226,12 @@
             extra = [(b"retry-after", str(ceil(given.retry_after_s)).encode())]
         await send_json(send, ANSWERS[given.kind].status, value, extra=extra)
 
-    async def _refuse(self, send: Send, refusal: Refusal) -> None:
+    async def _refuse(self, scope: Scope, send: Send, refusal: Refusal) -> None:
         self._meters.count(Count(Counter.REFUSALS, refusal.kind.value))
-        value = describe_error(refusal.kind, Outcome.NOT_RUN, 0.0, refusal.detail)
+        # An earlier request with the key may have run; nothing here knows of it.
+        keyed = bool(find_header(scope, b"idempotency-key"))
+        outcome = Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
+        value = describe_error(refusal.kind, outcome, 0.0, refusal.detail)
         extra: Headers = []
         if refusal.kind is ErrorKind.BODY_TOO_LARGE:
             extra = [(b"connection", b"close")]
--- a/tests/processes/test_calls.py
+++ b/tests/processes/test_calls.py
@@ -117,9 +117,29 @@
     assert deployment.count("down") == 1
 
 
+def test_a_retry_without_a_credential_is_not_told_that_nothing_ran(
+    deployment: Deployment,
+) -> None:
+    assert deployment.book("entry-1", "credential").status == 200
+    told = deployment.book("entry-1", "credential", workspace="nobody")
+    assert told.kind == "unauthenticated unknown"
+
+
 def test_entries_commit_through_each_other(deployment: Deployment) -> None:
     for entry in ("entry-1", "entry-2"):
         for number in range(12):
             assert deployment.book(entry, f"{entry} {number}").status == 200
         metrics = request("GET", f"{deployment.name_url(entry)}/metrics").content
         assert b'reason="forwarded"' in metrics
+
+
+def test_a_frozen_preferred_writer_is_passed_over(deployment: Deployment) -> None:
+    deployment.send_signal("entry-1", signal.SIGSTOP)
+    keys = [f"passed over {number}" for number in range(10)]
+    told = [deployment.book("entry-2", key).status for key in keys]
+    deployment.send_signal("entry-1", signal.SIGCONT)
+    assert told == [200] * len(keys)
+    assert [deployment.book_again("entry-1", key).replayed for key in keys] == [
+        True
+    ] * len(keys)
+    assert [deployment.count(key) for key in keys] == [1] * len(keys)
