--- a/demo/demo.py
+++ b/demo/demo.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Iterator
 from contextlib import suppress
+from time import sleep
 
 from msgspec import Struct
 
@@ -16,6 +17,7 @@
     Plan,
     System,
 )
+from masticdrum.model.errors import ErrorKind
 
 WORKSPACE = "olten-depot"
 TOKEN = TOKENS[WORKSPACE]
@@ -23,6 +25,7 @@
 BLOCK_BYTES = 8000
 BLOCKS = 5
 PROBES = 8  # prompts sent while a data centre is out, and as many once it is back
+MAX_REPEATS = 10
 KEEP_S = 10.0  # how long the demo waits until kept cache has reached a store
 WIDTHS = (44, 30, 12, 11)
 HEADS = ("what", "answer", "first token", "recomputed")
@@ -79,7 +82,8 @@
     first, second = system.entries
     booking = {"wheelset": 17, "lathe": 2}
     yield describe_call("booking", book(first, booking))
-    yield describe_call("same booking, other entry, same key", book(second, booking))
+    what = "same booking, other entry, same key"
+    yield describe_call(what, book_patiently(second, booking))
     other = book(second, booking | {"lathe": 3})
     yield describe_call("other booking, same key", other)
     service = next(iter(system.plan.services))
@@ -113,6 +117,16 @@
     return call_service(entry, TOKEN, BOOKING_ROUTE, "booking-17", booking)
 
 
+def book_patiently(entry: str, booking: dict[str, int]) -> Answer:
+    """Sends a booking again, as a refusal's hint says, while its key is in progress."""
+    for _ in range(MAX_REPEATS):
+        answer = book(entry, booking)
+        if answer.kind != ErrorKind.KEY_IN_PROGRESS:
+            break
+        sleep(float(answer.error["retry_after_s"]))
+    return answer
+
+
 def make_prompt(text: str) -> str:
     """Makes a prompt of several blocks, which begins with ``text``."""
     whole = text + "\n" + "profile 28.9 6.4 10.7\n" * (BLOCKS * BLOCK_BYTES // 10)
--- a/demo/system.py
+++ b/demo/system.py
@@ -47,7 +47,8 @@
     """What a system consists of, and the faults that its stand-ins start with.
 
     ``engines``, ``services`` and ``stores`` map names to data centres. ``entry`` and
-    ``agent`` are added to each program's settings.
+    ``agent`` are added to each program's settings, ``pool`` to the engines' pool and
+    ``routes`` to the route of that name.
     """
 
     engines: dict[str, str] = field(
@@ -69,6 +70,7 @@
     entry: dict[str, Any] = field(default_factory=dict)
     agent: dict[str, Any] = field(default_factory=dict)
     pool: dict[str, Any] = field(default_factory=dict)
+    routes: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
 class System:
@@ -83,6 +85,8 @@
         self.addresses: dict[str, str] = {}
         self.children: dict[str, Child] = {}
         self._agents: dict[str, str] = {}
+        self._standins: dict[str, tuple[str, dict[str, Any]]] = {}
+        self._healthy: dict[str, dict[str, Any]] = {}
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
@@ -113,6 +117,7 @@
     def start_standin(self, name: str, module: str, faults: dict[str, Any]) -> str:
         """Starts a stand-in; gives its address."""
         command = [sys.executable, "-m", f"tests.standins.{module}"]
+        self._standins[name] = (module, faults)
         port = self.addresses.get(name, ":0").rsplit(":", 1)[1]
         command += ["--port", port, "--control", json.dumps(faults)]
         child = self.children[name] = Child(name, command, self.directory)
@@ -127,12 +132,26 @@
         """Sends a signal to one process."""
         self.children[name].send(number)
 
+    def heal(self) -> None:
+        """Ends all faults, starts again what has ended and waits until it is ready."""
+        for child in self.children.values():
+            child.send(signal.SIGCONT)
+        for name, (module, faults) in self._standins.items():
+            if self.children[name].process.poll() is not None:
+                self.start_standin(name, module, faults)
+            self.control(name, **self._healthy[name])
+        programs = [*self._agents, *self.plan.entries]
+        for name in programs:
+            if self.children[name].process.poll() is not None:
+                self.start(name)
+        self.wait_ready(*programs)
+
     def wait_ready(self, *names: str) -> None:
         """Waits until entries and agents say that they are ready."""
         for name in names:
             wait_until(lambda name=name: self._is_ready(name), f"{name} ready", READY_S)
 
-    def control(self, name: str, **changes: Any) -> dict[str, Any]:
+    def control(self, name: str, /, **changes: Any) -> dict[str, Any]:
         """Sets a stand-in's faults; gives its state."""
         return dict(call_json("POST", f"{self.addresses[name]}/control", changes))
 
@@ -225,6 +244,7 @@
         self._write_settings()
         self._write_tables()
         self.control("instances", instances=self.list_instances())
+        self._healthy = {name: self.show(name)["faults"] for name in self._standins}
         programs = [*self._agents, *self.plan.entries]
         for name in programs:
             self.start(name)
@@ -304,7 +324,10 @@
             data_centres=[DataCentre(place, REGION) for place in places],
             stores=stores,
             pools=[replace(engines, **self.plan.pool), services],
-            routes=make_routes(),
+            routes=[
+                replace(route, **self.plan.routes.get(route.name, {}))
+                for route in make_routes()
+            ],
         )
 
     def _make_upstreams(self, places: dict[str, str]) -> list[Upstream]:
--- a/masticdrum/programs/entry.py
+++ b/masticdrum/programs/entry.py
@@ -161,6 +161,7 @@
             max_header_bytes=settings.limits.max_header_bytes,
             grace_s=settings.grace_s,
             until=process.ended.wait,
+            write_timeout_s=settings.limits.write_timeout_s,
         )
         process.links.close_all()
         nursery.cancel_scope.cancel()
--- a/masticdrum/shell/webserver.py
+++ b/masticdrum/shell/webserver.py
@@ -1,17 +1,37 @@
 """Hypercorn, set up for one process."""
 
+import socket
 from collections.abc import Awaitable, Callable
 
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 from hypercorn.trio import serve
 
 from masticdrum.shell.asgi import Receive, Scope, Send
 
 HEADER_SLACK_BYTES = 48 * 1024  # so that the application itself can refuse
 KEEP_ALIVE_S = 75.0
+WRITE_TIMEOUT_S = 10.0
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 
+class WebserverConfig(Config):
+    """Hypercorn's settings, with a bound on how long a caller may take nothing.
+
+    Hypercorn shields its writes from cancellation, so only the kernel can end one:
+    it breaks a connection whose peer has taken no octet for ``write_timeout_s``.
+    """
+
+    write_timeout_s = WRITE_TIMEOUT_S
+
+    def create_sockets(self) -> Sockets:
+        """Create the listening sockets, whose options accepted ones inherit."""
+        sockets = super().create_sockets()
+        timeout_ms = int(self.write_timeout_s * 1000)
+        for listener in sockets.insecure_sockets:
+            listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        return sockets
+
+
 async def run_webserver(
     application: Application,
     address: str,
@@ -19,9 +39,11 @@
     max_header_bytes: int,
     grace_s: float,
     until: Callable[..., Awaitable[None]],
+    write_timeout_s: float = WRITE_TIMEOUT_S,
 ) -> None:
     """Serve HTTP at ``IP:PORT`` until ``until`` returns."""
-    config = Config()
+    config = WebserverConfig()
+    config.write_timeout_s = write_timeout_s
     config.bind = [address]
     config.h11_max_incomplete_size = max_header_bytes + HEADER_SLACK_BYTES
     config.keep_alive_timeout = KEEP_ALIVE_S
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -2,6 +2,8 @@
 
 import json
 from collections.abc import AsyncIterator
+from functools import partial
+from secrets import token_hex
 from typing import Any
 
 import httpcore
@@ -31,11 +33,9 @@
 class Engine(StandIn):
     """A model engine; ``do`` knows ``crash``, ``turn_cold`` and ``evict`` too."""
 
-    def __init__(
-        self, faults: EngineFaults | None = None, name: str = "engine"
-    ) -> None:
+    def __init__(self, faults: EngineFaults | None = None, life: str = "") -> None:
         super().__init__(faults or EngineFaults())
-        self.model = EngineModel(self.faults)
+        self.model = EngineModel(self.faults, life=life)
         self.actions["crash"] = lambda: self.model.crash(trio.current_time())
         self.actions["turn_cold"] = self.model.turn_cold
         self.actions["evict"] = lambda: self.model.cache.shrink(0, trio.current_time())
@@ -168,4 +168,4 @@
 
 
 if __name__ == "__main__":
-    run_standin(Engine)
+    run_standin(partial(Engine, life=f"{token_hex(4)}-"))
--- a/tests/standins/enginemodel.py
+++ b/tests/standins/enginemodel.py
@@ -173,10 +173,14 @@
 
 
 class EngineModel:
-    """An engine without I/O; every method takes the time ``now`` in seconds."""
+    """An engine without I/O; every method takes the time ``now`` in seconds.
 
-    def __init__(self, faults: EngineFaults, now: float = 0.0) -> None:
+    ``life`` is a part of its boots' names that tells two processes apart.
+    """
+
+    def __init__(self, faults: EngineFaults, now: float = 0.0, life: str = "") -> None:
         self.faults = faults
+        self.life = life
         self.version = faults.version
         self.cache = PrefixCache()
         self.runs: dict[str, Run] = {}
@@ -199,7 +203,7 @@
     @property
     def boot(self) -> str:
         """The name of this life of the engine."""
-        return f"{self.faults.name}-{self.boots}"
+        return f"{self.faults.name}-{self.life}{self.boots}"
 
     @property
     def is_cold(self) -> bool:
