--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from masticdrum.core.admission import Admission
+from masticdrum.core.attempts import Attempts
 from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import Run
@@ -46,6 +47,7 @@
 
     __slots__ = (
         "admission",
+        "attempts",
         "cache",
         "engine",
         "leaving",
@@ -66,6 +68,7 @@
         self.timers: Timers[TimerName] = Timers()
         self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.engine = EngineView()
+        self.attempts = Attempts(options.incarnation)
         self.cache = KeptCache()
         self.runs: dict[str, Run] = {}
         self.started = False
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -1,7 +1,7 @@
 """The life of a completion's attempt at an agent: admission, tokens, the end."""
 
 from masticdrum.core.agentadmission import abandon_run, offer_run, settle_failed
-from masticdrum.core.agentcache import begin_run, drop_ended, prepare_run
+from masticdrum.core.agentcache import begin_run, drop_ended
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.invariants import require
@@ -88,10 +88,9 @@
         return displaced
     state.timers.set(TimerName(DEADLINE, run.attempt), now + message.ttl_s)
     _arm_check(state, run, now)
-    accepted = Accepted(run.attempt, state.engine.version, report_load(state))
-    prepared = prepare_run(state, run, now)
+    accepted = Accepted(run.attempt, run.version, report_load(state))
     started = start_waiting(state, now)
-    return [*displaced, ReplyFrame(link, accepted), *prepared, *started]
+    return [*displaced, ReplyFrame(link, accepted), *started]
 
 
 def start_waiting(state: AgentState, now: float) -> list[AgentEffect]:
@@ -120,7 +119,9 @@
     effects: list[AgentEffect] = []
     missing = run.kept[message.first - run.kept_from :]
     if missing:
-        effects.append(ReplyFrame(link, Tokens(run.attempt, message.first, missing)))
+        effects.append(
+            ReplyFrame(link, Tokens(run.attempt, message.first, missing, run.version))
+        )
     if run.end is not None:
         effects.append(ReplyFrame(link, run.end))
     if not effects:
@@ -200,7 +201,7 @@
     run.digest.add(fresh)
     run.resumes = 0
     run.sent_at = now
-    return [ReplyFrame(run.link, Tokens(run.attempt, first, fresh))]
+    return [ReplyFrame(run.link, Tokens(run.attempt, first, fresh, run.version))]
 
 
 def take_run_ended(state: AgentState, event: RunEnded, now: float) -> list[AgentEffect]:
@@ -292,7 +293,7 @@
     message = run.dispatch
     waited = now - run.arrived_at
     return [
-        *begin_run(state, run),
+        *begin_run(state, run, now),
         Observe(Histogram.QUEUE_WAIT, waited, message.urgency.value),
         Log(LogNumber.RUN_STARTED, request=message.request, attempt=run.attempt),
     ]
