Grant weight loads by leases with fencing numbers

Cause: loads get slower past two at once against the weight store, and an agent that was paused may order on a lease that others hold by now.

Ruled out: expiry by wall clocks (they are not in step), giving a permit back when the connection to the engine breaks (the load goes on), a watch of each agent on the object (5800 reads a second at 2900 agents).

GiveOrder.not_after lets the shell drop an order that outlived a pause; OrderAnswered.settled tells a broken connection from an answer.

Figures: tests/core/test_permits.py, 30 examples with freezes, replaced agents, platform outages and lost answers: never three loads, all engines loaded in the end.

Conclusion: not yet joined with the agent's reducer.

--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -126,10 +126,14 @@
 
 
 class OrderAnswered(Struct, frozen=True):
-    """The upstream answered an order."""
+    """The upstream answered an order.
+
+    ``settled`` false means that no answer came and that it may still carry it out.
+    """
 
     order: str
     done: bool
+    settled: bool = True
     detail: str = ""
 
 
@@ -218,12 +222,17 @@
 
 
 class GiveOrder(Struct, frozen=True):
-    """Orders the upstream to load a version or adapter, or to change role."""
+    """Orders the upstream to load a version or adapter, or to change role.
+
+    From the time ``not_after`` on, in seconds, it must not go out any more: this
+    process may have been paused since it was decided.
+    """
 
     order: str
     action: str
     target: str
     fence: int
+    not_after: float = float("inf")
 
 
 AgentEffect = (
--- /dev/null
+++ b/tests/core/test_permits.py
@@ -0,0 +1,269 @@
+"""At most two weight loads at once, whatever happens to agents and platform."""
+
+import heapq
+from collections.abc import Callable
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticdrum.core import permits
+from masticdrum.core.invariants import InvariantBroken
+from masticdrum.core.orders import Orders
+from masticdrum.core.permits import LOAD_PERMITS, Permits
+from masticdrum.model.agent_events import GiveOrder, OrderAnswered
+from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut, ObjectStatus
+
+FIXED = settings(derandomize=True, max_examples=30, deadline=None)
+AGENTS = 6
+STEP_S = 0.25
+END_S = 1200.0
+FAULT_S = 240.0  # faults stop after
+
+
+class Violation(Exception):
+    """More loads at once than the weight store bears."""
+
+
+class Engine:
+    """An engine that loads weights; only some of them check the fencing number."""
+
+    def __init__(self, checks: bool) -> None:
+        self.checks = checks
+        self.version, self.fence, self.loading = "v1", 0, 0
+
+
+class Fleet:
+    """Agents that all want a new version, under faults drawn from a seed."""
+
+    def __init__(self, seed: int, faults: float) -> None:
+        self.random = Random(seed)
+        self.faults = faults
+        self.now, self.order = 0.0, 0
+        self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.version, self.body = 0, b""
+        self.down_until = 0.0
+        self.orders = 0
+        self.engines = [Engine(n % 2 == 0) for n in range(AGENTS)]
+        self.frozen = [0.0] * AGENTS
+        self.epochs = [0] * AGENTS
+        self.agents = [self.make_agent(n) for n in range(AGENTS)]
+        for number in range(AGENTS):
+            self.after(self.random.random(), self.step, number)
+
+    def make_agent(self, number: int) -> Orders:
+        epoch = self.epochs[number]
+        holder = f"agent-{number}/{epoch}"
+        return Orders(Permits(holder, self.random.getrandbits(32)))
+
+    def after(self, delay: float, call: Callable[..., None], *values: Any) -> None:
+        self.order += 1
+        heapq.heappush(self.heap, (self.now + delay, self.order, call, values))
+
+    def run(self) -> None:
+        while self.heap and self.heap[0][0] <= END_S:
+            self.now, _, call, values = heapq.heappop(self.heap)
+            call(*values)
+
+    def fault(self, part: float = 1.0) -> bool:
+        return self.now < FAULT_S and self.random.random() < self.faults * part
+
+    def step(self, number: int) -> None:
+        self.after(STEP_S, self.step, number)
+        if self.fault(0.2):
+            self.frozen[number] = self.now + self.random.choice([1.0, 12.0, 90.0])
+        if self.fault(0.2):
+            self.epochs[number] += 1
+            self.agents[number] = self.make_agent(number)
+            self.frozen[number] = 0.0
+        if self.fault(0.1):
+            self.down_until = self.now + self.random.uniform(1.0, 20.0)
+        if self.now >= self.frozen[number]:
+            self.act(number)
+
+    def act(self, number: int) -> None:
+        agent, engine = self.agents[number], self.engines[number]
+        order = agent.decide("v2", engine.version, self.now)
+        if order is not None:
+            # The process may be paused between the decision and its effect.
+            delay = 90.0 if self.fault(20) else 0.0
+            self.frozen[number] = max(self.frozen[number], self.now + delay)
+            self.after(delay, self.send, number, self.epochs[number], order)
+        call = agent.permits.plan_call(self.now)
+        if call is not None:
+            epoch = self.epochs[number]
+            delay = self.random.uniform(0.001, 0.3)
+            self.after(delay, self.serve, number, epoch, call)
+
+    def send(self, number: int, epoch: int, order: GiveOrder) -> None:
+        """Carries an order out as the shell does: not past its time."""
+        if epoch != self.epochs[number] or self.now >= order.not_after:
+            return
+        self.after(self.random.uniform(0, 0.5), self.load, number, epoch, order)
+
+    def load(self, number: int, epoch: int, order: GiveOrder) -> None:
+        engine = self.engines[number]
+        if engine.checks and order.fence <= engine.fence:
+            return self.answer_order(number, epoch, order, False)
+        engine.fence = order.fence
+        engine.loading += 1
+        self.orders += 1
+        loading = sum(e.loading for e in self.engines)
+        if loading > LOAD_PERMITS:
+            raise Violation(f"{self.now:.1f}: {loading} loads at once")
+        if self.fault(10):
+            # The connection breaks; the load goes on.
+            self.answer_order(number, epoch, order, False, settled=False)
+        self.after(self.random.uniform(1, 50), self.end_load, number, epoch, order)
+        return None
+
+    def end_load(self, number: int, epoch: int, order: GiveOrder) -> None:
+        engine = self.engines[number]
+        engine.loading -= 1
+        done = self.random.random() < 0.8
+        if done:
+            engine.version = order.target
+        if not self.fault(10):
+            self.answer_order(number, epoch, order, done)
+
+    def answer_order(
+        self,
+        number: int,
+        epoch: int,
+        order: GiveOrder,
+        done: bool,
+        settled: bool = True,
+    ) -> None:
+        answer = OrderAnswered(order.order, done, settled)
+        self.hear(number, epoch, lambda a: a.take_answer(answer, self.now))
+
+    def hear(self, number: int, epoch: int, act: Callable[[Orders], None]) -> None:
+        if epoch != self.epochs[number]:
+            return
+        if self.now < self.frozen[number]:
+            wait_s = self.frozen[number] - self.now
+            self.after(wait_s, self.hear, number, epoch, act)
+            return
+        act(self.agents[number])
+
+    def serve(self, number: int, epoch: int, call: ObjectGet | ObjectPut) -> None:
+        answer = self.answer(call)
+        if self.fault(10):
+            answer = ObjectAnswer(call.call, ObjectStatus.LOST)
+        delay = self.random.uniform(0.001, 0.3)
+        act = bind_answer(answer, self)
+        self.after(delay, self.hear, number, epoch, act)
+
+    def answer(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
+        if self.now < self.down_until:
+            return ObjectAnswer(call.call, ObjectStatus.REJECTED)
+        if isinstance(call, ObjectGet):
+            if not self.version:
+                return ObjectAnswer(call.call, ObjectStatus.MISSING)
+            return ObjectAnswer(call.call, ObjectStatus.OK, self.version, self.body)
+        if call.expected != self.version:
+            return ObjectAnswer(call.call, ObjectStatus.CONFLICT)
+        self.version, self.body = self.version + 1, call.body
+        return ObjectAnswer(call.call, ObjectStatus.OK, self.version)
+
+
+def bind_answer(answer: ObjectAnswer, fleet: Fleet) -> Callable[[Orders], None]:
+    return lambda agent: agent.permits.take_answer(answer, fleet.now)
+
+
+def check_loads(seed: int, faults: float = 0.02) -> Fleet:
+    fleet = Fleet(seed, faults)
+    fleet.run()
+    return fleet
+
+
+@FIXED
+@given(st.integers(0, 2**32), st.sampled_from([0.0, 0.005, 0.02, 0.05]))
+def test_never_more_than_two_loads_at_once(seed: int, faults: float) -> None:
+    fleet = check_loads(seed, faults)
+    assert {engine.version for engine in fleet.engines} == {"v2"}
+
+
+def hold(agent: Orders, now: float) -> ObjectPut:
+    """Brings an agent to the write that asks for its permit."""
+    assert agent.decide("v2", "v1", now) is None
+    read = agent.permits.plan_call(now)
+    assert isinstance(read, ObjectGet)
+    agent.permits.take_answer(ObjectAnswer(read.call, ObjectStatus.MISSING), now)
+    write = agent.permits.plan_call(now)
+    assert isinstance(write, ObjectPut)
+    return write
+
+
+def test_a_lease_that_lapsed_in_a_freeze_orders_nothing() -> None:
+    agent = Orders(Permits("agent/1", 1))
+    write = hold(agent, 0.0)
+    agent.permits.take_answer(ObjectAnswer(write.call, ObjectStatus.OK, 1), 30.0)
+    assert agent.decide("v2", "v1", 30.0) is None
+
+
+def test_a_lost_answer_is_settled_by_reading_the_own_token() -> None:
+    agent = Orders(Permits("agent/1", 1))
+    write = hold(agent, 0.0)
+    agent.permits.take_answer(ObjectAnswer(write.call, ObjectStatus.LOST), 0.2)
+    assert agent.decide("v2", "v1", 0.2) is None
+    read = agent.permits.plan_call(2.0)
+    assert isinstance(read, ObjectGet)
+    found = ObjectAnswer(read.call, ObjectStatus.OK, 7, write.body)
+    agent.permits.take_answer(found, 2.1)
+    order = agent.decide("v2", "v1", 2.1)
+    assert order is not None and order.fence == 1
+    assert order.not_after == permits.LEASE_S - permits.MARGIN_S
+
+
+def test_nothing_is_ordered_where_the_version_is_loaded_or_unknown() -> None:
+    agent = Orders(Permits("agent/1", 1))
+    assert agent.decide("v1", "v1", 0.0) is None
+    assert agent.decide("v2", "", 0.0) is None
+    assert agent.permits.plan_call(0.0) is None
+
+
+def mutate_dead(self: Permits, token: str, now: float) -> bool:
+    """Takes over what has only outlived its lease, not the load it began."""
+    return now - self._seen[token].since >= permits.LEASE_S
+
+
+def mutate_fence(self: Permits, now: float) -> int:
+    """Believes a lease for ever."""
+    return self._fence
+
+
+@pytest.mark.parametrize(
+    ("name", "mutant"),
+    [("_is_dead", mutate_dead), ("find_fence", mutate_fence)],
+    ids=["takeover", "lapsed"],
+)
+def test_permit_mutants_are_caught(name: str, mutant: Any) -> None:
+    caught = pytest.raises((Violation, InvariantBroken))
+    with patch.object(Permits, name, mutant), caught:
+        for seed in range(1, 20):
+            check_loads(seed)
+
+
+def test_a_broken_connection_taken_for_an_answer_is_caught() -> None:
+    def take_answer(self: Orders, answer: OrderAnswered, now: float) -> None:
+        TAKE(self, OrderAnswered(answer.order, answer.done), now)
+
+    with patch.object(Orders, "take_answer", take_answer), pytest.raises(Violation):
+        for seed in range(1, 20):
+            check_loads(seed)
+
+
+TAKE = Orders.take_answer
+
+
+def test_an_order_that_outlives_a_pause_is_caught() -> None:
+    def send(self: Fleet, number: int, epoch: int, order: GiveOrder) -> None:
+        self.load(number, epoch, order)
+
+    with patch.object(Fleet, "send", send), pytest.raises(Violation):
+        for seed in range(1, 20):
+            check_loads(seed)
