--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -16,12 +16,14 @@
 class Policy(Struct, frozen=True):
     """What stands in for the product's decisions; nothing stands for its own.
 
+    ``make_order`` gives each run an order with a memory of its own.
     ``urgent_only`` leaves all other requests out, which gives the bound for urgent
     work alone on the machines.
     """
 
     name: str
     order: Order | None = None
+    make_order: Callable[[], Order] | None = None
     find_key: Callable[[Preambles, str, str, int], int] | None = None
     imports: bool | None = None
     flat: bool = False
@@ -63,7 +65,7 @@
     preambles: Preambles, workspace: str, prompt: str, block_bytes: int
 ) -> int:
     """Return a placement key of the first block alone."""
-    return xxh3_64_intdigest(workspace + prompt[:block_bytes])
+    return xxh3_64_intdigest((workspace + prompt[:block_bytes]).encode())
 
 
 POLICIES = {
@@ -71,7 +73,7 @@
     for policy in (
         Policy("masticdrum"),
         Policy("urgent alone", urgent_only=True),
-        Policy("round robin", order=RoundRobin()),
+        Policy("round robin", make_order=RoundRobin),
         Policy("least loaded", order=order_least_loaded),
         Policy("hash, no bound", order=order_without_bound),
         Policy("first block", find_key=hash_first_block),
@@ -86,10 +88,9 @@
 def use_policy(policy: Policy) -> Iterator[None]:
     """Put a policy's decisions in the place of the product's."""
     patches = []
-    if policy.order is not None:
-        patches.append(
-            patch("masticdrum.core.candidates.order_upstreams", policy.order)
-        )
+    order = policy.order if policy.make_order is None else policy.make_order()
+    if order is not None:
+        patches.append(patch("masticdrum.core.candidates.order_upstreams", order))
     if policy.find_key is not None:
         patches.append(patch.object(Preambles, "find_key", policy.find_key))
     if policy.imports is not None:
