Keep the last room for urgent requests; leave prefill out of the pace

The adaptive limit took the wait for a first token as a slow pace and fell to its floor; and on a warm upstream all starts that no report has confirmed yet were taken by others when an urgent request came. Ruled out: trusting load reports sooner, which would weaken the cold-start bound. Change: a run's first token is no sample of the pace; the last of at least four possible starts goes to urgent requests only.

--- a/masticdrum/core/admission.py
+++ b/masticdrum/core/admission.py
@@ -23,6 +23,8 @@
 from masticdrum.model.tables import Pool, PoolKind, Urgency
 
 SMOOTHING = 0.1  # the weight of the newest run's duration
+URGENT_RESERVE = 1  # runs that only urgent requests may start
+RESERVE_FROM = 4  # runs; an upstream that bears fewer keeps no reserve
 SMALLEST_QUEUE = 4  # requests
 SHORTEST_RETRY_S = 0.5
 SERVICE_TRUST_S = 5.0  # how long a predecessor's calls to a plain service may last
@@ -120,15 +122,15 @@
     def begin(self, attempt: str, now: float) -> None:
         """Notes that the upstream confirmed a run."""
         self.occupancy.begin(attempt, now)
-        self._last_token[attempt] = now
 
     def progress(self, attempt: str, tokens: int, now: float) -> None:
         """Notes that a run gave tokens."""
         self.gate.progress(attempt, self.occupancy, now)
-        if attempt not in self._last_token:
-            return
-        self.adaptive.observe(now - self._last_token[attempt], tokens, now)
+        last = self._last_token.get(attempt)
         self._last_token[attempt] = now
+        # The wait for the first token is prefill, which says nothing of the pace.
+        if last is not None:
+            self.adaptive.observe(now - last, tokens, now)
 
     def end(self, attempt: str, now: float) -> None:
         """Notes that a run ended well."""
@@ -204,7 +206,7 @@
         if self._alone:
             return None
         if self._held is None:
-            if not self.queue or self._find_room(now) < 1:
+            if not self.queue or self._find_room(now) < self._find_least_room():
                 return None
             ticket = self.queue.pop(now)
             if not ticket.alone:
@@ -217,6 +219,12 @@
         self._alone = ticket.attempt
         return ticket
 
+    def _find_least_room(self) -> int:
+        if self.queue.lanes[Urgency.URGENT].size:
+            return 1
+        bearable = min(self.gate.ramp.limit, self.gate.limit, self.adaptive.limit)
+        return 1 + URGENT_RESERVE if bearable >= RESERVE_FROM else 1
+
     def _start(self, ticket: Ticket, now: float) -> None:
         self.occupancy.start(ticket.attempt, now)
         running = len(self.occupancy.runs)
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -205,3 +205,25 @@
     with patch.object(owner, name, mutant):
         assert "Violation" in find_violation(seed, script)
     assert find_violation(seed, script) == ""
+
+
+def test_prefill_says_nothing_of_the_pace() -> None:
+    admission = make_ready()
+    offer_many(admission, 1, 2.0)
+    (ticket,) = admission.take(2.0)
+    admission.begin(ticket.attempt, 2.0)
+    admission.progress(ticket.attempt, 1, 12.0)
+    assert admission.adaptive.pace_s == 0.0
+    admission.progress(ticket.attempt, 1, 22.0)
+    assert admission.adaptive.pace_s > 0.0
+
+
+def test_last_room_is_kept_for_urgent_requests() -> None:
+    admission = make_ready()
+    admission.configure(replace(POOL, cold_start=ColdStart(4, 1, 2.0)))
+    admission.gate.limit = 4
+    offer_many(admission, 4, 2.0)
+    assert len(admission.take(2.0)) == 3
+    urgent = replace(make_ticket("u", now=2.0), urgency=Urgency.URGENT)
+    assert admission.offer(urgent, 2.0) == []
+    assert [ticket.attempt for ticket in admission.take(2.0)] == ["u"]
