Keep a prompt's blocks together, and look at their second store after a change

Cause: with each block at a store of its own hash, a lost, slow or left-out store breaks nearly every prompt's prefix at its second or third block, and blocks kept elsewhere meanwhile were not found again after the store's return. Ruled out: one home for a whole prompt (its first blocks are a workspace's preamble, which would pile up); runs of blocks from the fourth on (gained half as much); a second look at all times (a round trip for each new prompt). Change: runs of blocks 2-3, 4-7, 8-15 share a home store; an import may end where the next store's link is slow; for 15 minutes after stores changed or failed, a missing block is looked for at another store.

--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -70,7 +70,7 @@
             effects = _take_load(state, event, now)
         case ObjectAnswer():
             effects = list(take_tables(state, event))
-            update_rules(state)
+            update_rules(state, now)
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
@@ -119,7 +119,7 @@
 
 def _take_load(state: AgentState, event: LoadReported, now: float) -> list[AgentEffect]:
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
-    update_rules(state)
+    update_rules(state, now)
     take_report(state, event, now)
     return start_waiting(state, now)
 
--- a/masticdrum/core/agentcache.py
+++ b/masticdrum/core/agentcache.py
@@ -34,13 +34,14 @@
 CACHE = "kept cache"
 
 
-def update_rules(state: AgentState) -> None:
+def update_rules(state: AgentState, now: float) -> None:
     """Give the kept cache what the tables and the engine say now."""
     pool = state.view.find_pool(state.options.pool)
     if pool is None:
         return
     stores = tuple(state.view.list_store_addresses(pool))
-    install_rules(state.cache, CacheRules(pool.model, pool.block_bytes, stores))
+    rules = CacheRules(pool.model, pool.block_bytes, stores)
+    install_rules(state.cache, rules, now)
     if state.engine.reachable:
         confirm_engine(state.cache, state.engine.boot, state.engine.version)
 
@@ -51,7 +52,7 @@
     Blocks are imported at a run's turn and not while it waits, since the engine pins
     nothing and would evict them again before a long queue has passed.
     """
-    update_rules(state)
+    update_rules(state, now)
     message = run.dispatch
     effects: list[AgentEffect] = list(
         prepare_prompt(
--- a/masticdrum/core/cachestate.py
+++ b/masticdrum/core/cachestate.py
@@ -1,5 +1,7 @@
 """What an agent knows of its kept cache, and what the tables and engine say of it."""
 
+from collections.abc import Sequence
+
 from msgspec import Struct
 
 from masticdrum.core.blockindex import BlockIndex
@@ -12,6 +14,8 @@
 from masticdrum.model.tables import Urgency
 from masticdrum.model.telemetry import Count
 
+MOVED_S = 900.0  # how long blocks may be away from home after stores changed
+HOME_DIGITS = 16  # hexadecimal, 64 bits of a key
 BLOCK_BYTES = 4_000_000  # of KV cache, before the first transfer
 
 CacheEffect = FetchBlocks | KeepBlock | Count
@@ -36,7 +40,11 @@
 
 
 class KeptCache:
-    """The state of an agent's kept cache."""
+    """The state of an agent's kept cache.
+
+    Until ``moved_until`` blocks may be kept away from their home store, since stores
+    came, went or failed while they were exported.
+    """
 
     __slots__ = (
         "addresses",
@@ -46,6 +54,7 @@
         "index",
         "keeping",
         "links",
+        "moved_until",
         "prompts",
         "ranking",
         "rate",
@@ -66,20 +75,37 @@
         self.block_bytes: float = BLOCK_BYTES
         self.addresses: dict[str, str] = {}
         self.ranking = Ranking(())
+        self.moved_until = 0.0
+
+    def find_store(self, keys: Sequence[str], number: int, now: float) -> str:
+        """Return the address of a block's home store, or of the next that is up.
 
-    def find_store(self, key: str, now: float) -> str:
-        """Return the address of a block's home store, or of the next that is up."""
-        for name in self.ranking.rank(int(key[:16], 16)):
+        ``number`` is the block's place in its prompt, whose keys are ``keys``.
+        """
+        for name in self.ranking.rank(hash_home(keys, number)):
             address = self.addresses[name]
             if self.links[address].is_up(now):
                 return address
         return ""
 
 
-def install_rules(cache: KeptCache, rules: CacheRules) -> None:
+def hash_home(keys: Sequence[str], number: int) -> int:
+    """Return the hash by which the home store of a prompt's block is found.
+
+    Runs of blocks have one home, each twice as long as the one before: 0, 1, 2 to 3,
+    4 to 7 and so on. A block is of no use without all before it, so a prompt spread
+    block by block would lose nearly all its cache with any one store instance.
+    """
+    first = 1 << (number.bit_length() - 1) if number else 0
+    return int(keys[first][:HOME_DIGITS], 16)
+
+
+def install_rules(cache: KeptCache, rules: CacheRules, now: float) -> None:
     """Take the tables' rules in; links to stores that stay keep what they learned."""
     if rules == cache.rules:
         return
+    if cache.rules.stores not in ((), rules.stores):
+        cache.moved_until = now + MOVED_S
     cache.rules = rules
     cache.addresses = dict(rules.stores)
     cache.ranking = Ranking((name, "", 1.0) for name, _ in rules.stores)
--- a/masticdrum/core/importplan.py
+++ b/masticdrum/core/importplan.py
@@ -9,7 +9,7 @@
 
 def plan_import(cache: KeptCache, prompt: Prompt, now: float) -> None:
     """Queue an import of the prompt's kept blocks if that beats computing them."""
-    sources = find_sources(cache, prompt.keys, now)
+    sources = choose_prefix(cache, find_sources(cache, prompt.keys, now))
     cost = find_cost(cache, sources)
     if not choose_import(cost, len(sources), prompt.urgency):
         return
@@ -30,8 +30,9 @@
 ) -> list[tuple[str, str]]:
     """Return the blocks behind the held prefix that may be kept, with their stores."""
     sources: list[tuple[str, str]] = []
-    for key in keys[cache.index.count_held(keys) :]:
-        store = cache.index.kept.get(key, "") or cache.find_store(key, now)
+    for number in range(cache.index.count_held(keys), len(keys)):
+        key = keys[number]
+        store = cache.index.kept.get(key, "") or cache.find_store(keys, number, now)
         if not store or cache.index.is_missing(key, now):
             break
         if store not in cache.links or not cache.links[store].is_up(now):
@@ -40,6 +41,26 @@
     return sources
 
 
+def choose_prefix(
+    cache: KeptCache, sources: list[tuple[str, str]]
+) -> list[tuple[str, str]]:
+    """Return the prefix of the sources whose import saves the most time.
+
+    A prefix may end where the next block is at another store instance, whose link may
+    be slow.
+    """
+    best: list[tuple[str, str]] = []
+    best_s = 0.0
+    for count in range(1, len(sources) + 1):
+        if count < len(sources) and sources[count][1] == sources[count - 1][1]:
+            continue
+        cost = find_cost(cache, sources[:count])
+        saved_s = cost.count_recompute_s(count) - cost.count_import_s(count)
+        if saved_s > best_s:
+            best, best_s = sources[:count], saved_s
+    return best or sources
+
+
 def find_cost(cache: KeptCache, sources: Sequence[tuple[str, str]]) -> ImportCost:
     """Weigh an import by the slowest link that it needs."""
     links = [cache.links[store] for store in {store for _, store in sources}]
--- a/masticdrum/core/imports.py
+++ b/masticdrum/core/imports.py
@@ -17,7 +17,8 @@
 class Import:
     """One request's import: the sources still to fetch, and the piece under way.
 
-    ``ended`` is the piece that ended last.
+    ``ended`` is the piece that ended last; ``redirected`` tells that the import looks
+    at the blocks' second stores already.
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         "ended",
         "late_at",
         "piece",
+        "redirected",
         "sources",
         "urgency",
         "version",
@@ -48,6 +50,7 @@
         self.late_at = late_at
         self.piece: list[tuple[str, str]] = []
         self.ended: list[tuple[str, str]] = []
+        self.redirected = False
 
 
 class ImportQueue:
@@ -116,6 +119,15 @@
         job.piece = []
         return job
 
+    def redirect(self, job: Import, sources: list[tuple[str, str]]) -> None:
+        """Let an import go on from other sources, once."""
+        for _, store in job.sources:
+            self.links[store].pending_blocks -= 1
+        for _, store in sources:
+            self.links[store].pending_blocks += 1
+        job.sources = sources
+        job.redirected = True
+
     def drop(self, attempt: str) -> None:
         """Give an import up; the piece under way still comes in for the index."""
         job = self.waiting.pop(attempt, None)
--- a/masticdrum/core/keptcache.py
+++ b/masticdrum/core/keptcache.py
@@ -70,10 +70,11 @@
     prompt = cache.prompts.pop(attempt, None)
     if prompt is None or prompt.version != cache.version:
         return []
-    for candidate in list_candidates(prompt.workspace, prompt.version, prompt.keys):
+    candidates = list_candidates(prompt.workspace, prompt.version, prompt.keys)
+    for number, candidate in enumerate(candidates):
         if candidate.key in cache.index.kept:
             continue
-        store = cache.find_store(candidate.key, now)
+        store = cache.find_store(prompt.keys, number, now)
         if not store:
             continue
         block = cache.index.seen.get(candidate.key)
--- a/masticdrum/core/transfers.py
+++ b/masticdrum/core/transfers.py
@@ -1,6 +1,7 @@
 """Transfers of blocks between an agent's engine and store instances: start and end."""
 
-from masticdrum.core.cachestate import CacheEffect, KeptCache
+from masticdrum.core.cachestate import MOVED_S, CacheEffect, KeptCache
+from masticdrum.core.imports import Import
 from masticdrum.core.invariants import require
 from masticdrum.core.storelinks import StoreLink
 from masticdrum.model.agent_events import BlockKept, BlocksFetched, KeepBlock
@@ -56,8 +57,41 @@
     if job.version == cache.version:
         cache.index.note_held(event.imported, now)
     whole = len(event.imported) == len(job.ended)
-    if not whole or not job.sources:
+    if whole and job.sources:
+        return count_fetched(event) + start_transfers(cache, now)
+    second = find_second(cache, job, event, now)
+    if second:
+        cache.imports.redirect(job, second)
+    else:
         cache.imports.drop(event.attempt)
+    return count_fetched(event) + start_transfers(cache, now)
+
+
+def find_second(
+    cache: KeptCache, job: Import, event: BlocksFetched, now: float
+) -> list[tuple[str, str]]:
+    """Return where else the blocks of an import may be, from the missing one on.
+
+    While stores come and go, blocks are kept at the next store in their order, and
+    an agent can't know which ones others kept there.
+    """
+    known = job.attempt in cache.imports.waiting and not job.redirected
+    if not event.missing or not known or now >= cache.moved_until:
+        return []
+    left = job.ended[len(event.imported) :] + job.sources
+    missed = left[0][1]
+    others = [
+        address
+        for address in cache.addresses.values()
+        if address != missed and cache.links[address].is_up(now)
+    ]
+    if not others:
+        return []
+    return [(key, others[0] if store == missed else store) for key, store in left]
+
+
+def count_fetched(event: BlocksFetched) -> list[CacheEffect]:
+    """Count what a piece brought."""
     counts: list[CacheEffect] = [
         Count(Counter.BLOCKS, reason, len(keys))
         for reason, keys in (
@@ -69,7 +103,7 @@
     ]
     if event.link_bytes:
         counts.append(Count(Counter.LINK_BYTES, "import", event.link_bytes))
-    return counts + start_transfers(cache, now)
+    return counts
 
 
 def note_transfer(
@@ -84,6 +118,7 @@
         if store in cache.links:
             cache.links[store].note_failed(now)
             cache.index.forget_store(store)
+            cache.moved_until = now + MOVED_S
     if not event.imported:
         return
     size = event.link_bytes / len(event.imported)
--- a/tests/cacheworld.py
+++ b/tests/cacheworld.py
@@ -247,6 +247,7 @@
         install_rules(
             self.cache,
             CacheRules("llm", BLOCK, tuple((s, s) for s in STORES)),
+            0.0,
         )
         confirm_engine(self.cache, "1", "v1")
         self.transfer = BlockTransfer(
--- a/tests/core/test_keptcache.py
+++ b/tests/core/test_keptcache.py
@@ -5,7 +5,13 @@
 from hypothesis import strategies as st
 
 from masticdrum.core.blockindex import BlockIndex
-from masticdrum.core.cachestate import CacheRules, KeptCache, confirm_engine
+from masticdrum.core.cachestate import (
+    CacheRules,
+    KeptCache,
+    confirm_engine,
+    hash_home,
+    install_rules,
+)
 from masticdrum.core.importcost import ImportCost, choose_import
 from masticdrum.core.invariants import InvariantBroken
 from masticdrum.core.keptcache import find_wake, is_prepared
@@ -14,7 +20,7 @@
 from masticdrum.model.agent_events import BlocksChanged
 from masticdrum.model.tables import Urgency
 from tests.cachemutants import MUTANTS
-from tests.cacheworld import CacheWorld, Violation, run_world
+from tests.cacheworld import BLOCK, STORES, CacheWorld, Violation, run_world
 
 PROMPT = "preamble" + "conversation one" + "question"
 CI_SEEDS = range(5)
@@ -98,6 +104,26 @@
     assert ask_again(world) == 4
 
 
+def test_block_kept_away_from_home_is_found_after_the_home_came_back() -> None:
+    world = CacheWorld(1)
+    away = CacheRules("llm", BLOCK, ((STORES[0], STORES[0]),))
+    whole = world.agents[1].cache.rules
+    install_rules(world.agents[0].cache, away, 0.0)
+    keep_prompt(world)
+    install_rules(world.agents[1].cache, away, 0.0)
+    install_rules(world.agents[1].cache, whole, 0.0)
+    agent = world.agents[1]
+    agent.ask("moved", "radkranz", Urgency.NORMAL, PROMPT)
+    world.settle()
+    assert agent.started[-1] == ("moved", 0)
+
+
+def test_loss_of_one_store_leaves_whole_runs_of_blocks() -> None:
+    keys = [f"{n:016x}" for n in range(16)]
+    homes = [hash_home(keys, n) for n in range(16)]
+    assert homes == [0, 1, 2, 2, 4, 4, 4, 4] + [8] * 8
+
+
 def test_no_block_is_exported_twice() -> None:
     world = CacheWorld(1)
     keep_prompt(world)
