--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -5,10 +5,13 @@
 from msgspec import Struct
 
 from masticdrum.core.completion import Completion
+from masticdrum.core.ledger import Ledger
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
+from masticdrum.core.partition import LedgerOptions
 from masticdrum.core.preambles import Preambles
 from masticdrum.core.retries import RetryBudget
+from masticdrum.core.servicecall import ServiceCalls
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Tables
@@ -44,7 +47,9 @@
 
     __slots__ = (
         "by_attempt",
+        "calls",
         "completions",
+        "ledger",
         "leaving",
         "links",
         "open_requests",
@@ -57,7 +62,9 @@
         "view",
     )
 
-    def __init__(self, options: EntryOptions, seed: int) -> None:
+    def __init__(
+        self, options: EntryOptions, seed: int, ledger: LedgerOptions | None = None
+    ) -> None:
         self.options = options
         self.rng = Random(seed)
         self.retries = RetryBudget(seed)
@@ -67,6 +74,9 @@
         self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
+        self.calls = ServiceCalls()
+        writer = options.incarnation
+        self.ledger = Ledger(ledger or LedgerOptions(writer=writer), self.rng)
         self.open_requests = OpenRequests()
         self.preambles = Preambles()
         self.leaving: set[str] = set()
