--- a/demo/system.py
+++ b/demo/system.py
@@ -12,7 +12,7 @@
 from tempfile import TemporaryDirectory
 from typing import Any, Self
 
-from msgspec import Struct, convert, field
+from msgspec import Struct, convert, field, to_builtins
 from msgspec.json import encode
 from msgspec.structs import replace
 
@@ -319,14 +319,19 @@
         services = Pool(
             SERVICE_POOL, PoolKind.SERVICE, self._make_upstreams(self.plan.services)
         )
+        pools = [convert(to_builtins(engines) | self.plan.pool, Pool)]
+        if services.upstreams:
+            pools.append(services)
+        pooled = {pool.name for pool in pools}
         return Tables(
             serial=1,
             data_centres=[DataCentre(place, REGION) for place in places],
             stores=stores,
-            pools=[replace(engines, **self.plan.pool), services],
+            pools=pools,
             routes=[
                 replace(route, **self.plan.routes.get(route.name, {}))
                 for route in make_routes()
+                if route.pool in pooled
             ],
         )
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -146,12 +146,13 @@
         yield encode({"begun": True} | begun | {"recomputed": run.recomputed})
         number = first
         while number < run.last:
-            wait = model.find_next(run, number) - trio.current_time()
+            enough = min(number + max(self.faults.line_tokens, 1), run.last)
+            wait = model.find_next(run, enough - 1) - trio.current_time()
             await trio.sleep(min(max(wait, 0.0), MAX_SLEEP_S))
             model.advance(trio.current_time())
             self._check(run)
             made = model.count_ready(run, trio.current_time())
-            if made > number:
+            if made >= enough:
                 tokens = run.make_tokens(number, made)
                 yield encode({"first": number, "tokens": tokens})
                 number = made
--- a/tests/standins/enginemodel.py
+++ b/tests/standins/enginemodel.py
@@ -16,19 +16,21 @@
 class EngineFaults(Faults):
     """Settings and faults of an engine; times are seconds, sizes bytes.
 
-    ``name`` is the first part of the names of its boots.
-    A prompt's block that is not held costs ``block_s``, then tokens come every
-    ``token_s``; one prefill runs at a time. ``batch`` runs share the engine, others
-    wait. A cold engine bears ``cold_ceiling`` runs and ``cold_growth`` more for each
-    second of work, and is warm after ``warm_after_s`` of work; past the ceiling it
-    falls over and needs ``restart_s``. Every ``events_gap``-th cache event is lost.
-    A prompt that holds ``crash_text`` crashes it. An answer is ``stop_after`` tokens
-    long, where that is above zero and within its limit.
+    ``name`` is the first part of the names of its boots. A prompt's block that is not
+    held costs ``block_s``, then tokens come every ``token_s``; one prefill runs at a
+    time. A line of a stream carries ``line_tokens`` at least. ``batch`` runs share
+    the engine, others wait. A cold engine bears ``cold_ceiling`` runs and
+    ``cold_growth`` more for each second of work, and is warm after ``warm_after_s``
+    of work; past the ceiling it falls over and needs ``restart_s``. Every
+    ``events_gap``-th cache event is lost. A prompt that holds ``crash_text`` crashes
+    it. An answer is ``stop_after`` tokens long, where that is above zero and within
+    its limit.
     """
 
     name: str = "engine"
     version: str = "v1"
     token_s: float = 0.044
+    line_tokens: int = 1
     block_s: float = 0.2
     batch: int = 16
     max_waiting: int = 64
