--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -10,12 +10,25 @@
 from masticdrum.core.agentcalls import (
     LATE,
     refuse_late_calls,
-    refuse_waiting_calls,
     take_call,
     take_service_event,
     take_settle,
 )
+from masticdrum.core.agentdeparture import (
+    HAND_OVER,
+    begin_shutdown,
+    exit_if_done,
+    hand_over,
+    shed_waiting,
+)
 from masticdrum.core.agentstate import AgentState, EngineView
+from masticdrum.core.agenttables import (
+    take_instances,
+    take_tables_frame,
+    take_tables_object,
+    take_tables_time,
+    wake_tables,
+)
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.runs import (
     CHECK,
@@ -25,7 +38,7 @@
     check_run,
     forget_run,
     pass_run_deadline,
-    refuse_all_waiting,
+    refuse_attempt,
     report_load,
     start_waiting,
     take_begun,
@@ -36,7 +49,6 @@
     take_run_failed,
     take_run_tokens,
 )
-from masticdrum.core.tablepoll import POLL, poll_tables, take_tables
 from masticdrum.model.agent_events import (
     AgentEffect,
     AgentEvent,
@@ -49,7 +61,7 @@
     ServiceAnswered,
     ServiceFailed,
 )
-from masticdrum.model.entry_events import Exit, FrameReceived, ShutdownAsked, Woken
+from masticdrum.model.entry_events import FrameReceived, ShutdownAsked, Woken
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import (
     AnyMessage,
@@ -62,8 +74,7 @@
     Settle,
     Welcome,
 )
-from masticdrum.model.platform import ObjectAnswer
-from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.model.platform import InstancesListed, ObjectAnswer
 
 
 def reduce_agent(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
@@ -73,9 +84,14 @@
     effects.
     """
     update_admission(state, now)
+    begun = take_tables_time(state, now)
+    return begun + _take_event(state, event, now)
+
+
+def _take_event(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
     match event:
         case FrameReceived():
-            effects = _take_message(state, event.link, event.envelope.message, now)
+            effects = _take_frame(state, event, now)
         case RunBegun() | RunTokens() | RunEnded() | RunFailed():
             effects = _take_run_event(state, event, now)
         case ServiceAnswered() | ServiceFailed():
@@ -83,17 +99,34 @@
         case LoadReported():
             effects = _take_load(state, event, now)
         case ObjectAnswer():
-            effects = list(take_tables(state, event))
-            update_rules(state)
+            effects = take_tables_object(state, event, now)
+        case InstancesListed():
+            effects = take_instances(state, event, now)
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
-            effects = _begin_shutdown(state, event, now)
+            effects = begin_shutdown(state, event, now)
         case _:
             effects = []
     effects += take_cache_event(state, event, now)
     effects += settle_cache(state, now)
-    return effects + _exit_if_done(state, now)
+    effects += shed_waiting(state, now)
+    return effects + exit_if_done(state, now)
+
+
+def _take_frame(
+    state: AgentState, event: FrameReceived, now: float
+) -> list[AgentEffect]:
+    envelope = event.envelope
+    message = envelope.message
+    effects = take_tables_frame(state, event, now)
+    stale = state.sync.is_stale(envelope.serial, now)
+    if isinstance(message, Call):
+        return effects + take_call(state, event.link, message, now, stale)
+    if stale and isinstance(message, Dispatch) and message.attempt not in state.runs:
+        kind = ErrorKind.TABLES_STALE
+        return effects + refuse_attempt(state, event.link, message.attempt, kind)
+    return effects + _take_message(state, event.link, message, now)
 
 
 def _take_message(
@@ -106,8 +139,6 @@
             return [ReplyFrame(link, welcome)]
         case Dispatch():
             return take_dispatch(state, link, message, now)
-        case Call():
-            return take_call(state, link, message, now)
         case Settle():
             return take_settle(state, link, message, now)
         case Resume():
@@ -143,17 +174,17 @@
 
 
 def _take_woken(state: AgentState, now: float) -> list[AgentEffect]:
-    effects: list[AgentEffect] = []
+    effects = wake_tables(state, now)
     for name in state.timers.pop_due(now):
         effects += _take_timer(state, name, now)
     return effects
 
 
 def _take_timer(state: AgentState, name: TimerName, now: float) -> list[AgentEffect]:
+    if name.purpose == HAND_OVER:
+        return hand_over(state, now)
     if name.purpose == LATE:
         return refuse_late_calls(state, now)
-    if name.purpose == POLL:
-        return list(poll_tables(state, now))
     if name.purpose == ADMISSION:
         arm_tick(state, now)
         return start_waiting(state, now)
@@ -167,22 +198,3 @@
     if name.purpose == FORGET:
         forget_run(state, run)
     return []
-
-
-def _begin_shutdown(
-    state: AgentState, event: ShutdownAsked, now: float
-) -> list[AgentEffect]:
-    state.shutdown_by = now + event.grace_s
-    begun = Log(LogNumber.SHUTDOWN_BEGUN, detail=f"{event.grace_s} s of grace")
-    kind = ErrorKind.SHUTTING_DOWN
-    refused = refuse_all_waiting(state, kind, now)
-    return [begun, *refused, *refuse_waiting_calls(state, kind, now)]
-
-
-def _exit_if_done(state: AgentState, now: float) -> list[AgentEffect]:
-    if state.shutdown_by is None:
-        return []
-    busy = state.running or state.attempts.count_running()
-    if busy and now < state.shutdown_by:
-        return []
-    return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/core/completion.py
+++ b/masticdrum/core/completion.py
@@ -46,6 +46,7 @@
     version: str = ""
     attempt: Attempt | None = None
     tried: list[str] = field(default_factory=list)
+    moved: bool = False
     may_have_run: bool = False
     last_kind: ErrorKind = ErrorKind.NO_UPSTREAM
     last_retry_after_s: float = 0.0
