--- a/demo/demo.py
+++ b/demo/demo.py
@@ -70,7 +70,7 @@
     prompt = make_prompt("wear report of axle 17")
     first, second = system.entries
     yield describe("prompt", ask(first, prompt))
-    yield describe("same prompt, cache in the engine", ask(second, prompt))
+    yield describe("same prompt at once, other entry", ask(second, prompt))
     kept = wait_for_kept_blocks(system)
     system.evict_caches()
     what = f"same prompt, cache evicted, {kept} blocks kept"
@@ -93,9 +93,10 @@
 
 def show_data_centre(system: System) -> Iterator[Row]:
     """Takes a data centre out and back while prompts arrive."""
-    for out, what in ((True, "out"), (False, "back")):
-        serial = system.set_out(DATA_CENTRE, out)
-        system.wait_in_force(serial)
+    for what in ("out", "back"):
+        ended = system.operate(what, DATA_CENTRE)
+        text = (ended.stdout or ended.stderr).strip().splitlines()[0]
+        yield Row(f"masticdrumctl {what} {DATA_CENTRE}", text)
         before = count_runs(system)
         answers = [
             ask(system.entries[number % 2], make_prompt(f"{what} {number}"), 4)
@@ -104,7 +105,7 @@
         whole = sum(answer.whole for answer in answers)
         served = count_runs(system) - before
         text = f"{whole} of {PROBES} whole, {served} there"
-        yield Row(f"data centre {DATA_CENTRE} {what}", text)
+        yield Row(f"prompts while {DATA_CENTRE} is {what}", text)
 
 
 def ask(entry: str, prompt: str, max_tokens: int = 16) -> Answer:
--- a/demo/run.py
+++ b/demo/run.py
@@ -15,8 +15,9 @@
     -H 'Idempotency-Key: booking-1' -d '{{"wheelset": 17}}'
 Status and metrics of an entry:
   curl {entry}/status {entry}/metrics
-The tables that are in force:
-  curl {objects}/objects/config/tables
+What an operator sees and does:
+  .venv/bin/masticdrumctl --settings {directory}/ctl.json status
+  .venv/bin/masticdrumctl --settings {directory}/ctl.json out {data_centre}
 A stand-in's state, and a fault switched on:
   curl {engine}/control
   curl {engine}/control -d '{{"do": "crash"}}'
@@ -44,7 +45,7 @@
         token=token,
         urgent=URGENT_ROUTE,
         booking=BOOKING_ROUTE,
-        objects=system.addresses["objects"],
+        data_centre=next(iter(system.plan.engines.values())),
         engine=system.addresses[next(iter(system.plan.engines))],
         directory=system.directory,
     )
--- a/demo/system.py
+++ b/demo/system.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import subprocess
 import sys
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -172,6 +173,12 @@
             raise RuntimeError(f"tables not written: status {written.status}")
         return edited.serial
 
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Runs masticdrumctl to its end, with settings of this system."""
+        command = [sys.executable, "-m", "masticdrum.programs.ctl", "--settings"]
+        command += [str(self.directory / "ctl.json"), *arguments]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
     def set_out(self, data_centre: str, out: bool) -> int:
         """Takes a data centre out or back; gives the tables' new serial."""
 
@@ -287,6 +294,13 @@
             }
             self._write_file(name, place, own | self.plan.agent)
 
+        operator = self.directory / "ctl.json"
+        platform = {
+            "object_api": self.addresses["objects"],
+            "instance_list": self.addresses["instances"],
+        }
+        operator.write_text(json.dumps(platform, indent=2))
+
     def _write_file(self, name: str, place: str, own: dict[str, Any]) -> None:
         settings = {
             "name": name,
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -1,6 +1,7 @@
 """The whole path through real processes, and what a fault on it leaves."""
 
 import itertools
+import json
 import signal
 from collections.abc import Callable
 
@@ -177,6 +178,15 @@
     wait_until(send_prompt, "work again in olten-a", PATIENCE_S)
 
 
+def test_operator_takes_a_data_centre_out_and_back(system: System) -> None:
+    for what in ("out", "back"):
+        ended = system.operate("--json", what, "olten-a")
+        assert ended.returncode == 0, ended
+        for name in system.plan.entries:
+            status = system.show(name)
+            assert status["serial"] == json.loads(ended.stdout)["serial"]
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_graceful_shutdown_cuts_no_stream(system: System, role: str) -> None:
     ended = []
