--- a/masticdrum/core/entry.py
+++ b/masticdrum/core/entry.py
@@ -1,15 +1,19 @@
 """The entry's reducer: every event in, effects as data out."""
 
-from masticdrum.core.calls import DEADLINE as CALL_DEADLINE
-from masticdrum.core.calls import (
-    LEDGER,
+from masticdrum.core.callends import DEADLINE as CALL_DEADLINE
+from masticdrum.core.callframes import (
     CallMessage,
     abandon_call,
+    take_call_message,
+    take_call_timer,
+)
+from masticdrum.core.calls import (
+    LEDGER,
     advance_ledger,
     begin_call,
+    fall_back_commit,
     greet_calls,
-    take_call_message,
-    take_call_timer,
+    take_commit,
     take_object_answer,
 )
 from masticdrum.core.completions import (
@@ -36,6 +40,7 @@
     take_tables_time,
     wake_tables,
 )
+from masticdrum.core.forwarding import FALL_BACK, choose_writers, has_commits
 from masticdrum.core.tablesync import owns_call
 from masticdrum.model.entry_events import (
     CallAsked,
@@ -53,6 +58,8 @@
     Accepted,
     AnyMessage,
     Cancel,
+    Commit,
+    Committed,
     Failed,
     Finished,
     Refused,
@@ -94,18 +101,22 @@
             effects = take_object_answer(state, event, now)
             return effects + _exit_if_done(state, now)
         case InstancesListed():
+            choose_writers(state, event)
             return take_instances(state, event, now)
 
 
 def _take_frame(
     state: EntryState, event: FrameReceived, now: float
 ) -> list[EntryEffect]:
+    message = event.envelope.message
+    if isinstance(message, Commit | Committed):
+        effects = take_commit(state, event.link, message, now)
+        return effects + _exit_if_done(state, now)
     peer = state.links.note(event.link, event.envelope, now)
     if peer is None:
         return [Count(Counter.FRAMES_DROPPED, "old link")]
     effects = take_tables_frame(state, peer, event.envelope, now)
     effects += greet_calls(state, peer, now)
-    message = event.envelope.message
     if isinstance(message, CallMessage) and state.calls.is_followed(message.attempt):
         incarnation = event.envelope.incarnation
         effects += take_call_message(state, message, incarnation, now)
@@ -169,6 +180,8 @@
         return _cut_all(state, now)
     if name.purpose == LEDGER:
         return advance_ledger(state, now)
+    if name.purpose == FALL_BACK:
+        return fall_back_commit(state, name.owner, now)
     call = state.calls.find(name.owner)
     if call is not None:
         return take_call_timer(state, call, name.purpose, now)
@@ -207,7 +220,7 @@
 def _exit_if_done(state: EntryState, now: float) -> list[EntryEffect]:
     if state.shutdown_by is None:
         return []
-    busy = state.completions or state.calls.by_request or not state.ledger.is_idle()
+    busy = state.completions or state.calls.by_request or has_commits(state)
     if busy and now < state.shutdown_by:
         return []
     return [Log(LogNumber.SHUTDOWN_DONE), Exit()]
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -42,6 +42,7 @@
     FRAMES_DROPPED = "frames_dropped"
     PLATFORM_CALLS = "platform_calls"
     TABLES = "tables"
+    COMMITS = "commits"
     LINK_BYTES = "link_bytes"
     BLOCKS = "blocks"
 
