--- a/bench/figures.py
+++ b/bench/figures.py
@@ -78,6 +78,7 @@
     figures["counts"] = dict(measured.counts)
     if scenario.back_at:
         figures |= sum_up_return(outcomes, scenario)
+        figures |= count_refused(outcomes, scenario)
     return figures
 
 
@@ -112,6 +113,22 @@
     }
 
 
+def count_refused(outcomes: Sequence[Outcome], scenario: Scenario) -> dict[str, int]:
+    """Return how many requests were refused in each part of the scenario."""
+    spans = {
+        "before": (WARM_UP_S, scenario.out_at),
+        "exit and return": (scenario.out_at, scenario.slow_at),
+        "slow link": (scenario.slow_at, scenario.lost_at),
+        "lost store": (scenario.lost_at, scenario.length_s),
+    }
+    return {
+        f"refused {name}": sum(
+            bool(each.refused) for each in outcomes if start <= each.request.at < end
+        )
+        for name, (start, end) in spans.items()
+    }
+
+
 URGENT = Urgency.URGENT
 
 
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -23,6 +23,7 @@
 RESULTS = Path(__file__).parent / "results" / "policies.json"
 SEEDS = 5
 WORKERS = 4
+DIGITS = 5  # behind the point, in the results
 SHOWN = (
     "urgent p50",
     "urgent p95",
@@ -47,6 +48,10 @@
     "urgent p95 out",
     "urgent p95 return",
     "urgent p95 after",
+    "refused before",
+    "refused exit and return",
+    "refused slow link",
+    "refused lost store",
 )
 
 Key = tuple[str, str, str]
@@ -155,7 +160,19 @@
         for key, runs in groups.items()
     ]
     RESULTS.parent.mkdir(exist_ok=True)
-    RESULTS.write_text(json.dumps(rows, indent=1, sort_keys=True) + "\n")
+    lines = ",\n".join(json.dumps(shorten(row), sort_keys=True) for row in rows)
+    RESULTS.write_text(f"[\n{lines}\n]\n")
+
+
+def shorten(value: Any) -> Any:
+    """Return a JSON value with its numbers rounded to ``DIGITS``."""
+    if isinstance(value, float):
+        return round(value, DIGITS)
+    if isinstance(value, dict):
+        return {name: shorten(inner) for name, inner in value.items()}
+    if isinstance(value, list):
+        return [shorten(inner) for inner in value]
+    return value
 
 
 @click.command()
--- a/tests/core/test_keptcache.py
+++ b/tests/core/test_keptcache.py
@@ -13,6 +13,7 @@
     install_rules,
 )
 from masticdrum.core.importcost import ImportCost, choose_import
+from masticdrum.core.importplan import choose_prefix
 from masticdrum.core.invariants import InvariantBroken
 from masticdrum.core.keptcache import find_wake, is_prepared
 from masticdrum.core.storelinks import StoreLink
@@ -168,6 +169,17 @@
     assert not choose_import(slow, 0, Urgency.BACKGROUND)
 
 
+def test_import_ends_where_the_next_link_is_slow() -> None:
+    cache = KeptCache()
+    for address, speed in (("fast", 1e9), ("slow", 1e6)):
+        cache.links[address] = StoreLink(address)
+        cache.links[address].speed_bytes_s = speed
+    sources = [("a", "fast"), ("b", "fast"), ("c", "slow"), ("d", "slow")]
+    assert choose_prefix(cache, sources) == sources[:2]
+    cache.links["slow"].speed_bytes_s = 1e9
+    assert choose_prefix(cache, sources) == sources
+
+
 def test_cache_events_late_doubled_and_with_gaps() -> None:
     index = BlockIndex()
     index.take_changes(BlocksChanged(2, ("a", "b"), ()), 0.0)
