--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -9,6 +9,7 @@
 from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.run import Run
+from masticdrum.core.tablesync import SyncOptions, TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Pool, PoolKind, Tables
@@ -51,12 +52,14 @@
         "cache",
         "engine",
         "leaving",
+        "linger_until",
         "options",
         "rng",
         "running",
         "runs",
         "shutdown_by",
         "started",
+        "sync",
         "timers",
         "view",
     )
@@ -65,8 +68,9 @@
         self.options = options
         self.rng = Random(seed)
         self.view = TableView(Tables())
+        sync = SyncOptions(options.name, options.data_centre, is_entry=False)
+        self.sync = TableSync(sync, Random(seed))
         self.timers: Timers[TimerName] = Timers()
-        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.engine = EngineView()
         self.attempts = Attempts(options.incarnation)
         self.cache = KeptCache()
@@ -76,7 +80,10 @@
         self.running: set[str] = set()
         self.leaving = False
         self.shutdown_by: float | None = None
+        self.linger_until = 0.0
 
     def find_next_timer(self) -> float | None:
         """Return when the reducer wants to be woken, in seconds, or None."""
-        return self.timers.find_next()
+        due = self.timers.find_next()
+        sync_due = self.sync.find_next_timer()
+        return sync_due if due is None else min(due, sync_due)
--- /dev/null
+++ b/masticdrum/core/callends.py
@@ -0,0 +1,79 @@
+"""How a plain service call ends at an entry: replayed, refused, forgotten."""
+
+from masticdrum.core.completions import refuse_request
+from masticdrum.core.entrystate import EntryState, TimerName
+from masticdrum.core.invariants import require
+from masticdrum.core.servicecall import ServiceCall
+from masticdrum.model.entry_events import (
+    EntryEffect,
+    GiveAnswer,
+)
+from masticdrum.model.errors import ErrorKind, Outcome
+from masticdrum.model.ledger import KeyState, Record
+from masticdrum.model.telemetry import Log, LogNumber
+
+DEADLINE = "call deadline"
+PROBE = "call probe"
+RETRY = "call retry"
+FORGET = "call forget"
+LINGER_S = 30.0
+
+
+def replay_reply(
+    state: EntryState, call: ServiceCall, record: Record
+) -> list[EntryEffect]:
+    """Answer a call with the reply that the ledger holds."""
+    require(
+        record.workspace == call.workspace and record.key == call.key,
+        f"key '{call.key}' is replayed to workspace '{record.workspace}' only",
+    )
+    require(
+        record.state is KeyState.DONE,
+        f"key '{call.key}' is replayed only after its reply was recorded",
+    )
+    answer = GiveAnswer(
+        call.request, record.status, record.content_type, record.body, replayed=True
+    )
+    mark_answered(state, call)
+    forget_call(state, call)
+    return [answer, Log(LogNumber.REQUEST_FINISHED, request=call.request)]
+
+
+def linger_call(state: EntryState, call: ServiceCall, now: float) -> None:
+    """Follow an attempt for a while after its caller was answered."""
+    until = max(call.deadline, now) + LINGER_S
+    state.timers.set(TimerName(FORGET, call.request), until)
+
+
+def refuse_call(
+    state: EntryState,
+    call: ServiceCall,
+    kind: ErrorKind,
+    outcome: Outcome,
+    *,
+    keep: bool = False,
+) -> list[EntryEffect]:
+    """Answer a call with an error; ``keep`` follows its attempt on."""
+    require(not call.answered, f"request '{call.request}' is answered once")
+    require(
+        outcome is Outcome.UNKNOWN or call.claim is None,
+        f"request '{call.request}' is not run and holds no claim",
+    )
+    hint = call.last_retry_after_s
+    mark_answered(state, call)
+    if not keep:
+        forget_call(state, call)
+    return refuse_request(call.request, kind, outcome, retry_after_s=hint)
+
+
+def mark_answered(state: EntryState, call: ServiceCall) -> None:
+    """Note that the caller has an answer, or is gone."""
+    call.answered = True
+    state.open_requests.remove(call.workspace, call.route.name)
+
+
+def forget_call(state: EntryState, call: ServiceCall) -> None:
+    """Forget a call and its timers."""
+    for purpose in (DEADLINE, PROBE, RETRY, FORGET):
+        state.timers.clear(TimerName(purpose, call.request))
+    state.calls.remove(call)
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -9,12 +9,15 @@
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
 from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.peers import Peers
 from masticdrum.core.preambles import Preambles
 from masticdrum.core.retries import RetryBudget
 from masticdrum.core.servicecall import ServiceCalls
+from masticdrum.core.tablesync import SyncOptions, TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
-from masticdrum.model.tables import Tables
+from masticdrum.model.platform import Instance
+from masticdrum.model.tables import Tables, Upstream
 
 
 class EntryOptions(Struct, frozen=True):
@@ -23,6 +26,7 @@
     ``max_attempts`` bounds how many upstreams one completion may be given to, and
     ``max_resumes`` how often one attempt may go on over a new connection.
     ``ack_every`` is the number of tokens after which receipt is acknowledged.
+    ``forwards`` says that this entry can be reached by others and commits through them.
     """
 
     name: str
@@ -33,6 +37,7 @@
     max_resumes: int = 3
     ack_every: int = 64
     ack_after_s: float = 3.0
+    forwards: bool = False
 
 
 class TimerName(Struct, frozen=True):
@@ -49,15 +54,21 @@
         "by_attempt",
         "calls",
         "completions",
+        "contacts",
+        "instances",
         "ledger",
         "leaving",
+        "leaving_agents",
         "links",
+        "listed",
         "open_requests",
         "options",
+        "peers",
         "preambles",
         "retries",
         "rng",
         "shutdown_by",
+        "sync",
         "timers",
         "view",
     )
@@ -69,14 +80,20 @@
         self.rng = Random(seed)
         self.retries = RetryBudget(seed)
         self.view = TableView(Tables())
+        sync = SyncOptions(options.name, options.data_centre, is_entry=True)
+        self.sync = TableSync(sync, Random(seed))
+        self.contacts: dict[str, Upstream] = {}
+        self.instances: tuple[Instance, ...] = ()
+        self.listed: dict[str, Upstream] = {}
+        self.leaving_agents: set[str] = set()
         self.links = Links(options.name)
         self.timers: Timers[TimerName] = Timers()
-        self.timers.set(TimerName("tables poll", ""), at=0.0)
         self.completions: dict[str, Completion] = {}
         self.by_attempt: dict[str, str] = {}
         self.calls = ServiceCalls()
         writer = options.incarnation
         self.ledger = Ledger(ledger or LedgerOptions(writer=writer), self.rng)
+        self.peers = Peers(options.name)
         self.open_requests = OpenRequests()
         self.preambles = Preambles()
         self.leaving: set[str] = set()
@@ -88,4 +105,6 @@
 
     def find_next_timer(self) -> float | None:
         """Return when the reducer wants to be woken, in seconds, or None."""
-        return self.timers.find_next()
+        due = self.timers.find_next()
+        sync_due = self.sync.find_next_timer()
+        return sync_due if due is None else min(due, sync_due)
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -3,6 +3,7 @@
 from masticdrum.core.agentadmission import abandon_run, offer_run, settle_failed
 from masticdrum.core.agentcache import begin_run, drop_ended
 from masticdrum.core.agentstate import AgentState
+from masticdrum.core.departure import find_standstill
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.invariants import require
 from masticdrum.core.run import Run, RunStage
@@ -51,16 +52,9 @@
 
 def find_refusal(state: AgentState, version: str) -> ErrorKind | None:
     """Return why this agent takes no new work, or None if it does."""
-    if state.view.serial == 0:
-        return ErrorKind.TABLES_MISSING
-    if state.shutdown_by is not None:
-        return ErrorKind.SHUTTING_DOWN
-    if state.leaving:
-        return ErrorKind.LEAVING
-    if state.view.is_out(state.options.data_centre):
-        return ErrorKind.DATA_CENTRE_OUT
-    if state.view.find_upstream(state.options.pool, state.options.upstream) is None:
-        return ErrorKind.LEAVING
+    standstill = find_standstill(state)
+    if standstill is not None:
+        return standstill
     if not state.engine.reachable:
         return ErrorKind.COLD_START
     if version and version != state.engine.version:
@@ -77,7 +71,7 @@
         return take_resume(state, link, Resume(message.attempt, known.kept_from), now)
     refusal = find_refusal(state, message.version)
     if refusal is not None:
-        return _refuse(state, link, message.attempt, refusal)
+        return refuse_attempt(state, link, message.attempt, refusal)
     run = Run(message, link, now, now, len(message.delivered), sent_at=now)
     state.runs[run.attempt] = run
     displaced: list[AgentEffect] = []
@@ -244,6 +238,17 @@
     return [*_end(state, run, end, now), logged, *start_waiting(state, now)]
 
 
+def fail_run(
+    state: AgentState, run: Run, kind: ErrorKind, now: float
+) -> list[AgentEffect]:
+    """End a running attempt without a whole answer."""
+    abandon_run(state, run, now)
+    state.running.discard(run.attempt)
+    end = Failed(run.attempt, kind, Outcome.UNKNOWN, report_load(state))
+    logged = Log(LogNumber.RUN_FAILED, attempt=run.attempt, detail=kind.value)
+    return [*_end(state, run, end, now), logged]
+
+
 def check_run(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
     """Show life on a quiet attempt, and end one whose entry shows none."""
     if run.end is not None:
@@ -299,9 +304,10 @@
     ]
 
 
-def _refuse(
+def refuse_attempt(
     state: AgentState, link: str, attempt: str, kind: ErrorKind
 ) -> list[AgentEffect]:
+    """Refuse an attempt that this agent knows nothing of."""
     hint = ANSWERS[kind].retry_after_s
     refused = Refused(attempt, kind, hint, report_load(state))
     return [ReplyFrame(link, refused), Count(Counter.REFUSALS, kind.value)]
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -35,7 +35,10 @@
     ``http`` is the ``IP:PORT`` for callers, metrics and health. ``credentials_file``
     holds a JSON object from the SHA-256 of each bearer token, in hexadecimal, to its
     workspace. ``keys_file`` holds the keys of links to agents; without it links are
-    neither encrypted nor checked. ``grace_s`` bounds a shutdown.
+    neither encrypted nor checked. ``grace_s`` bounds a shutdown. ``listen`` is the
+    address for other entries, ``tcp://IP:PORT``, which the instance list must show;
+    either all entries of a deployment have one, or none. The ledger keeps the keys of
+    calls that may not be repeated for ``ledger_retention_s``, the same at all entries.
     """
 
     name: str
@@ -44,9 +47,11 @@
     object_api: str
     instance_list: str
     credentials_file: str
+    listen: str | None = None
     keys_file: str | None = None
     limits: EntryLimits = field(default_factory=EntryLimits)
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    ledger_retention_s: float = 24 * 3600.0
     grace_s: float = 30.0
 
 
@@ -70,8 +75,8 @@
     ``listen`` is the address for entries, ``tcp://IP:PORT``; ``http`` is the
     ``IP:PORT`` for metrics and health. ``kind`` says what the upstream is.
     ``keys_file`` holds the keys of links; without it any peer may connect.
-    ``block_secret`` is known to all agents and to no store instance: it keys the
-    checksums of kept blocks. Without it only accidental damage is found.
+    ``block_secret_file`` holds a secret known to all agents and to no store instance:
+    it keys the checksums of kept blocks. Without it only accidental damage is found.
     """
 
     name: str
@@ -87,17 +92,21 @@
     keys_file: str | None = None
     timeouts: UpstreamTimeouts = field(default_factory=UpstreamTimeouts)
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
-    block_secret: str = ""
+    block_secret_file: str | None = None
     grace_s: float = 30.0
 
 
 class CtlSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of ``masticdrumctl``.
 
-    ``apply_timeout_s`` is how long an edit may take to be in force everywhere.
+    ``keys_file`` holds the keys of links to agents, as an entry's does.
+    ``edit_timeout_s`` is how long the platform may take to accept an edit, and
+    ``apply_timeout_s`` how long the edit may then take to be in force everywhere.
     """
 
     object_api: str
     instance_list: str
+    keys_file: str | None = None
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
+    edit_timeout_s: float = 10.0
     apply_timeout_s: float = 18.0
--- a/tests/core/mutants.py
+++ b/tests/core/mutants.py
@@ -6,7 +6,7 @@
 import pytest
 from msgspec import structs
 
-from masticdrum.core import calls, judgement, partition
+from masticdrum.core import callframes, calls, judgement, partition
 from masticdrum.core.attempts import Attempts
 from masticdrum.core.judgement import Write, judge_claim
 from masticdrum.core.partition import Partition
@@ -72,8 +72,8 @@
 
 def take_unknown_for_not_run(patch: Patch) -> None:
     """Takes every end without an answer for "not run"."""
-    patch.setattr(calls, "_tells_not_run", lambda message: True)
-    patch.setattr(calls, "_is_from", lambda expected, incarnation: True)
+    patch.setattr(callframes, "_tells_not_run", lambda message: True)
+    patch.setattr(callframes, "_is_from", lambda expected, incarnation: True)
 
 
 def forget_attempts(patch: Patch) -> None:
@@ -124,7 +124,7 @@
         return take(self, link, settle, load, now)
 
     patch.setattr(Attempts, "take_settle", settle_mine)
-    patch.setattr(calls, "_is_from", lambda expected, incarnation: True)
+    patch.setattr(callframes, "_is_from", lambda expected, incarnation: True)
 
 
 def keep_no_floor(patch: Patch) -> None:
@@ -183,6 +183,27 @@
     patch.setattr(partition, "plan_seal", drop)
 
 
+def give_back_for_others(patch: Patch) -> None:
+    """Gives back claims that another entry made and may have dispatched under."""
+    withdraw = Partition._withdraw
+
+    def withdraw_all(self: Any, pending: Any, now: float) -> None:
+        pending.owned = True
+        withdraw(self, pending, now)
+
+    patch.setattr(Partition, "_withdraw", withdraw_all)
+
+
+def judge_on_old_records(patch: Patch) -> None:
+    """Judges ends that others wrote without reading what came since."""
+    judge_end = judgement.judge_end
+
+    def judge(current: Any, wanted: Any, fresh: bool) -> Any:
+        return judge_end(current, wanted, True)
+
+    patch.setattr(judgement, "judge_end", judge)
+
+
 MUTANTS: list[Callable[[Patch], None]] = [
     steal_claims,
     believe_conflicts,
@@ -199,4 +220,6 @@
     mix_workspaces,
     prune_early,
     seal_without_merged,
+    give_back_for_others,
+    judge_on_old_records,
 ]
