--- a/masticdrum/core/agentcalls.py
+++ b/masticdrum/core/agentcalls.py
@@ -3,6 +3,7 @@
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.attempts import Gate
 from masticdrum.core.entrystate import TimerName
+from masticdrum.core.runs import find_refusal
 from masticdrum.model.agent_events import AgentEffect, ServiceAnswered, ServiceFailed
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import Call, Load, Settle
@@ -20,27 +21,12 @@
         limit=0 if pool is None else pool.max_running,
         leaving=state.leaving or state.shutdown_by is not None,
     )
-    refusal = find_call_refusal(state)
+    refusal = find_refusal(state, version="")
     if pool is None:
         return Gate(refusal, 0, 0, load)
     return Gate(refusal, pool.max_running, pool.max_queued, load)
 
 
-def find_call_refusal(state: AgentState) -> ErrorKind | None:
-    """Return why this agent takes no new calls, or None if it does."""
-    if state.view.serial == 0:
-        return ErrorKind.TABLES_MISSING
-    if state.shutdown_by is not None:
-        return ErrorKind.SHUTTING_DOWN
-    if state.leaving:
-        return ErrorKind.LEAVING
-    if state.view.is_out(state.options.data_centre):
-        return ErrorKind.DATA_CENTRE_OUT
-    if state.view.find_upstream(state.options.pool, state.options.upstream) is None:
-        return ErrorKind.LEAVING
-    return None
-
-
 def take_call(
     state: AgentState, link: str, message: Call, now: float
 ) -> list[AgentEffect]:
--- a/tests/callworld.py
+++ b/tests/callworld.py
@@ -21,6 +21,7 @@
 from masticdrum.core.tableview import TableView
 from masticdrum.model.agent_events import (
     CallService,
+    LoadReported,
     ReplyFrame,
     ServiceAnswered,
     ServiceFailed,
@@ -177,7 +178,9 @@
         state.timers.clear(TimerName(POLL, ""))
         state.view = TableView(TABLES)
         state.attempts.max_kept = 6
-        return Process(name, options.incarnation, state, reduce_agent)
+        process = Process(name, options.incarnation, state, reduce_agent)
+        self.later(self.now, lambda: self.give(process, LoadReported(True)))
+        return process
 
     def later(self, at: float, do: Any) -> None:
         self.order += 1
