--- a/masticdrum/core/partition.py
+++ b/masticdrum/core/partition.py
@@ -225,12 +225,12 @@
             return step
         if self._unread:
             self._get(OpKind.READ_SEGMENT, self._unread[0].path, step, now)
-        elif not self._pending:
-            self._clean(step, now)
-        elif self._stale:
+        elif self._pending and self._stale:
             self._read_head(step, now)
-        elif now >= min(pending.due for pending in self._pending):
+        elif self._pending and now >= min(p.due for p in self._pending):
             self._do_due(step, now)
+        else:
+            self._clean(step, now)
         return step
 
     def _do_due(self, step: Step, now: float) -> None:
