--- a/tests/callworld.py
+++ b/tests/callworld.py
@@ -21,6 +21,7 @@
 from masticdrum.core.tableedit import TABLES_PATH
 from masticdrum.model.agent_events import (
     CallService,
+    LoadReported,
     ReplyFrame,
     ServiceAnswered,
     ServiceFailed,
@@ -181,7 +182,9 @@
         state = AgentState(options, self.rng.getrandbits(32))
         agenttables.install_tables(state, TABLES, self.now)
         state.attempts.max_kept = 6
-        return Process(name, options.incarnation, state, reduce_agent)
+        process = Process(name, options.incarnation, state, reduce_agent)
+        self.later(self.now, lambda: self.give(process, LoadReported(True)))
+        return process
 
     def later(self, at: float, do: Any) -> None:
         self.order += 1
