Refuse crashing requests and order weights in the agent's reducer

Cause: suspects and permits stood beside the reducer; a request that crashed two upstreams went to a third, and a version in the tables was never ordered.

Ruled out: calls to the platform for plain services, which report no crash; a suspect that stops its upstream for others (one at a time is enough to tell which request it was).

A watch that is answered at once is not repeated within 0.5 s.

Conclusion: crashing request partial (the record's spread is not waited for), weight loads proved in virtual time.

--- a/masticdrum/core/admission.py
+++ b/masticdrum/core/admission.py
@@ -11,6 +11,8 @@
         ...  # start the run of ticket.attempt
 """
 
+from collections import deque
+
 from msgspec import Struct
 
 from masticdrum.core.coldstart import ColdStartGate
@@ -40,10 +42,10 @@
     """Everything that decides whether and when a request starts at one upstream."""
 
     __slots__ = (
-        "_alone",
         "_duration_s",
         "_held",
         "_last_token",
+        "_suspect",
         "adaptive",
         "gate",
         "occupancy",
@@ -63,8 +65,8 @@
         self.pool = pool
         self._duration_s = 0.0
         self._last_token: dict[str, float] = {}
-        self._held: Ticket | None = None
-        self._alone = ""
+        self._held: deque[Ticket] = deque()
+        self._suspect = ""
 
     def configure(self, pool: Pool) -> None:
         """Takes over a pool's new settings."""
@@ -99,23 +101,20 @@
     def expire(self, now: float) -> list[Refusal]:
         """Refuses all waiting requests whose deadline has passed."""
         late = self.queue.expire(now)
-        if self._held is not None and self._held.deadline <= now:
-            late.append(self._held)
-            self._held = None
+        late += [ticket for ticket in self._held if ticket.deadline <= now]
+        self._held = deque(t for t in self._held if t.deadline > now)
         kind = ErrorKind.DEADLINE_EXCEEDED
         return [Refusal(t.attempt, kind, SHORTEST_RETRY_S) for t in late]
 
     def withdraw(self, attempt: str) -> bool:
         """Takes a waiting request out; false if it is not waiting."""
-        if self._held is not None and self._held.attempt == attempt:
-            self._held = None
-            return True
-        return self.queue.remove(attempt) is not None
+        held = len(self._held)
+        self._held = deque(t for t in self._held if t.attempt != attempt)
+        return len(self._held) < held or self.queue.remove(attempt) is not None
 
     def list_waiting(self) -> list[str]:
         """Lists the attempts that have not started."""
-        held = [] if self._held is None else [self._held.attempt]
-        return held + list(self.queue.tickets)
+        return [ticket.attempt for ticket in self._held] + list(self.queue.tickets)
 
     def begin(self, attempt: str, now: float) -> None:
         """Notes that the upstream confirmed a run."""
@@ -201,20 +200,23 @@
         )
 
     def _choose_next(self, now: float) -> Ticket | None:
-        if self._alone:
+        if self._find_room(now) < 1:
             return None
-        if self._held is None:
-            if not self.queue or self._find_room(now) < 1:
-                return None
+        if self._held and not self._suspect:
+            return self._choose_suspect(self._held.popleft())
+        while self.queue:
             ticket = self.queue.pop(now)
-            if not ticket.alone:
+            if not ticket.suspect:
                 return ticket
-            self._held = ticket
-        # Nothing else starts until the upstream is empty.
-        if self.occupancy.runs or self._find_room(now) < 1:
-            return None
-        ticket, self._held = self._held, None
-        self._alone = ticket.attempt
+            if not self._suspect:
+                return self._choose_suspect(ticket)
+            self._held.append(ticket)
+        return None
+
+    def _choose_suspect(self, ticket: Ticket) -> Ticket:
+        # One at a time, so that a crash tells which one it was.
+        require(not self._suspect, f"'{self._suspect}' is the only suspect that runs")
+        self._suspect = ticket.attempt
         return ticket
 
     def _start(self, ticket: Ticket, now: float) -> None:
@@ -240,5 +242,5 @@
 
     def _forget(self, attempt: str) -> None:
         self._last_token.pop(attempt, None)
-        if attempt == self._alone:
-            self._alone = ""
+        if attempt == self._suspect:
+            self._suspect = ""
--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -15,17 +15,32 @@
     take_service_event,
     take_settle,
 )
+from masticdrum.core.agentorders import (
+    PERMITS_CALL,
+    plan_orders,
+    take_order_answer,
+    take_permit_answer,
+)
 from masticdrum.core.agentstate import AgentState, EngineView
+from masticdrum.core.agentsuspects import (
+    SUSPECTS_CALL,
+    is_quarantined,
+    judge_report,
+    plan_suspects,
+    settle_claims,
+)
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.runs import (
     CHECK,
     DEADLINE,
     FORGET,
+    admit_run,
     cancel_run,
     check_run,
     forget_run,
     pass_run_deadline,
     refuse_all_waiting,
+    refuse_waiting,
     report_load,
     start_waiting,
     take_begun,
@@ -41,6 +56,7 @@
     AgentEffect,
     AgentEvent,
     LoadReported,
+    OrderAnswered,
     ReplyFrame,
     RunBegun,
     RunEnded,
@@ -83,8 +99,10 @@
         case LoadReported():
             effects = _take_load(state, event, now)
         case ObjectAnswer():
-            effects = list(take_tables(state, event))
-            update_rules(state)
+            effects = _take_object(state, event, now)
+        case OrderAnswered():
+            take_order_answer(state, event, now)
+            effects = []
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
@@ -93,9 +111,38 @@
             effects = []
     effects += take_cache_event(state, event, now)
     effects += settle_cache(state, now)
+    effects += plan_suspects(state, now)
+    effects += plan_orders(state, now)
     return effects + _exit_if_done(state, now)
 
 
+def _take_object(
+    state: AgentState, answer: ObjectAnswer, now: float
+) -> list[AgentEffect]:
+    if answer.call.startswith(PERMITS_CALL):
+        take_permit_answer(state, answer, now)
+        return []
+    if answer.call.startswith(SUSPECTS_CALL):
+        return _take_claims(state, answer, now)
+    effects: list[AgentEffect] = list(take_tables(state, answer))
+    update_rules(state)
+    return effects
+
+
+def _take_claims(
+    state: AgentState, answer: ObjectAnswer, now: float
+) -> list[AgentEffect]:
+    effects: list[AgentEffect] = []
+    admitted, refused = settle_claims(state, answer, now)
+    for run in admitted:
+        effects += admit_run(state, run, now)
+    for run in refused:
+        quarantined = is_quarantined(state, run.dispatch.fingerprint)
+        kind = ErrorKind.QUARANTINED if quarantined else ErrorKind.QUEUE_FULL
+        effects += refuse_waiting(state, run, kind, now)
+    return effects
+
+
 def _take_message(
     state: AgentState, link: str, message: AnyMessage, now: float
 ) -> list[AgentEffect]:
@@ -139,6 +186,7 @@
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
     update_rules(state)
     take_report(state, event, now)
+    judge_report(state, event, now)
     return start_waiting(state, now)
 
 
--- a/masticdrum/core/agentadmission.py
+++ b/masticdrum/core/agentadmission.py
@@ -42,6 +42,7 @@
         work=max(1.0, left + len(message.prompt) / PROMPT_BYTES_PER_WORK),
         deadline=now + message.ttl_s,
         arrived=now,
+        suspect=message.crashes > 0 or run.attempt in state.tried,
     )
     return state.admission.offer(ticket, now)
 
--- /dev/null
+++ b/masticdrum/core/agentorders.py
@@ -0,0 +1,35 @@
+"""Joins an agent with the orders to its upstream."""
+
+from masticdrum.core.agentstate import AgentState
+from masticdrum.model.agent_events import AgentEffect, OrderAnswered
+from masticdrum.model.platform import ObjectAnswer
+from masticdrum.model.tables import PoolKind
+
+PERMITS_CALL = "permits "
+
+
+def take_permit_answer(state: AgentState, answer: ObjectAnswer, now: float) -> None:
+    """Hand the platform's answer on to the permits."""
+    state.orders.permits.take_answer(answer, now)
+
+
+def take_order_answer(state: AgentState, answer: OrderAnswered, now: float) -> None:
+    """Hand the upstream's answer on to the orders."""
+    state.orders.take_answer(answer, now)
+
+
+def plan_orders(state: AgentState, now: float) -> list[AgentEffect]:
+    """Order what the tables say, once a permit is held; keep the permit alive."""
+    effects: list[AgentEffect] = []
+    pool = state.view.find_pool(state.options.pool)
+    if pool is None or pool.kind is not PoolKind.ENGINE:
+        return []
+    stopping = state.shutdown_by is not None or state.leaving
+    loaded = state.engine.version if state.engine.reachable else ""
+    order = state.orders.decide("" if stopping else pool.version, loaded, now)
+    if order is not None:
+        effects.append(order)
+    call = state.orders.permits.plan_call(now)
+    if call is not None:
+        effects.append(call)
+    return effects
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -8,7 +8,10 @@
 from masticdrum.core.attempts import Attempts
 from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
+from masticdrum.core.orders import Orders
+from masticdrum.core.permits import Permits
 from masticdrum.core.run import Run
+from masticdrum.core.suspects import Suspects
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Pool, PoolKind, Tables
@@ -48,16 +51,22 @@
     __slots__ = (
         "admission",
         "attempts",
+        "boot",
         "cache",
         "engine",
         "leaving",
+        "lost",
         "options",
+        "orders",
+        "parked",
         "rng",
         "running",
         "runs",
         "shutdown_by",
         "started",
+        "suspects",
         "timers",
+        "tried",
         "view",
     )
 
@@ -72,6 +81,13 @@
         self.cache = KeptCache()
         self.runs: dict[str, Run] = {}
         self.started = False
+        holder = f"{options.name}/{options.incarnation}"
+        self.suspects = Suspects(holder)
+        self.orders = Orders(Permits(holder, seed))
+        self.parked: dict[str, list[str]] = {}
+        self.tried: dict[str, str] = {}
+        self.lost: dict[str, tuple[str, float]] = {}
+        self.boot = ""
         self.admission = Admission(Pool(options.pool, PoolKind.ENGINE, []), 0.0)
         self.running: set[str] = set()
         self.leaving = False
--- a/masticdrum/core/completion.py
+++ b/masticdrum/core/completion.py
@@ -32,6 +32,7 @@
     ``delivered`` holds every token given to the caller, in order. ``version`` is the
     weight version that gave the first of them; later attempts must use it too.
     ``may_have_run`` is set once any attempt ended in another way than by a refusal.
+    ``crashes`` counts the attempts that the upstream broke off.
     """
 
     request: str
@@ -47,5 +48,6 @@
     attempt: Attempt | None = None
     tried: list[str] = field(default_factory=list)
     may_have_run: bool = False
+    crashes: int = 0
     last_kind: ErrorKind = ErrorKind.NO_UPSTREAM
     last_retry_after_s: float = 0.0
--- a/masticdrum/core/completions.py
+++ b/masticdrum/core/completions.py
@@ -41,6 +41,7 @@
 DEADLINE = "completion deadline"
 SILENCE = "completion silence"
 RETRY = "completion retry"
+MAX_CRASHES = 2  # upstreams that one request may be broken off by
 GAP_RETRY_S = 0.2
 
 
@@ -186,7 +187,8 @@
     completion.last_kind = message.kind
     may_have_run = message.outcome is not Outcome.NOT_RUN
     _end_attempt(state, completion, may_have_run=may_have_run)
-    if not ANSWERS[message.kind].elsewhere:
+    completion.crashes += message.broken
+    if not ANSWERS[message.kind].elsewhere or completion.crashes >= MAX_CRASHES:
         return _fail(state, completion, message.kind)
     return _retry(state, completion, message.kind, now)
 
@@ -313,6 +315,7 @@
         delivered=list(completion.delivered),
         version=completion.version if base else "",
         fingerprint=completion.fingerprint,
+        crashes=completion.crashes,
     )
     logged = Log(
         LogNumber.ATTEMPT_DISPATCHED,
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -3,6 +3,13 @@
 from masticdrum.core.agentadmission import abandon_run, offer_run, settle_failed
 from masticdrum.core.agentcache import begin_run, drop_ended
 from masticdrum.core.agentstate import AgentState
+from masticdrum.core.agentsuspects import (
+    end_suspect,
+    is_quarantined,
+    list_parked,
+    note_lost,
+    park_suspect,
+)
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.invariants import require
 from masticdrum.core.run import Run, RunStage
@@ -76,21 +83,42 @@
     if known is not None:
         return take_resume(state, link, Resume(message.attempt, known.kept_from), now)
     refusal = find_refusal(state, message.version)
+    if refusal is None and is_quarantined(state, message.fingerprint):
+        refusal = ErrorKind.QUARANTINED
     if refusal is not None:
         return _refuse(state, link, message.attempt, refusal)
     run = Run(message, link, now, now, len(message.delivered), sent_at=now)
     state.runs[run.attempt] = run
+    if not park_suspect(state, run):
+        return admit_run(state, run, now)
+    _arm_run(state, run, now)
+    return [ReplyFrame(link, Accepted(run.attempt, run.version, report_load(state)))]
+
+
+def admit_run(state: AgentState, run: Run, now: float) -> list[AgentEffect]:
+    """Queue a run, and start what may start."""
     displaced: list[AgentEffect] = []
     for left in offer_run(state, run, now):
         loser = state.runs[left.attempt]
-        displaced += _refuse_waiting(state, loser, left.kind, now, left.retry_after_s)
+        displaced += refuse_waiting(state, loser, left.kind, now, left.retry_after_s)
     if run.stage is not RunStage.WAITING:
         return displaced
-    state.timers.set(TimerName(DEADLINE, run.attempt), now + message.ttl_s)
-    _arm_check(state, run, now)
+    _arm_run(state, run, now)
     accepted = Accepted(run.attempt, run.version, report_load(state))
     started = start_waiting(state, now)
-    return [*displaced, ReplyFrame(link, accepted), *started]
+    return [*displaced, ReplyFrame(run.link, accepted), *started]
+
+
+def refuse_waiting(
+    state: AgentState, run: Run, kind: ErrorKind, now: float, retry_after_s: float = 0.0
+) -> list[AgentEffect]:
+    """Refuse an attempt that has not started."""
+    state.admission.withdraw(run.attempt)
+    end_suspect(state, run.attempt, well=False)
+    hint = max(retry_after_s, ANSWERS[kind].retry_after_s)
+    refused = Refused(run.attempt, kind, hint, report_load(state))
+    counted = Count(Counter.REFUSALS, kind.value)
+    return [*_end(state, run, refused, now), counted]
 
 
 def start_waiting(state: AgentState, now: float) -> list[AgentEffect]:
@@ -154,6 +182,7 @@
     effects.append(Log(LogNumber.RUN_CANCELLED, attempt=attempt))
     if run.stage is not RunStage.ENDED:
         abandon_run(state, run, now)
+        end_suspect(state, attempt, well=False)
     state.running.discard(attempt)
     _forget(state, run)
     return effects + start_waiting(state, now)
@@ -211,6 +240,7 @@
         return []
     state.running.discard(run.attempt)
     state.admission.end(run.attempt, now)
+    end_suspect(state, run.attempt, well=True)
     end = Finished(
         attempt=run.attempt,
         count=run.count,
@@ -238,8 +268,11 @@
         ]
     state.running.discard(run.attempt)
     settle_failed(state, event, now)
+    note_lost(state, run, event, now)
     outcome = Outcome.UNKNOWN if event.ran else Outcome.NOT_RUN
-    end = Failed(run.attempt, ErrorKind.UPSTREAM_FAILED, outcome, report_load(state))
+    kind, load = ErrorKind.UPSTREAM_FAILED, report_load(state)
+    broken = event.ran and not event.silent
+    end = Failed(run.attempt, kind, outcome, load, broken)
     logged = Log(LogNumber.RUN_FAILED, attempt=run.attempt, detail=event.detail)
     return [*_end(state, run, end, now), logged, *start_waiting(state, now)]
 
@@ -262,7 +295,7 @@
     """Refuse a waiting attempt whose time is up; a running one is its entry's."""
     if run.stage is not RunStage.WAITING:
         return []
-    return _refuse_waiting(state, run, ErrorKind.DEADLINE_EXCEEDED, now)
+    return refuse_waiting(state, run, ErrorKind.DEADLINE_EXCEEDED, now)
 
 
 def refuse_all_waiting(
@@ -270,8 +303,8 @@
 ) -> list[AgentEffect]:
     """Refuse every attempt that has not started, so that it can go elsewhere."""
     effects: list[AgentEffect] = []
-    for attempt in state.admission.list_waiting():
-        effects += _refuse_waiting(state, state.runs[attempt], kind, now)
+    for attempt in state.admission.list_waiting() + list_parked(state):
+        effects += refuse_waiting(state, state.runs[attempt], kind, now)
     return effects
 
 
@@ -307,16 +340,6 @@
     return [ReplyFrame(link, refused), Count(Counter.REFUSALS, kind.value)]
 
 
-def _refuse_waiting(
-    state: AgentState, run: Run, kind: ErrorKind, now: float, retry_after_s: float = 0.0
-) -> list[AgentEffect]:
-    state.admission.withdraw(run.attempt)
-    hint = max(retry_after_s, ANSWERS[kind].retry_after_s)
-    refused = Refused(run.attempt, kind, hint, report_load(state))
-    counted = Count(Counter.REFUSALS, kind.value)
-    return [*_end(state, run, refused, now), counted]
-
-
 def _end(
     state: AgentState, run: Run, end: Finished | Failed | Refused, now: float
 ) -> list[AgentEffect]:
@@ -343,6 +366,12 @@
     )
 
 
+def _arm_run(state: AgentState, run: Run, now: float) -> None:
+    deadline = run.arrived_at + run.dispatch.ttl_s
+    state.timers.set(TimerName(DEADLINE, run.attempt), deadline)
+    _arm_check(state, run, now)
+
+
 def _arm_check(state: AgentState, run: Run, now: float) -> None:
     name = TimerName(CHECK, run.attempt)
     state.timers.set(name, now + state.options.keepalive_s)
--- a/masticdrum/core/suspects.py
+++ b/masticdrum/core/suspects.py
@@ -25,6 +25,7 @@
 TRIAL_S = 450.0  # longer than any wait and run
 JITTER_S = 60.0  # spreads the writes by which many agents would expire one row
 WATCH_S = 30.0
+WATCH_GAP_S = 0.5  # between two watches, however fast they are answered
 RETRY_S = 0.5  # after a failed call, with a change to write
 IDLE_RETRY_S = 10.0  # after a failed call, with nothing to write
 QUARANTINE_CRASHES = 2
@@ -100,6 +101,7 @@
         "_retry_at",
         "_seen",
         "_version",
+        "_watch_at",
         "_written",
         "book",
         "holder",
@@ -120,6 +122,7 @@
         self._jitter_s = Random(holder).uniform(0.0, JITTER_S)
         self._pending = ""
         self._retry_at = 0.0
+        self._watch_at = 0.0
         self._seen: dict[str, Sighting] = {}
 
     def judge(self, fingerprint: str) -> Verdict:
@@ -165,6 +168,9 @@
         if self._version == UNREAD:
             self._pending = f"suspects read {self._calls}"
             return ObjectGet(self._pending, SUSPECTS_PATH)
+        if now < self._watch_at:
+            return None
+        self._watch_at = now + WATCH_GAP_S
         self._pending = f"suspects watch {self._calls}"
         return ObjectGet(self._pending, SUSPECTS_PATH, self._version, WATCH_S)
 
@@ -192,10 +198,6 @@
             self._retry_at = now + wait_s + self._jitter_s / JITTER_S * wait_s
         return []
 
-    def find_wake(self) -> float:
-        """Finds when ``plan_call`` may have something new to do, in seconds."""
-        return self._retry_at
-
     def _must_write(self, now: float) -> bool:
         if self._version == UNREAD:
             return False
--- a/masticdrum/core/waiting.py
+++ b/masticdrum/core/waiting.py
@@ -26,7 +26,7 @@
     """A request that waits for its start.
 
     ``work`` is the expected work in any one unit, ``deadline`` the time after which a
-    start is of no use, ``alone`` whether it must be the upstream's only run.
+    start is of no use, ``suspect`` whether it ran at an upstream's crash.
     """
 
     attempt: str
@@ -35,7 +35,7 @@
     work: float
     deadline: float
     arrived: float
-    alone: bool = False
+    suspect: bool = False
     tag: float = 0.0
 
 
--- a/masticdrum/model/messages.py
+++ b/masticdrum/model/messages.py
@@ -60,7 +60,8 @@
     the run goes on behind them and its first token has their count as sequence
     number. ``version`` is the weight version that must serve, or empty for the
     current one. ``ttl_s`` is the time left until the request's deadline, in seconds.
-    ``fingerprint`` names equal requests, whoever sends them again.
+    ``fingerprint`` names equal requests, whoever sends them again; ``crashes`` counts
+    the attempts of this request whose upstream broke off.
     """
 
     attempt: str
@@ -74,6 +75,7 @@
     delivered: list[str]
     version: str = ""
     fingerprint: str = ""
+    crashes: int = 0
 
 
 class Call(Message, frozen=True):
@@ -186,12 +188,16 @@
 
 
 class Failed(Message, frozen=True):
-    """The attempt began and ended without a whole answer."""
+    """The attempt began and ended without a whole answer.
+
+    ``broken`` tells that the upstream broke it off, which may be its crash.
+    """
 
     attempt: str
     kind: ErrorKind
     outcome: Outcome
     load: Load
+    broken: bool = False
 
 
 class TablesAsk(Message, frozen=True):
--- a/masticdrum/programs/agent.py
+++ b/masticdrum/programs/agent.py
@@ -138,7 +138,7 @@
             case FetchBlocks() | KeepBlock():
                 self.blocks.start(effect)
             case GiveOrder():
-                raise NotImplementedError(f"effect '{type(effect).__name__}'")
+                self.engine.give_order(effect)
             case Exit():
                 self.ended.set()
 
--- a/masticdrum/shell/engineclient.py
+++ b/masticdrum/shell/engineclient.py
@@ -9,7 +9,9 @@
 
 from masticdrum.model.agent_events import (
     CancelRun,
+    GiveOrder,
     LoadReported,
+    OrderAnswered,
     ResumeRun,
     RunBegun,
     RunEnded,
@@ -22,10 +24,11 @@
 from masticdrum.shell.streamlines import LineTooLong, split_lines
 
 MAX_CONNECTIONS = 512
+ORDER_S = 60.0  # that an order may take
 PRIORITIES = {Urgency.URGENT: 0, Urgency.NORMAL: 1, Urgency.BACKGROUND: 2}
 BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, OSError, LineTooLong)
 
-EngineEvent = RunBegun | RunTokens | RunEnded | RunFailed | LoadReported
+EngineEvent = RunBegun | RunTokens | RunEnded | RunFailed | LoadReported | OrderAnswered
 
 
 class StreamLine(Struct):
@@ -94,6 +97,13 @@
             scope.cancel()
         self._nursery.start_soon(self._delete, effect.attempt)
 
+    def give_order(self, effect: GiveOrder) -> None:
+        """Order the engine to load weights, unless the order is past its time."""
+        if trio.current_time() >= effect.not_after:
+            self._submit(OrderAnswered(effect.order, False, detail="past its time"))
+            return
+        self._nursery.start_soon(self._post_order, effect)
+
     async def poll_load(self) -> None:
         """Read the load report at an interval; runs for ever."""
         while True:
@@ -169,6 +179,32 @@
             except (*BROKEN, httpcore.TimeoutException):
                 return
 
+    async def _post_order(self, effect: GiveOrder) -> None:
+        body = msgspec.json.encode(
+            {
+                "order": effect.order,
+                "action": effect.action,
+                "target": effect.target,
+                "fence": effect.fence,
+            }
+        )
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), ORDER_S)
+        try:
+            answer = await self._pool.request(
+                "POST",
+                f"{self._url}/orders",
+                content=body,
+                extensions={"timeout": timeouts},
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            self._submit(OrderAnswered(effect.order, False, detail=repr(error)))
+        except (*BROKEN, httpcore.TimeoutException) as error:
+            self._submit(OrderAnswered(effect.order, False, False, repr(error)))
+        else:
+            detail = f"status {answer.status}"
+            done = answer.status == 200
+            self._submit(OrderAnswered(effect.order, done, detail=detail))
+
     async def _read_load(self) -> LoadReported:
         with trio.move_on_after(self._timeouts.silence_s):
             try:
--- /dev/null
+++ b/tests/core/test_agentguards.py
@@ -0,0 +1,165 @@
+"""The agent's reducer refuses crashing requests and orders weights under a permit."""
+
+from typing import Any
+
+import msgspec
+
+from masticdrum.core.agent import reduce_agent
+from masticdrum.core.agentstate import AgentOptions, AgentState
+from masticdrum.core.suspects import SUSPECTS_PATH
+from masticdrum.core.tableview import TableView
+from masticdrum.model.agent_events import (
+    GiveOrder,
+    LoadReported,
+    OrderAnswered,
+    ReplyFrame,
+    RunFailed,
+    StartRun,
+)
+from masticdrum.model.entry_events import FrameReceived, Woken
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.messages import Dispatch, Envelope, Failed, Refused
+from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut, ObjectStatus
+from masticdrum.model.tables import (
+    DataCentre,
+    Pool,
+    PoolKind,
+    Tables,
+    Upstream,
+    Urgency,
+)
+
+
+class Platform:
+    """An object API that answers at once."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, tuple[int, bytes]] = {}
+
+    def answer(self, call: ObjectGet | ObjectPut) -> ObjectAnswer | None:
+        version, body = self.objects.get(call.path, (0, b""))
+        if isinstance(call, ObjectGet):
+            if call.wait_s and version == call.known:
+                return None
+            if not version:
+                return ObjectAnswer(call.call, ObjectStatus.MISSING)
+            return ObjectAnswer(call.call, ObjectStatus.OK, version, body)
+        if call.expected != version:
+            return ObjectAnswer(call.call, ObjectStatus.CONFLICT)
+        self.objects[call.path] = (version + 1, call.body)
+        return ObjectAnswer(call.call, ObjectStatus.OK, version + 1)
+
+
+class Bench:
+    """One agent that shares a platform with others."""
+
+    def __init__(self, platform: Platform, name: str, wanted: str = "v1") -> None:
+        self.platform = platform
+        self.state = AgentState(AgentOptions(name, "dc", "llm", name, "inc"), seed=1)
+        upstream = Upstream(name, "dc", "tcp://127.0.0.1:1")
+        pool = Pool("llm", PoolKind.ENGINE, [upstream], version=wanted)
+        tables = Tables(1, data_centres=[DataCentre("dc", "r")], pools=[pool])
+        self.state.view = TableView(tables)
+        self.now = 0.0
+        self.effects: list[Any] = []
+        for _ in range(8):
+            self.report("boot-1")
+
+    def send(self, event: Any) -> None:
+        """Brings an event and answers the calls to the platform that follow."""
+        events = [event]
+        while events:
+            effects = reduce_agent(self.state, events.pop(0), self.now)
+            self.effects += effects
+            for effect in effects:
+                if isinstance(effect, ObjectGet | ObjectPut):
+                    answer = self.platform.answer(effect)
+                    events += [answer] if answer else []
+
+    def report(self, boot: str, version: str = "v1") -> None:
+        self.now += 0.25
+        self.send(LoadReported(True, 0, boot, version))
+
+    def dispatch(self, attempt: str, crashes: int = 0) -> None:
+        message = Dispatch(
+            attempt,
+            "request",
+            "radkranz",
+            "llm",
+            Urgency.NORMAL,
+            60.0,
+            "prompt",
+            4,
+            [],
+            fingerprint="culprit",
+            crashes=crashes,
+        )
+        self.send(FrameReceived("link", Envelope("entry", "inc", 1, message)))
+
+    def crash(self, attempt: str, boot: str) -> None:
+        self.send(RunFailed(attempt, True, detail="connection reset"))
+        for _ in range(8):
+            self.report(boot)
+
+    def list_started(self) -> list[str]:
+        return [e.attempt for e in self.effects if isinstance(e, StartRun)]
+
+    def list_replies(self, kind: type) -> list[Any]:
+        replies = [e.message for e in self.effects if isinstance(e, ReplyFrame)]
+        return [message for message in replies if isinstance(message, kind)]
+
+
+def test_a_crashing_request_costs_two_upstreams_and_is_refused_at_the_third() -> None:
+    platform = Platform()
+    first, second, third = (Bench(platform, name) for name in "abc")
+    first.dispatch("try-1")
+    assert first.list_started() == ["try-1"]
+    first.crash("try-1", "boot-2")
+    assert first.list_replies(Failed)[0].broken
+    for bench in (second, third):
+        bench.send(read_suspects(bench, platform))
+    second.dispatch("try-2")
+    assert second.list_started() == ["try-2"]
+    second.crash("try-2", "boot-2")
+    third.send(read_suspects(third, platform))
+    third.dispatch("try-3")
+    assert third.list_started() == []
+    [refused] = third.list_replies(Refused)
+    assert refused.kind == ErrorKind.QUARANTINED
+
+
+def read_suspects(bench: Bench, platform: Platform) -> ObjectAnswer:
+    """Answers the watch that the agent has open."""
+    call = [
+        effect
+        for effect in bench.effects
+        if isinstance(effect, ObjectGet) and effect.path == SUSPECTS_PATH
+    ][-1]
+    version, body = platform.objects[SUSPECTS_PATH]
+    return ObjectAnswer(call.call, ObjectStatus.OK, version, body)
+
+
+def test_a_broken_connection_alone_is_no_crash() -> None:
+    platform = Platform()
+    bench = Bench(platform, "a")
+    bench.dispatch("try-1")
+    bench.crash("try-1", "boot-1")
+    assert msgspec.json.decode(platform.objects[SUSPECTS_PATH][1]) == {"rows": {}}
+
+
+def test_a_version_in_the_tables_is_ordered_under_a_permit() -> None:
+    bench = Bench(Platform(), "a", wanted="v2")
+    [order] = [e for e in bench.effects if isinstance(e, GiveOrder)]
+    assert (order.action, order.target, order.fence) == ("load", "v2", 1)
+    assert order.not_after < bench.now + 10.0
+    bench.send(OrderAnswered(order.order, True))
+    for _ in range(8):
+        bench.report("boot-1", "v2")
+        bench.send(Woken())
+    assert len([e for e in bench.effects if isinstance(e, GiveOrder)]) == 1
+    [table] = [
+        msgspec.json.decode(body)
+        for path, (_, body) in bench.platform.objects.items()
+        if path.startswith("permits/")
+    ]
+    assert table == {"fence": 1, "leases": {}}
