--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -21,7 +21,20 @@
     hand_over,
     shed_waiting,
 )
+from masticdrum.core.agentorders import (
+    PERMITS_CALL,
+    plan_orders,
+    take_order_answer,
+    take_permit_answer,
+)
 from masticdrum.core.agentstate import AgentState, EngineView
+from masticdrum.core.agentsuspects import (
+    SUSPECTS_CALL,
+    is_quarantined,
+    judge_report,
+    plan_suspects,
+    settle_claims,
+)
 from masticdrum.core.agenttables import (
     take_instances,
     take_tables_frame,
@@ -34,11 +47,13 @@
     CHECK,
     DEADLINE,
     FORGET,
+    admit_run,
     cancel_run,
     check_run,
     forget_run,
     pass_run_deadline,
     refuse_attempt,
+    refuse_waiting,
     report_load,
     start_waiting,
     take_begun,
@@ -53,6 +68,7 @@
     AgentEffect,
     AgentEvent,
     LoadReported,
+    OrderAnswered,
     ReplyFrame,
     RunBegun,
     RunEnded,
@@ -99,9 +115,12 @@
         case LoadReported():
             effects = _take_load(state, event, now)
         case ObjectAnswer():
-            effects = take_tables_object(state, event, now)
+            effects = _take_object(state, event, now)
         case InstancesListed():
             effects = take_instances(state, event, now)
+        case OrderAnswered():
+            take_order_answer(state, event, now)
+            effects = []
         case Woken():
             effects = _take_woken(state, now)
         case ShutdownAsked():
@@ -111,6 +130,8 @@
     effects += take_cache_event(state, event, now)
     effects += settle_cache(state, now)
     effects += shed_waiting(state, now)
+    effects += plan_suspects(state, now)
+    effects += plan_orders(state, now)
     return effects + exit_if_done(state, now)
 
 
@@ -129,6 +150,31 @@
     return effects + _take_message(state, event.link, message, now)
 
 
+def _take_object(
+    state: AgentState, answer: ObjectAnswer, now: float
+) -> list[AgentEffect]:
+    if answer.call.startswith(PERMITS_CALL):
+        take_permit_answer(state, answer, now)
+        return []
+    if answer.call.startswith(SUSPECTS_CALL):
+        return _take_claims(state, answer, now)
+    return take_tables_object(state, answer, now)
+
+
+def _take_claims(
+    state: AgentState, answer: ObjectAnswer, now: float
+) -> list[AgentEffect]:
+    effects: list[AgentEffect] = []
+    admitted, refused = settle_claims(state, answer, now)
+    for run in admitted:
+        effects += admit_run(state, run, now)
+    for run in refused:
+        quarantined = is_quarantined(state, run.dispatch.fingerprint)
+        kind = ErrorKind.QUARANTINED if quarantined else ErrorKind.QUEUE_FULL
+        effects += refuse_waiting(state, run, kind, now)
+    return effects
+
+
 def _take_message(
     state: AgentState, link: str, message: AnyMessage, now: float
 ) -> list[AgentEffect]:
@@ -170,6 +216,7 @@
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
     update_rules(state, now)
     take_report(state, event, now)
+    judge_report(state, event, now)
     return start_waiting(state, now)
 
 
--- a/masticdrum/core/completions.py
+++ b/masticdrum/core/completions.py
@@ -42,6 +42,7 @@
 SILENCE = "completion silence"
 RETRY = "completion retry"
 MOVE_RETRY_S = 1.0
+MAX_CRASHES = 2  # upstreams that one request may be broken off by
 GAP_RETRY_S = 0.2
 
 
@@ -196,7 +197,8 @@
     completion.moved |= message.kind is ErrorKind.SHUTTING_DOWN
     may_have_run = message.outcome is not Outcome.NOT_RUN
     _end_attempt(state, completion, may_have_run=may_have_run)
-    if not ANSWERS[message.kind].elsewhere:
+    completion.crashes += message.broken
+    if not ANSWERS[message.kind].elsewhere or completion.crashes >= MAX_CRASHES:
         return _fail(state, completion, message.kind)
     return _retry(state, completion, message.kind, now)
 
@@ -323,6 +325,7 @@
         delivered=list(completion.delivered),
         version=completion.version if base else "",
         fingerprint=completion.fingerprint,
+        crashes=completion.crashes,
     )
     logged = Log(
         LogNumber.ATTEMPT_DISPATCHED,
