--- a/tests/processes/test_bad_input.py
+++ b/tests/processes/test_bad_input.py
@@ -218,7 +218,9 @@
     for headers in ([AUTHORIZED, AUTHORIZED], [AUTHORIZED, key, key]):
         target = f"/v1/routes/{BOOKING_ROUTE}/calls"
         answer = send_raw(system, make_request(target, b"{}", *headers))
-        check_refusal(answer, ErrorKind.MALFORMED_REQUEST)
+        # An earlier request with the key may have run.
+        outcome = "unknown" if key in headers else "not_run"
+        check_refusal(answer, ErrorKind.MALFORMED_REQUEST, outcome)
     check_unharmed(system)
 
 
