--- a/masticdrum/core/agentcache.py
+++ b/masticdrum/core/agentcache.py
@@ -71,7 +71,9 @@
     """Start a run, or hold it until its import is done."""
     run.preparing = not is_prepared(state.cache, run.attempt)
     if run.preparing:
+        state.preparing[run.attempt] = None
         return []
+    state.preparing.pop(run.attempt, None)
     message = run.dispatch
     version, blocks = find_blocks(state.cache, run.attempt)
     if message.version and message.version != version:
@@ -117,10 +119,12 @@
 def settle_cache(state: AgentState, now: float) -> list[AgentEffect]:
     """Start the transfers and the held runs that the last event set free."""
     effects: list[AgentEffect] = list(start_transfers(state.cache, now))
-    for attempt in state.running:
+    for attempt in list(state.preparing):
         run = state.runs.get(attempt)
-        if run is not None and run.preparing:
-            effects += start_prepared(state, run)
+        if run is None or attempt not in state.running:
+            del state.preparing[attempt]
+            continue
+        effects += start_prepared(state, run)
     wake_at = find_wake(state.cache, now)
     if wake_at == float("inf"):
         state.timers.clear(TimerName(CACHE, ""))
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -61,6 +61,7 @@
         "options",
         "orders",
         "parked",
+        "preparing",
         "rng",
         "running",
         "runs",
@@ -94,6 +95,7 @@
         self.boot = ""
         self.admission = Admission(Pool(options.pool, PoolKind.ENGINE, []), 0.0)
         self.running: set[str] = set()
+        self.preparing: dict[str, None] = {}
         self.leaving = False
         self.shutdown_by: float | None = None
         self.linger_until = 0.0
--- a/masticdrum/core/timers.py
+++ b/masticdrum/core/timers.py
@@ -26,6 +26,9 @@
 
     def set(self, name: Name, at: float) -> None:
         """Make ``name`` due at ``at``, in seconds."""
+        known = self._due.get(name)
+        if known is not None and known[0] == at:
+            return
         self._serial += 1
         self._due[name] = (at, self._serial)
         heappush(self._heap, (at, self._serial, name))
