Give a suspect's trial back when a shutdown hands its run over

Cause: a trial that a shutdown ends counted as a crash and could quarantine an innocent request. Change: the hand-over settles the trial. Figures: the new test failed without the line and passes with it.

--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -276,6 +276,7 @@
 ) -> list[AgentEffect]:
     """End a running attempt without a whole answer."""
     abandon_run(state, run, now)
+    end_suspect(state, run.attempt, well=False)
     state.running.discard(run.attempt)
     end = Failed(run.attempt, kind, Outcome.UNKNOWN, report_load(state))
     logged = Log(LogNumber.RUN_FAILED, attempt=run.attempt, detail=kind.value)
--- a/tests/core/test_agentguards.py
+++ b/tests/core/test_agentguards.py
@@ -16,7 +16,7 @@
     RunFailed,
     StartRun,
 )
-from masticdrum.model.entry_events import FrameReceived, Woken
+from masticdrum.model.entry_events import FrameReceived, ShutdownAsked, Woken
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import Dispatch, Envelope, Failed, Refused
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut, ObjectStatus
@@ -139,6 +139,27 @@
     return ObjectAnswer(call.call, ObjectStatus.OK, version, body)
 
 
+def test_a_trial_that_a_shutdown_hands_over_is_given_back() -> None:
+    platform = Platform()
+    first, second = (Bench(platform, name) for name in "ab")
+    first.dispatch("try-1")
+    first.crash("try-1", "boot-2")
+    second.send(read_suspects(second, platform))
+    second.dispatch("try-2")
+    assert second.list_started() == ["try-2"]
+    assert read_trial(platform)
+    second.send(ShutdownAsked(1.0))
+    second.now += 1.0
+    second.send(Woken())
+    assert read_trial(platform) == ""
+
+
+def read_trial(platform: Platform) -> str:
+    """Gives the token of the trial that the platform holds."""
+    rows = msgspec.json.decode(platform.objects[SUSPECTS_PATH][1])["rows"]
+    return str(rows["culprit"]["trial"])
+
+
 def test_a_broken_connection_alone_is_no_crash() -> None:
     platform = Platform()
     bench = Bench(platform, "a")
