--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -168,7 +168,7 @@
 
 def _take_load(state: AgentState, event: LoadReported, now: float) -> list[AgentEffect]:
     state.engine = EngineView(event.reachable, event.boot, event.version, event.running)
-    update_rules(state)
+    update_rules(state, now)
     take_report(state, event, now)
     return start_waiting(state, now)
 
--- a/masticdrum/core/agenttables.py
+++ b/masticdrum/core/agenttables.py
@@ -15,24 +15,24 @@
 def install_tables(state: AgentState, tables: Tables, now: float) -> None:
     """Put tables in force that the caller vouches for."""
     state.sync.adopt(tables, now)
-    _refresh_view(state)
+    _refresh_view(state, now)
 
 
 def take_tables_time(state: AgentState, now: float) -> list[AgentEffect]:
     """Begin, or notice that this process was frozen."""
-    return _carry_out(state, state.sync.check_time(now))
+    return _carry_out(state, state.sync.check_time(now), now)
 
 
 def wake_tables(state: AgentState, now: float) -> list[AgentEffect]:
     """Do what is due for the tables."""
-    return _carry_out(state, state.sync.wake(now))
+    return _carry_out(state, state.sync.wake(now), now)
 
 
 def take_tables_object(
     state: AgentState, answer: ObjectAnswer, now: float
 ) -> list[AgentEffect]:
     """Take the platform's answer to a read of the tables."""
-    return _carry_out(state, state.sync.take_object(answer, now))
+    return _carry_out(state, state.sync.take_object(answer, now), now)
 
 
 def take_tables_frame(
@@ -46,7 +46,7 @@
         case TablesAsk():
             effects += state.sync.take_ask(event.link)
     effects += state.sync.take_envelope(event.link, event.envelope.serial, now)
-    return _carry_out(state, effects)
+    return _carry_out(state, effects, now)
 
 
 def take_instances(
@@ -56,11 +56,13 @@
     own = [row for row in event.instances if row.name == state.options.name]
     if any(row.state is InstanceState.LEAVING for row in own):
         state.leaving = True
-    return _carry_out(state, state.sync.take_instances(event.instances, now))
+    return _carry_out(state, state.sync.take_instances(event.instances, now), now)
 
 
-def _carry_out(state: AgentState, effects: list[SyncEffect]) -> list[AgentEffect]:
-    _refresh_view(state)
+def _carry_out(
+    state: AgentState, effects: list[SyncEffect], now: float
+) -> list[AgentEffect]:
+    _refresh_view(state, now)
     return [_translate(state, effect) for effect in effects]
 
 
@@ -78,8 +80,8 @@
             return effect
 
 
-def _refresh_view(state: AgentState) -> None:
+def _refresh_view(state: AgentState, now: float) -> None:
     if state.sync.serial <= state.view.serial:
         return
     state.view = TableView(state.sync.tables)
-    update_rules(state)
+    update_rules(state, now)
