--- a/demo/system.py
+++ b/demo/system.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import subprocess
 import sys
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -12,7 +13,7 @@
 from tempfile import TemporaryDirectory
 from typing import Any, Self
 
-from msgspec import Struct, convert, field
+from msgspec import Struct, convert, field, to_builtins
 from msgspec.json import encode
 from msgspec.structs import replace
 
@@ -172,6 +173,12 @@
             raise RuntimeError(f"tables not written: status {written.status}")
         return edited.serial
 
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Runs masticdrumctl to its end, with settings of this system."""
+        command = [sys.executable, "-m", "masticdrum.programs.ctl", "--settings"]
+        command += [str(self.directory / "ctl.json"), *arguments]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
     def set_out(self, data_centre: str, out: bool) -> int:
         """Takes a data centre out or back; gives the tables' new serial."""
 
@@ -287,6 +294,13 @@
             }
             self._write_file(name, place, own | self.plan.agent)
 
+        operator = self.directory / "ctl.json"
+        platform = {
+            "object_api": self.addresses["objects"],
+            "instance_list": self.addresses["instances"],
+        }
+        operator.write_text(json.dumps(platform, indent=2))
+
     def _write_file(self, name: str, place: str, own: dict[str, Any]) -> None:
         settings = {
             "name": name,
@@ -320,14 +334,19 @@
         services = Pool(
             SERVICE_POOL, PoolKind.SERVICE, self._make_upstreams(self.plan.services)
         )
+        pools = [convert(to_builtins(engines) | self.plan.pool, Pool)]
+        if services.upstreams:
+            pools.append(services)
+        pooled = {pool.name for pool in pools}
         return Tables(
             serial=1,
             data_centres=[DataCentre(place, REGION) for place in places],
             stores=stores,
-            pools=[replace(engines, **self.plan.pool), services],
+            pools=pools,
             routes=[
                 replace(route, **self.plan.routes.get(route.name, {}))
                 for route in make_routes()
+                if route.pool in pooled
             ],
         )
 
--- a/masticdrum/core/agentcalls.py
+++ b/masticdrum/core/agentcalls.py
@@ -2,8 +2,8 @@
 
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.attempts import Gate
-from masticdrum.core.departure import find_standstill
 from masticdrum.core.entrystate import TimerName
+from masticdrum.core.runs import find_refusal
 from masticdrum.model.agent_events import AgentEffect, ServiceAnswered, ServiceFailed
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.messages import Call, Load, Settle
@@ -21,7 +21,7 @@
         limit=0 if pool is None else pool.max_running,
         leaving=state.leaving or state.shutdown_by is not None,
     )
-    refusal = find_standstill(state)
+    refusal = find_refusal(state, version="")
     if refusal is None and stale:
         refusal = ErrorKind.TABLES_STALE
     if pool is None:
