--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -8,7 +8,10 @@
 from masticdrum.core.attempts import Attempts
 from masticdrum.core.cachestate import KeptCache
 from masticdrum.core.entrystate import TimerName
+from masticdrum.core.orders import Orders
+from masticdrum.core.permits import Permits
 from masticdrum.core.run import Run
+from masticdrum.core.suspects import Suspects
 from masticdrum.core.tablesync import SyncOptions, TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
@@ -49,18 +52,24 @@
     __slots__ = (
         "admission",
         "attempts",
+        "boot",
         "cache",
         "engine",
         "leaving",
         "linger_until",
+        "lost",
         "options",
+        "orders",
+        "parked",
         "rng",
         "running",
         "runs",
         "shutdown_by",
         "started",
         "sync",
+        "suspects",
         "timers",
+        "tried",
         "view",
     )
 
@@ -76,6 +85,13 @@
         self.cache = KeptCache()
         self.runs: dict[str, Run] = {}
         self.started = False
+        holder = f"{options.name}/{options.incarnation}"
+        self.suspects = Suspects(holder)
+        self.orders = Orders(Permits(holder, seed))
+        self.parked: dict[str, list[str]] = {}
+        self.tried: dict[str, str] = {}
+        self.lost: dict[str, tuple[str, float]] = {}
+        self.boot = ""
         self.admission = Admission(Pool(options.pool, PoolKind.ENGINE, []), 0.0)
         self.running: set[str] = set()
         self.leaving = False
