--- a/masticdrum/core/explanation.py
+++ b/masticdrum/core/explanation.py
@@ -143,7 +143,7 @@
         Candidate(
             name,
             rows[name].data_centre,
-            load=find_load(hints.get(name), now),
+            load=find_load(hints.get(name), now, route.urgency),
         )
         for name in order
     )
--- a/masticdrum/core/placement.py
+++ b/masticdrum/core/placement.py
@@ -39,14 +39,21 @@
     )
 
 
-def find_load(hint: Hint | None, now: float) -> float | None:
-    """Return the runs and waiting requests of an upstream by its limit, if known."""
+def find_load(
+    hint: Hint | None, now: float, urgency: Urgency = Urgency.NORMAL
+) -> float | None:
+    """Return the runs and waiting requests of an upstream by its limit, if known.
+
+    Urgent requests go before all others, so for them the urgent attempts that have no
+    token yet count in full besides.
+    """
     if hint is None or now - hint.seen_at > HINT_TTL_S:
         return None
     load = hint.load
     if load.leaving:
         return float("inf")
-    return (load.running + load.queued) / max(load.limit, 1)
+    total = (load.running + load.queued) / max(load.limit, 1)
+    return total + load.urgent if urgency is Urgency.URGENT else total
 
 
 def find_bound(loads: Collection[float | None]) -> float:
@@ -77,7 +84,7 @@
     """
     names = (name for name in ranking.rank(key) if name not in excluded)
     compared = list(islice(names, max(most, COMPARED)))
-    loads = {name: find_load(hints.get(name), now) for name in compared}
+    loads = {name: find_load(hints.get(name), now, urgency) for name in compared}
     bound = find_bound(loads.values())
     free: list[str] = []
     full: list[tuple[float, str]] = []
--- a/masticdrum/core/run.py
+++ b/masticdrum/core/run.py
@@ -6,6 +6,7 @@
 
 from masticdrum.core.digests import TokenDigest
 from masticdrum.model.messages import Dispatch, Failed, Finished, Refused, Usage
+from masticdrum.model.tables import Urgency
 
 
 class RunStage(StrEnum):
@@ -51,3 +52,10 @@
     def count(self) -> int:
         """The sequence number that the next token will have."""
         return self.kept_from + len(self.kept)
+
+
+def is_urgent(run: Run) -> bool:
+    """Tell whether a run is urgent and has no token yet."""
+    message = run.dispatch
+    waits = run.stage is not RunStage.ENDED and run.count == len(message.delivered)
+    return waits and message.urgency is Urgency.URGENT
--- a/masticdrum/core/runs.py
+++ b/masticdrum/core/runs.py
@@ -1,5 +1,7 @@
 """The life of a completion's attempt at an agent: admission, tokens, the end."""
 
+from msgspec.structs import replace
+
 from masticdrum.core.agentadmission import abandon_run, offer_run, settle_failed
 from masticdrum.core.agentcache import begin_run, drop_ended
 from masticdrum.core.agentstate import AgentState
@@ -13,7 +15,7 @@
 from masticdrum.core.departure import find_standstill
 from masticdrum.core.entrystate import TimerName
 from masticdrum.core.invariants import require
-from masticdrum.core.run import Run, RunStage
+from masticdrum.core.run import Run, RunStage, is_urgent
 from masticdrum.model.agent_events import (
     AgentEffect,
     CancelRun,
@@ -54,7 +56,8 @@
 def report_load(state: AgentState) -> Load:
     """Return the hint that goes out with answers and refusals."""
     leaving = state.leaving or state.shutdown_by is not None
-    return state.admission.find_load(leaving)
+    load = state.admission.find_load(leaving)
+    return replace(load, urgent=sum(map(is_urgent, state.runs.values())))
 
 
 def find_refusal(state: AgentState, version: str) -> ErrorKind | None:
--- a/masticdrum/model/messages.py
+++ b/masticdrum/model/messages.py
@@ -14,7 +14,8 @@
 class Load(Struct, frozen=True, array_like=True):
     """An agent's hint about its upstream, sent with answers and refusals.
 
-    ``wait_s`` is the expected time in the queue for normal work, in seconds.
+    ``wait_s`` is the expected time in the queue for normal work, in seconds, and
+    ``urgent`` the number of urgent attempts that have no token yet.
     """
 
     running: int = 0
@@ -23,6 +24,7 @@
     wait_s: float = 0.0
     cold: bool = False
     leaving: bool = False
+    urgent: int = 0
 
 
 class Usage(Struct, frozen=True, array_like=True):
--- a/tests/core/test_agentcache.py
+++ b/tests/core/test_agentcache.py
@@ -10,12 +10,13 @@
     FetchBlocks,
     KeepBlock,
     LoadReported,
+    ReplyFrame,
     RunBegun,
     RunTokens,
     StartRun,
 )
 from masticdrum.model.entry_events import FrameReceived, Woken
-from masticdrum.model.messages import Cancel, Dispatch, Envelope
+from masticdrum.model.messages import Accepted, Cancel, Dispatch, Envelope, Load
 from masticdrum.model.tables import (
     DataCentre,
     Pool,
@@ -122,3 +123,19 @@
     effects = reduce_agent(state, BlocksFetched("at", KEYS, (), 3000, 0.01), 1.2)
     assert not pick(effects, StartRun)
     assert not state.cache.imports.waiting and not state.cache.imports.late
+
+
+def read_load(effects) -> Load:
+    replies = [reply.message for reply in pick(effects, ReplyFrame)]
+    return pick(replies, Accepted)[0].load
+
+
+def test_load_tells_urgent_attempts_without_a_token() -> None:
+    state = make_agent()
+    message = Dispatch(
+        "at", "r", "radkranz", "llm", Urgency.URGENT, 60.0, "short", 4, []
+    )
+    assert read_load(send(state, message, 1.0)).urgent == 1
+    reduce_agent(state, RunBegun("at", "v1", 0, 0), 1.1)
+    reduce_agent(state, RunTokens("at", 0, ("t",)), 1.2)
+    assert read_load(dispatch(state, "other", 1.3)).urgent == 0
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -125,3 +125,13 @@
     centre = next(iter(ranking.root.below.values()))
     sizes = [len(group.below) for group in centre.below.values()]
     assert len(ranking.root.below) + len(centre.below) + max(sizes) < 80
+
+
+def test_urgent_prompt_avoids_other_urgent_prompts() -> None:
+    ranking = build_ranking(make_pool(6))
+    names = order(ranking, 5)
+    hints = {name: Hint(Load(running=2, limit=16), 0.0) for name in names}
+    hints[names[0]] = Hint(Load(running=2, limit=16, urgent=2), 0.0)
+    urgent = order_upstreams(ranking, 5, Urgency.URGENT, hints, set(), 0.0)
+    assert urgent[0] == names[1]
+    assert order(ranking, 5, hints)[0] == names[0]
