--- a/masticdrum/programs/agent.py
+++ b/masticdrum/programs/agent.py
@@ -158,8 +158,11 @@
         )
 
     def _is_ready(self) -> bool:
-        ready = self.state.view.serial > 0 and self.state.engine.reachable
-        return ready and self.state.shutdown_by is None
+        state = self.state
+        if self.settings.kind is PoolKind.ENGINE and not state.admission.gate.trusted:
+            return False
+        ready = state.view.serial > 0 and state.engine.reachable
+        return ready and state.shutdown_by is None
 
     def _describe(self) -> dict[str, object]:
         return {
