End the demo's system on SIGINT also when a script started it

Ruled out: the children, which ended with SIGTERM and SIGKILL. Change: the demo sets both handlers itself.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -1,6 +1,5 @@
 """Shows a returning prompt, a booking and a data centre's leave, end to end."""
 
-import signal
 import sys
 from collections.abc import Iterator
 from contextlib import suppress
@@ -9,7 +8,7 @@
 from msgspec import Struct
 
 from demo.caller import Answer, call_service, complete
-from demo.processes import wait_until
+from demo.processes import end_on_signals, wait_until
 from demo.system import (
     BOOKING_ROUTE,
     TOKENS,
@@ -48,7 +47,7 @@
 
 def main() -> None:
     """Starts a system, shows it and stops it."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    end_on_signals()
     try:
         with System(Plan(engine_faults={"block_s": 0.1})) as system:
             print(Row(*HEADS).format())
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from time import monotonic, sleep
 
+ENDED_BY_SIGTERM = 143  # exit code
 PR_SET_PDEATHSIG = 1  # from <sys/prctl.h>
 STOP_S = 10.0  # seconds that a process may take to end before it is killed
 POLL_S = 0.02
@@ -99,3 +100,12 @@
         if monotonic() > deadline:
             raise TimeoutError(f"{what}: not within {timeout_s:g} s")
         sleep(POLL_S)
+
+
+def end_on_signals() -> None:
+    """Ends this process in order on SIGINT and SIGTERM.
+
+    A script's background processes ignore SIGINT unless they ask for it.
+    """
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(ENDED_BY_SIGTERM))
--- a/demo/run.py
+++ b/demo/run.py
@@ -1,9 +1,8 @@
 """Leaves the demo's system running and prints the calls to try."""
 
-import signal
-import sys
 import threading
 
+from demo.processes import end_on_signals
 from demo.system import BOOKING_ROUTE, TOKENS, URGENT_ROUTE, System
 
 TEXT = """\
@@ -27,7 +26,7 @@
 
 def main() -> None:
     """Starts a system and waits for Ctrl-C."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    end_on_signals()
     try:
         with System() as system:
             print(describe(system), flush=True)
