--- a/bench/admission.py
+++ b/bench/admission.py
@@ -74,7 +74,7 @@
         clock.after(POLL_S, self._poll)
 
     def offer(self, ticket: Ticket, tokens: int, answer: Callable[[str], None]) -> None:
-        """Takes a request; ``answer`` hears started, ended, failed or refused."""
+        """Take a request; ``answer`` hears started, ended, failed or refused."""
         if not self.up:
             self.clock.after(LINK_S, answer, "refused")
             return
@@ -304,14 +304,14 @@
 
 
 def find_quantile(values: list[float], part: float) -> float:
-    """Finds a quantile; zero of nothing."""
+    """Find a quantile; zero of nothing."""
     if not values:
         return 0.0
     return sorted(values)[min(len(values) - 1, int(part * len(values)))]
 
 
 def spread(values: list[float]) -> str:
-    """Shows median, least and most of the seeds' figures."""
+    """Show median, least and most of the seeds' figures."""
     return f"{median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
 
 
@@ -368,7 +368,7 @@
 
 
 def print_table(title: str, rows: list[dict[str, str]]) -> None:
-    """Prints rows of equal keys as one aligned table."""
+    """Print rows of equal keys as one aligned table."""
     print(f"\n{title}")
     names = list(rows[0])
     widths = [max(len(n), *(len(row[n]) for row in rows)) for n in names]
@@ -378,7 +378,7 @@
 
 
 def main() -> None:
-    """Runs all measurements."""
+    """Run all measurements."""
     outage = measure_outage(crash_loop=False)
     print_table(f"Outage of {OUT_OF_SERVICE} of {UPSTREAMS} upstreams", outage)
     loop = measure_outage(crash_loop=True)
--- a/bench/controlways.py
+++ b/bench/controlways.py
@@ -67,7 +67,7 @@
 
 
 def measure_digests(peers: int) -> WayRow:
-    """A leader's cost, the highest: its members, and the other leaders' digests."""
+    """Return a leader's cost, the highest: its members, other leaders' digests."""
     groups = max(1, peers // GROUP)
     members = min(GROUP, peers)
     digest = FRAME_OVERHEAD_BYTES + DIGEST_BYTES_A_MEMBER * members
--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -99,13 +99,13 @@
         return stream
 
     def read_processor_s(self, name: str) -> float:
-        """Reads the processor time that a process has used, in seconds."""
+        """Read the processor time that a process has used, in seconds."""
         pid = self.system.children[name].process.pid
         fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
         return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
     async def wait_until_served(self) -> None:
-        """Waits until the agent knows its engine and admits a first request."""
+        """Wait until the agent knows its engine and admits a first request."""
         self.system.control(ENGINE, token_s=0.0)
         with trio.fail_after(ADMITTED_S):
             while True:
@@ -197,7 +197,7 @@
 
 
 def find_gaps(streams: list[Stream]) -> list[float]:
-    """Finds the milliseconds between two pieces of a stream, over all streams."""
+    """Find the milliseconds between two pieces of a stream, over all streams."""
     return [
         (after - before) * 1000
         for stream in streams
@@ -206,7 +206,7 @@
 
 
 async def measure(system: System) -> list[Row]:
-    """Takes all measurements."""
+    """Take all measurements."""
     async with httpcore.AsyncConnectionPool(max_connections=500) as pool:
         bench = Bench(system, pool)
         await bench.wait_until_served()
@@ -220,7 +220,7 @@
 
 
 def format_table(rows: list[Row]) -> str:
-    """Formats the measurements; the milliseconds are waits or gaps between frames."""
+    """Format the measurements; the milliseconds are waits or gaps between frames."""
     heads = ("", "a second", "entry us", "agent us", "p50 ms", "p95 ms")
     lines = [f"{heads[0]:44}" + "".join(f"{head:>11}" for head in heads[1:])]
     for row in rows:
@@ -231,7 +231,7 @@
 
 
 def main() -> None:
-    """Runs all measurements, prints a table and writes a file."""
+    """Run all measurements, print a table and write a file."""
     with System(PLAN) as system:
         rows = trio.run(measure, system)
     print(format_table(rows))
--- a/bench/tablesync.py
+++ b/bench/tablesync.py
@@ -78,12 +78,12 @@
 
 
 def count_calls(world: SyncWorld) -> int:
-    """Counts the platform's calls since the last count."""
+    """Count the platform's calls since the last count."""
     return world.calls["watch"] + world.calls["read"]
 
 
 def time_install(world: SyncWorld) -> float:
-    """Times the work of one process for one edit, best of a few, in milliseconds."""
+    """Time the work of one process for one edit, best of a few, in milliseconds."""
     body = pack_tables(world.tables)
     best = float("inf")
     for _ in range(REPEATS):
@@ -96,7 +96,7 @@
 
 
 def show(rows: Iterable[Row]) -> None:
-    """Prints the table."""
+    """Print the table."""
     names = Row.__struct_fields__
     print("  ".join(names))
     for row in rows:
--- a/demo/caller.py
+++ b/demo/caller.py
@@ -48,7 +48,7 @@
     timeout_s: float = TIMEOUT_S,
     **headers: str,
 ) -> Answer:
-    """Makes one HTTP call over a connection of its own."""
+    """Make one HTTP call over a connection of its own."""
     lines = {name.replace("_", "-"): value for name, value in headers.items()}
     extensions = make_timeouts(timeout_s)
     try:
@@ -65,12 +65,12 @@
 
 
 def make_timeouts(timeout_s: float) -> dict[str, dict[str, float]]:
-    """Makes the extensions that bound every wait of a call."""
+    """Make the extensions that bound every wait of a call."""
     return {"timeout": dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)}
 
 
 def call_json(method: str, url: str, value: Any = None) -> Any:
-    """Makes one HTTP call; gives its JSON, raises on any other answer."""
+    """Make one HTTP call; give its JSON, raise on any other answer."""
     body = b"" if value is None else json.dumps(value).encode()
     answer = call(method, url, body)
     if answer.broken or answer.status > 299:
@@ -82,7 +82,7 @@
 def call_service(
     entry: str, token: str, route: str, key: str, body: dict[str, Any]
 ) -> Answer:
-    """Calls a plain service through an entry, with an Idempotency-Key."""
+    """Call a plain service through an entry, with an Idempotency-Key."""
     return call(
         "POST",
         f"{entry}/v1/routes/{route}/calls",
@@ -101,7 +101,7 @@
     max_tokens: int = 16,
     on_text: Callable[[str], None] = lambda text: None,
 ) -> Answer:
-    """Sends a prompt and reads its stream; ``on_text`` gets the text as it grows."""
+    """Send a prompt and read its stream; ``on_text`` gets the text as it grows."""
     body = {"model": route, "prompt": prompt, "max_tokens": max_tokens}
     headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
     begun = monotonic()
@@ -122,7 +122,7 @@
 def read_stream(
     response: httpcore.Response, begun: float, on_text: Callable[[str], None]
 ) -> Answer:
-    """Reads a streamed answer to its end, whether whole or not."""
+    """Read a streamed answer to its end, whether whole or not."""
     answer = Answer(response.status, headers=decode_headers(response.headers))
     if response.status != 200:
         answer.body = decode_body(response.read())
@@ -138,7 +138,7 @@
 
 
 def read_events(chunks: Iterator[bytes]) -> Iterator[bytes]:
-    """Yields the data of each server-sent event."""
+    """Yield the data of each server-sent event."""
     rest = b""
     for chunk in chunks:
         *events, rest = (rest + chunk).split(b"\n\n")
@@ -147,7 +147,7 @@
 
 
 def take_event(answer: Answer, event: bytes, begun: float) -> None:
-    """Adds one event to an answer."""
+    """Add one event to an answer."""
     if event == b"[DONE]":
         answer.whole = True
         return
@@ -163,12 +163,12 @@
 
 
 def decode_headers(headers: list[tuple[bytes, bytes]]) -> dict[str, str]:
-    """Decodes an answer's headers, their names in lower case."""
+    """Decode an answer's headers, their names in lower case."""
     return {name.decode().lower(): value.decode() for name, value in headers}
 
 
 def decode_body(body: bytes) -> Any:
-    """Decodes a body as JSON; gives the text where it is none."""
+    """Decode a body as JSON; give the text where it is none."""
     try:
         return json.loads(body)
     except ValueError:
--- a/demo/demo.py
+++ b/demo/demo.py
@@ -39,14 +39,14 @@
     recomputed: str = ""
 
     def format(self) -> str:
-        """Formats the row in columns."""
+        """Format the row in columns."""
         cells = (self.what, self.answer, self.first_token, self.recomputed)
         pairs = zip(cells, WIDTHS, strict=True)
         return "  ".join(cell.ljust(width) for cell, width in pairs).rstrip()
 
 
 def main() -> None:
-    """Starts a system, shows it and stops it."""
+    """Start a system, show it and stop it."""
     end_on_signals()
     try:
         with System(Plan(engine_faults={"block_s": 0.1})) as system:
@@ -58,14 +58,14 @@
 
 
 def show(system: System) -> Iterator[Row]:
-    """Yields a row for each thing shown."""
+    """Yield a row for each thing shown."""
     yield from show_prompt(system)
     yield from show_booking(system)
     yield from show_data_centre(system)
 
 
 def show_prompt(system: System) -> Iterator[Row]:
-    """Sends one prompt three times, the last time after its cache has left."""
+    """Send one prompt three times, the last time after its cache has left."""
     prompt = make_prompt("wear report of axle 17")
     first, second = system.entries
     yield describe("prompt", ask(first, prompt))
@@ -77,7 +77,7 @@
 
 
 def show_booking(system: System) -> Iterator[Row]:
-    """Sends one booking twice under one key, and another one under the same key."""
+    """Send one booking twice under one key, and another one under the same key."""
     first, second = system.entries
     booking = {"wheelset": 17, "lathe": 2}
     yield describe_call("booking", book(first, booking))
@@ -91,7 +91,7 @@
 
 
 def show_data_centre(system: System) -> Iterator[Row]:
-    """Takes a data centre out and back while prompts arrive."""
+    """Take a data centre out and back while prompts arrive."""
     for what in ("out", "back"):
         ended = system.operate(what, DATA_CENTRE)
         text = (ended.stdout or ended.stderr).strip().splitlines()[0]
@@ -108,17 +108,17 @@
 
 
 def ask(entry: str, prompt: str, max_tokens: int = 16) -> Answer:
-    """Sends a prompt on the urgent route."""
+    """Send a prompt on the urgent route."""
     return complete(entry, TOKEN, URGENT_ROUTE, prompt, max_tokens)
 
 
 def book(entry: str, booking: dict[str, int]) -> Answer:
-    """Sends a booking under the demo's key."""
+    """Send a booking under the demo's key."""
     return call_service(entry, TOKEN, BOOKING_ROUTE, "booking-17", booking)
 
 
 def book_patiently(entry: str, booking: dict[str, int]) -> Answer:
-    """Sends a booking again, as a refusal's hint says, while its key is in progress."""
+    """Send a booking again, as a refusal's hint says, while its key is in progress."""
     for _ in range(MAX_REPEATS):
         answer = book(entry, booking)
         if answer.kind != ErrorKind.KEY_IN_PROGRESS:
@@ -128,13 +128,13 @@
 
 
 def make_prompt(text: str) -> str:
-    """Makes a prompt of several blocks, which begins with ``text``."""
+    """Make a prompt of several blocks, which begins with ``text``."""
     whole = text + "\n" + "profile 28.9 6.4 10.7\n" * (BLOCKS * BLOCK_BYTES // 10)
     return whole[: BLOCKS * BLOCK_BYTES]
 
 
 def wait_for_kept_blocks(system: System) -> int:
-    """Waits until a store instance holds the prompt; gives the blocks that are held."""
+    """Wait until a store instance holds the prompt; give the blocks that are held."""
 
     def count() -> int:
         return sum(int(system.show(name)["blocks"]) for name in system.plan.stores)
@@ -145,14 +145,14 @@
 
 
 def count_runs(system: System) -> int:
-    """Counts the runs that reached the engines of the demo's data centre."""
+    """Count the runs that reached the engines of the demo's data centre."""
     places = system.plan.engines
     names = [name for name, place in places.items() if place == DATA_CENTRE]
     return sum(system.show(name)["counts"].get("POST runs", 0) for name in names)
 
 
 def describe(what: str, answer: Answer) -> Row:
-    """Describes a completion's answer."""
+    """Describe a completion's answer."""
     usage = answer.usage
     blocks = usage.get("prompt_blocks", 0)
     recomputed = ""
@@ -166,7 +166,7 @@
 
 
 def describe_call(what: str, answer: Answer) -> Row:
-    """Describes a plain service's answer."""
+    """Describe a plain service's answer."""
     if answer.status != 200:
         return Row(what, describe_refusal(answer))
     replayed = answer.headers.get("idempotent-replayed") == "true"
@@ -174,7 +174,7 @@
 
 
 def describe_refusal(answer: Answer) -> str:
-    """Describes a refusal, a broken stream or a broken connection."""
+    """Describe a refusal, a broken stream or a broken connection."""
     if answer.broken:
         return f"broken: {answer.broken}"
     return f"{answer.status} {answer.kind} ({answer.outcome})"
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -33,7 +33,7 @@
             )
 
     def read_line(self) -> bytes:
-        """Reads the first line of output; raises if the process ends without one."""
+        """Read the first line of output; raise if the process ends without one."""
         assert self.process.stdout is not None
         line = self.process.stdout.readline()
         if not line:
@@ -41,7 +41,7 @@
         return line
 
     def check(self) -> None:
-        """Raises if the process has ended."""
+        """Raise if the process has ended."""
         if self.process.poll() is not None:
             raise RuntimeError(self.describe_end())
 
@@ -52,7 +52,7 @@
         return f"process {self.name!r} ended with status {status}:\n{tail}"
 
     def send(self, number: signal.Signals) -> None:
-        """Sends a signal, unless the process has ended."""
+        """Send a signal, unless the process has ended."""
         if self.process.poll() is None:
             self.process.send_signal(number)
 
@@ -63,7 +63,7 @@
         self._close()
 
     def wait(self, timeout_s: float) -> bool:
-        """Waits for the process's end; false if it still runs."""
+        """Wait for the process's end; false if it still runs."""
         try:
             self.process.wait(timeout_s)
         except subprocess.TimeoutExpired:
@@ -83,7 +83,7 @@
 
 
 def stop_all(children: Sequence[Child], patience_s: float = STOP_S) -> None:
-    """Ends processes gracefully, and kills those that take too long."""
+    """End processes gracefully, and kills those that take too long."""
     for child in children:
         child.send(signal.SIGCONT)
         child.send(signal.SIGTERM)
@@ -94,7 +94,7 @@
 
 
 def wait_until(condition: Callable[[], object], what: str, timeout_s: float) -> None:
-    """Waits until ``condition`` gives something true; raises ``TimeoutError``."""
+    """Wait until ``condition`` gives something true; raise ``TimeoutError``."""
     deadline = monotonic() + timeout_s
     while not condition():
         if monotonic() > deadline:
@@ -103,7 +103,7 @@
 
 
 def end_on_signals() -> None:
-    """Ends this process in order on SIGINT and SIGTERM.
+    """End this process in order on SIGINT and SIGTERM.
 
     A script's background processes ignore SIGINT unless they ask for it.
     """
--- a/demo/run.py
+++ b/demo/run.py
@@ -25,7 +25,7 @@
 
 
 def main() -> None:
-    """Starts a system and waits for Ctrl-C."""
+    """Start a system and wait for Ctrl-C."""
     end_on_signals()
     try:
         with System() as system:
@@ -36,7 +36,7 @@
 
 
 def describe(system: System) -> str:
-    """Describes what runs and what to try."""
+    """Describe what runs and what to try."""
     lines = [f"{name:24}{url}" for name, url in system.addresses.items()]
     token = next(iter(TOKENS.values()))
     text = TEXT.format(
--- a/demo/system.py
+++ b/demo/system.py
@@ -108,7 +108,7 @@
         return [self.addresses[name] for name in self.plan.entries]
 
     def start(self, name: str) -> None:
-        """Starts an entry or an agent with its settings, also after it has ended."""
+        """Start an entry or an agent with its settings, also after it has ended."""
         kind = "entry" if name in self.plan.entries else "agent"
         module = f"masticdrum.programs.{kind}"
         settings = str(self.directory / f"{name}.json")
@@ -116,7 +116,7 @@
         self.children[name] = Child(name, command, self.directory)
 
     def start_standin(self, name: str, module: str, faults: dict[str, Any]) -> str:
-        """Starts a stand-in; gives its address."""
+        """Start a stand-in; give its address."""
         command = [sys.executable, "-m", f"tests.standins.{module}"]
         self._standins[name] = (module, faults)
         port = self.addresses.get(name, ":0").rsplit(":", 1)[1]
@@ -130,11 +130,11 @@
         self.children[name].kill()
 
     def send(self, name: str, number: signal.Signals) -> None:
-        """Sends a signal to one process."""
+        """Send a signal to one process."""
         self.children[name].send(number)
 
     def heal(self) -> None:
-        """Ends all faults, starts again what has ended and waits until it is ready."""
+        """End all faults, start again what has ended and wait until it is ready."""
         for child in self.children.values():
             child.send(signal.SIGCONT)
         for name, (module, faults) in self._standins.items():
@@ -148,16 +148,16 @@
         self.wait_ready(*programs)
 
     def wait_ready(self, *names: str) -> None:
-        """Waits until entries and agents say that they are ready."""
+        """Wait until entries and agents say that they are ready."""
         for name in names:
             wait_until(lambda name=name: self._is_ready(name), f"{name} ready", READY_S)
 
     def control(self, name: str, /, **changes: Any) -> dict[str, Any]:
-        """Sets a stand-in's faults; gives its state."""
+        """Set a stand-in's faults; give its state."""
         return dict(call_json("POST", f"{self.addresses[name]}/control", changes))
 
     def show(self, name: str) -> dict[str, Any]:
-        """Shows a stand-in's state, or an entry's or agent's status."""
+        """Show a stand-in's state, or an entry's or agent's status."""
         is_program = name in self.plan.entries or name in self._agents
         path = "status" if is_program else "control"
         return dict(call_json("GET", f"{self.addresses[name]}/{path}"))
@@ -174,13 +174,13 @@
         return edited.serial
 
     def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Runs masticdrumctl to its end, with settings of this system."""
+        """Run masticdrumctl to its end, with settings of this system."""
         command = [sys.executable, "-m", "masticdrum.programs.ctl", "--settings"]
         command += [str(self.directory / "ctl.json"), *arguments]
         return subprocess.run(command, capture_output=True, text=True, check=False)
 
     def set_out(self, data_centre: str, out: bool) -> int:
-        """Takes a data centre out or back; gives the tables' new serial."""
+        """Take a data centre out or back; give the tables' new serial."""
 
         def change(tables: Tables) -> Tables:
             rows = [
@@ -192,7 +192,7 @@
         return self.edit_tables(change)
 
     def wait_in_force(self, serial: int) -> None:
-        """Waits until every entry and agent has tables of ``serial`` or later."""
+        """Wait until every entry and agent has tables of ``serial`` or later."""
         for name in [*self.plan.entries, *self._agents]:
             wait_until(
                 lambda name=name: self.show(name)["serial"] >= serial,
@@ -201,7 +201,7 @@
             )
 
     def evict_caches(self) -> None:
-        """Empties the engines' caches and waits until their agents were told."""
+        """Empty the engines' caches and wait until their agents were told."""
         for name in self.plan.engines:
             self.control(name, do="evict")
         for name in self.plan.engines:
@@ -219,7 +219,7 @@
         return int(self.show(name)["counts"].get("GET events", 0))
 
     def list_instances(self) -> list[dict[str, str]]:
-        """Lists the rows that the instance list should show."""
+        """List the rows that the instance list should show."""
         rows = [
             make_instance(name, "entry", place, self.addresses[name])
             for name, place in self.plan.entries.items()
@@ -358,7 +358,7 @@
 
 
 def make_routes() -> list[Route]:
-    """Makes the routes: urgent and normal prompts, and bookings."""
+    """Make the routes: urgent and normal prompts, and bookings."""
     workspaces = list(TOKENS)
     return [
         Route(URGENT_ROUTE, ENGINE_POOL, workspaces, Urgency.URGENT),
@@ -370,7 +370,7 @@
 
 
 def make_instance(name: str, role: str, place: str, address: str) -> dict[str, str]:
-    """Makes one row of the instance list."""
+    """Make one row of the instance list."""
     return {
         "name": name,
         "role": role,
@@ -381,7 +381,7 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Picks free ports; all are held until the last one is picked."""
+    """Pick free ports; all are held until the last one is picked."""
     with ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
         for one in sockets:
--- a/masticdrum/core/admission.py
+++ b/masticdrum/core/admission.py
@@ -71,7 +71,7 @@
         self._suspect = ""
 
     def configure(self, pool: Pool) -> None:
-        """Takes over a pool's new settings."""
+        """Take over a pool's new settings."""
         if pool is self.pool:
             return
         self.pool = pool
@@ -92,7 +92,7 @@
         return [self._refuse(victim, wait_s)]
 
     def take(self, now: float) -> list[Ticket]:
-        """Takes all requests that start now and counts them as running."""
+        """Take all requests that start now and count them as running."""
         self.occupancy.settle(now)
         started = []
         while (ticket := self._choose_next(now)) is not None:
@@ -109,21 +109,21 @@
         return [Refusal(t.attempt, kind, SHORTEST_RETRY_S) for t in late]
 
     def withdraw(self, attempt: str) -> bool:
-        """Takes a waiting request out; false if it is not waiting."""
+        """Take a waiting request out; false if it is not waiting."""
         held = len(self._held)
         self._held = deque(t for t in self._held if t.attempt != attempt)
         return len(self._held) < held or self.queue.remove(attempt) is not None
 
     def list_waiting(self) -> list[str]:
-        """Lists the attempts that have not started."""
+        """List the attempts that have not started."""
         return [ticket.attempt for ticket in self._held] + list(self.queue.tickets)
 
     def begin(self, attempt: str, now: float) -> None:
-        """Notes that the upstream confirmed a run."""
+        """Note that the upstream confirmed a run."""
         self.occupancy.begin(attempt, now)
 
     def progress(self, attempt: str, tokens: int, now: float) -> None:
-        """Notes that a run gave tokens."""
+        """Note that a run gave tokens."""
         self.gate.progress(attempt, self.occupancy, now)
         last = self._last_token.get(attempt)
         self._last_token[attempt] = now
@@ -132,7 +132,7 @@
             self.adaptive.observe(now - last, tokens, now)
 
     def end(self, attempt: str, now: float) -> None:
-        """Notes that a run ended well."""
+        """Note that a run ended well."""
         self.gate.progress(attempt, self.occupancy, now)
         run = self.occupancy.end(attempt, now)
         self._forget(attempt)
@@ -143,7 +143,7 @@
         self._duration_s += weight * (now - run.sent - self._duration_s)
 
     def fail(self, attempt: str, now: float, certain: bool) -> None:
-        """Notes that a run failed; ``certain`` tells that the upstream let go of it.
+        """Note that a run failed; ``certain`` tells that the upstream let go of it.
 
         A run of which that is not certain goes on counting until a report shows that
         it is gone.
@@ -158,22 +158,22 @@
         self.occupancy.orphan(attempt, now)
 
     def abandon(self, attempt: str, now: float) -> None:
-        """Notes that a run was cancelled and may go on for a while; no fault."""
+        """Note that a run was cancelled and may go on for a while; no fault."""
         self._forget(attempt)
         self.occupancy.orphan(attempt, now)
 
     def release(self, attempt: str, now: float) -> None:
-        """Notes that a run never reached the upstream, or was not taken by it."""
+        """Note that a run never reached the upstream, or was not taken by it."""
         self._forget(attempt)
         self.occupancy.end(attempt, now)
 
     def refuse_full(self, attempt: str, now: float) -> None:
-        """Notes that the upstream refused a run as too many; it did not run."""
+        """Note that the upstream refused a run as too many; it did not run."""
         self.release(attempt, now)
         self.adaptive.decrease(now)
 
     def report(self, reachable: bool, running: int, boot: str, now: float) -> None:
-        """Takes in a load report, or the lack of one."""
+        """Take in a load report, or the lack of one."""
         trusted = self.gate.trusted
         self.gate.report(reachable, boot, now)
         if not reachable:
@@ -191,7 +191,7 @@
         return (ahead - free + 1) * self._duration_s / slots
 
     def find_load(self, leaving: bool = False) -> Load:
-        """Makes the hint that goes out with answers and refusals."""
+        """Make the hint that goes out with answers and refusals."""
         return Load(
             running=len(self.occupancy.runs),
             queued=len(self.queue),
--- a/masticdrum/core/coldstart.py
+++ b/masticdrum/core/coldstart.py
@@ -83,14 +83,14 @@
         self._faults.clear()
 
     def configure(self, ramp: ColdStart, ceiling: int, reports: bool) -> None:
-        """Takes over a pool's new settings."""
+        """Take over a pool's new settings."""
         self.reports = reports
         self.ramp = ramp
         self.ceiling = ceiling
         self.limit = min(self.limit, ceiling)
 
     def report(self, reachable: bool, boot: str, now: float) -> None:
-        """Takes in a load report, or the lack of one."""
+        """Take in a load report, or the lack of one."""
         self.notice(now)
         if not reachable:
             self.restart(now)
@@ -105,7 +105,7 @@
         self.confirmed_until = max(self.confirmed_until, now - LOAD_LAG_S)
 
     def progress(self, attempt: str, occupancy: Occupancy, now: float) -> None:
-        """Takes in a sign of life of a run: a token, or its end without fault."""
+        """Take in a sign of life of a run: a token, or its end without fault."""
         self.notice(now)
         run = occupancy.runs.get(attempt)
         if run is None or now < self._evidence_from:
@@ -123,7 +123,7 @@
         self.confirmed_until += proven
 
     def fault(self, now: float) -> None:
-        """Takes in a run's failure; a burst of them restarts the ramp."""
+        """Take in a run's failure; a burst of them restarts the ramp."""
         self.notice(now)
         self._faults.append(now)
         while self._faults[0] < now - FAULT_WINDOW_S:
@@ -133,12 +133,12 @@
             self.restart(now)
 
     def find_room(self, occupancy: Occupancy, now: float) -> int:
-        """Counts the runs that may start now; never negative."""
+        """Count the runs that may start now; never negative."""
         self.notice(now)
         return self.peek_room(occupancy)
 
     def peek_room(self, occupancy: Occupancy) -> int:
-        """Counts the runs that might have started at the last event."""
+        """Count the runs that might have started at the last event."""
         if not self.trusted:
             return 0
         room = self.limit - len(occupancy.runs)
@@ -147,14 +147,14 @@
         return max(0, room)
 
     def count_unconfirmed(self, occupancy: Occupancy) -> int:
-        """Counts the runs that an unnoticed restart may have begun with."""
+        """Count the runs that an unnoticed restart may have begun with."""
         return sum(
             not self.known_from <= run.begun <= self.confirmed_until
             for run in occupancy.runs.values()
         )
 
     def notice(self, now: float) -> None:
-        """Looks at the time: at pauses of this process, and at overdue reports."""
+        """Look at the time: at pauses of this process, and at overdue reports."""
         if now - self._last_event > PAUSE_S:
             self._evidence_from = now + DRAIN_S
         self._last_event = now
--- a/masticdrum/core/concurrency.py
+++ b/masticdrum/core/concurrency.py
@@ -26,14 +26,14 @@
         self._decreased_at = float("-inf")
 
     def resize(self, ceiling: int) -> None:
-        """Takes over a pool's new ceiling."""
+        """Take over a pool's new ceiling."""
         if self.limit == self.ceiling:
             self.limit = ceiling
         self.ceiling = ceiling
         self.limit = min(self.limit, ceiling)
 
     def observe(self, gap_s: float, tokens: int, now: float) -> None:
-        """Takes in the time since a run's last tokens and the number of new ones."""
+        """Take in the time since a run's last tokens and the number of new ones."""
         if tokens < 1:
             return
         self.pace_s += SMOOTHING * (gap_s / tokens - self.pace_s)
@@ -50,7 +50,7 @@
         self.limit = max(floor, int(self.limit * DECREASE))
 
     def end(self) -> None:
-        """Takes in a run that ended well."""
+        """Take in a run that ended well."""
         if self.pace_s > SLOWEST_PACE_S:
             return
         self._good_ends += 1
--- a/masticdrum/core/declarations.py
+++ b/masticdrum/core/declarations.py
@@ -38,7 +38,7 @@
 def read_declarations(
     files: Mapping[str, bytes],
 ) -> Result[Tables, tuple[Fault, ...]]:
-    """Joins the two files, by name, into checked tables with serial zero.
+    """Join the two files, by name, into checked tables with serial zero.
 
     A fault's path begins with the file, as in ``pools.json: pools[1].kind: ...``.
     """
@@ -58,28 +58,28 @@
 
 
 def place_faults(faults: tuple[Fault, ...]) -> tuple[Fault, ...]:
-    """Adds to each fault's path the file that holds the value."""
+    """Add to each fault's path the file that holds the value."""
     return tuple(prefix_fault(find_file(fault.path), fault) for fault in faults)
 
 
 def find_file(path: str) -> str:
-    """Returns the file whose rows a path of the tables leads to."""
+    """Return the file whose rows a path of the tables leads to."""
     return ROUTES_FILE if path.startswith("routes") else POOLS_FILE
 
 
 def prefix_fault(file: str, fault: Fault) -> Fault:
-    """Returns the fault with its file's name before its path."""
+    """Return the fault with its file's name before its path."""
     path = f"{file}: {fault.path}" if fault.path else file
     return replace(fault, path=path)
 
 
 def write_declarations(tables: Tables) -> dict[str, bytes]:
-    """Splits tables into the two files, laid out for people to read."""
+    """Split tables into the two files, laid out for people to read."""
     routes = RoutesFile(tables.routes)
     pools = PoolsFile(tables.data_centres, tables.pools, tables.stores)
     return {ROUTES_FILE: lay_out(routes), POOLS_FILE: lay_out(pools)}
 
 
 def lay_out(value: object) -> bytes:
-    """Encodes a value as indented JSON with a final line break."""
+    """Encode a value as indented JSON with a final line break."""
     return msgspec.json.format(msgspec.json.encode(value), indent=INDENT) + b"\n"
--- a/masticdrum/core/decoding.py
+++ b/masticdrum/core/decoding.py
@@ -14,7 +14,7 @@
 
 
 def decode_json(body: bytes, kind: type[T]) -> Result[T, Fault]:
-    """Decodes ``body`` as JSON of ``kind``, or names the first fault's path."""
+    """Decode ``body`` as JSON of ``kind``, or names the first fault's path."""
     try:
         return Success(msgspec.json.decode(body, type=kind))
     except (msgspec.DecodeError, RecursionError) as error:
@@ -22,7 +22,7 @@
 
 
 def read_fault(text: str) -> Fault:
-    """Splits a decoder's message into the path and what is wrong there."""
+    """Split a decoder's message into the path and what is wrong there."""
     found = PATH.match(text)
     if found is None:
         return Fault("", text)
--- a/masticdrum/core/election.py
+++ b/masticdrum/core/election.py
@@ -10,12 +10,12 @@
 
 
 def hash_name(name: str, seed: int = 0) -> int:
-    """Returns a 64-bit hash of a name."""
+    """Return a 64-bit hash of a name."""
     return xxh3_64_intdigest(name.encode(), seed=seed)
 
 
 def choose_top(key: str, names: Iterable[str], count: int) -> list[str]:
-    """Returns the ``count`` names with the highest scores for ``key``."""
+    """Return the ``count`` names with the highest scores for ``key``."""
     seed = hash_name(key)
     ranked = sorted(names, key=lambda name: hash_name(name, seed))
     return ranked[-count:][::-1]
--- a/masticdrum/core/explanation.py
+++ b/masticdrum/core/explanation.py
@@ -83,14 +83,14 @@
 
 
 def refuse(bare: Explanation, kind: ErrorKind | None) -> Explanation:
-    """Returns an explanation that ends in a refusal."""
+    """Return an explanation that ends in a refusal."""
     return Explanation(bare.serial, bare.route, bare.workspace, kind)
 
 
 def find_refusal(
     view: TableView, route: Route | None, workspace: str, prompt: str
 ) -> ErrorKind | None:
-    """Returns why the request is refused before an upstream is chosen, or None."""
+    """Return why the request is refused before an upstream is chosen, or None."""
     if not view.serial:
         return ErrorKind.TABLES_MISSING
     if route is None:
@@ -105,7 +105,7 @@
 def find_excluded(
     view: TableView, pool: Pool, instances: Sequence[Instance]
 ) -> dict[str, str]:
-    """Returns why upstreams of a pool get no new work, by their names."""
+    """Return why upstreams of a pool get no new work, by their names."""
     states = {instance.address: instance.state for instance in instances}
     excluded: dict[str, str] = {}
     for upstream in pool.upstreams:
@@ -127,7 +127,7 @@
     excluded: Mapping[str, str],
     now: float,
 ) -> tuple[Candidate, ...]:
-    """Lists a pool's upstreams in the order of trial, the excluded ones last."""
+    """List a pool's upstreams in the order of trial, the excluded ones last."""
     key = Preambles().find_key(workspace, prompt, pool.block_bytes)
     order = order_upstreams(
         build_ranking(pool),
--- a/masticdrum/core/occupancy.py
+++ b/masticdrum/core/occupancy.py
@@ -45,11 +45,11 @@
         self._adopted = 0
 
     def start(self, attempt: str, now: float) -> None:
-        """Counts a run whose request is about to be sent."""
+        """Count a run whose request is about to be sent."""
         self.runs[attempt] = HeldRun(now)
 
     def begin(self, attempt: str, now: float) -> None:
-        """Notes that the upstream confirmed a run."""
+        """Note that the upstream confirmed a run."""
         run = self.runs.get(attempt)
         if run is not None and run.begun == inf:
             run.begun = now
@@ -65,7 +65,7 @@
         return run
 
     def orphan(self, attempt: str, now: float) -> None:
-        """Keeps counting a run of which nothing more will be heard."""
+        """Keep counting a run of which nothing more will be heard."""
         run = self.runs.get(attempt)
         if run is None:
             return
@@ -76,7 +76,7 @@
             self._snapshot.surely_running.discard(attempt)
 
     def report(self, running: int, now: float) -> None:
-        """Takes in a load report's count, which may be ``LOAD_LAG_S`` old."""
+        """Take in a load report's count, which may be ``LOAD_LAG_S`` old."""
         self.settle(now)
         self._adopt(running, now)
         if self._snapshot is None:
@@ -85,7 +85,7 @@
             )
 
     def settle(self, now: float) -> None:
-        """Drops foreign runs which an earlier report or the time shows to be gone."""
+        """Drop foreign runs which an earlier report or the time shows to be gone."""
         for attempt in [a for a, run in self.runs.items() if run.expires <= now]:
             del self.runs[attempt]
         snapshot = self._snapshot
--- a/masticdrum/core/orders.py
+++ b/masticdrum/core/orders.py
@@ -30,7 +30,7 @@
         self._next_at = 0.0
 
     def decide(self, wanted: str, loaded: str, now: float) -> GiveOrder | None:
-        """Finds the order that is due; ``loaded`` is empty while it is not known."""
+        """Find the order that is due; ``loaded`` is empty while it is not known."""
         if self.order:
             self._check_timeout(now)
             return None
@@ -46,7 +46,7 @@
         return self._give(wanted, fence, now)
 
     def take_answer(self, answer: OrderAnswered, now: float) -> None:
-        """Takes the upstream's answer in and gives the permit back.
+        """Take the upstream's answer in and give the permit back.
 
         Without an answer the load may go on, so the permit is kept for as long as
         an order may take.
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -102,7 +102,7 @@
         self._wake_at = 0.0
 
     def find_fence(self, now: float) -> int:
-        """Finds the fencing number under which an order may go out now, or zero."""
+        """Find the fencing number under which an order may go out now, or zero."""
         return self._fence if now < self._expires_at else 0
 
     @property
@@ -123,7 +123,7 @@
         self._expires_at = 0.0
 
     def plan_call(self, now: float) -> ObjectGet | ObjectPut | None:
-        """Finds the next call to the platform; at most one is under way."""
+        """Find the next call to the platform; at most one is under way."""
         if self._pending or now < self._wake_at:
             return None
         if self.wish is Wish.NONE and not self._token:
@@ -142,7 +142,7 @@
         return ObjectPut(self._pending, PERMITS_PATH, body, self._version)
 
     def take_answer(self, answer: ObjectAnswer, now: float) -> None:
-        """Takes the platform's answer in."""
+        """Take the platform's answer in."""
         if answer.call != self._pending:
             return
         wrote = self._pending.startswith("permits write")
--- a/masticdrum/core/retries.py
+++ b/masticdrum/core/retries.py
@@ -36,7 +36,7 @@
     def plan_retry(
         self, tries: int, refused: bool, now: float, deadline: float
     ) -> float | None:
-        """Finds the time of the next try and spends for it, or gives None.
+        """Find the time of the next try and spend for it, or give None.
 
         ``tries`` counts those already made. A refused request may go elsewhere at
         once, since it did not run.
--- a/masticdrum/core/settingscheck.py
+++ b/masticdrum/core/settingscheck.py
@@ -20,12 +20,12 @@
 
 
 def find_settings_faults(settings: AnySettings) -> Iterator[Fault]:
-    """Yields every fault of a program's settings, with its path."""
+    """Yield every fault of a program's settings, with its path."""
     yield from check_values("", settings)
 
 
 def check_values(path: str, values: Struct) -> Iterator[Fault]:
-    """Yields every fault of a struct of settings and of the structs inside it."""
+    """Yield every fault of a struct of settings and of the structs inside it."""
     for entry in fields(values):
         value = getattr(values, entry.name)
         where = f"{path}{entry.name}"
@@ -38,7 +38,7 @@
 
 
 def check_text(path: str, name: str, text: str) -> Iterator[Fault]:
-    """Yields a fault if a text is empty or an address does not parse."""
+    """Yield a fault if a text is empty or an address does not parse."""
     if not text:
         yield Fault(path, "it is empty")
         return
--- a/masticdrum/core/suspects.py
+++ b/masticdrum/core/suspects.py
@@ -138,7 +138,7 @@
         return not self._changes
 
     def note_crash(self, fingerprints: tuple[str, ...]) -> None:
-        """Records what ran when this agent's upstream was lost."""
+        """Record what ran when this agent's upstream was lost."""
         self._calls += 1
         mark = f"{self.holder}/{self._calls}"
         self._changes.append(Crash(mark, fingerprints))
@@ -151,13 +151,13 @@
         self._changes.append(Claim(fingerprint, f"{self.holder}/{self._calls}"))
 
     def end_trial(self, fingerprint: str, well: bool) -> None:
-        """Gives a trial back; without fault, the suspect comes free."""
+        """Give a trial back; without fault, the suspect comes free."""
         token = self.trials.pop(fingerprint, "")
         if token:
             self._changes.append(Release(fingerprint, token, well))
 
     def plan_call(self, now: float) -> ObjectGet | ObjectPut | None:
-        """Finds the next call to the platform; at most one is under way."""
+        """Find the next call to the platform; at most one is under way."""
         if self._pending and not (self._watching() and self._must_write(now)):
             return None
         if now < self._retry_at:
@@ -175,7 +175,7 @@
         return ObjectGet(self._pending, SUSPECTS_PATH, self._version, WATCH_S)
 
     def take_answer(self, answer: ObjectAnswer, now: float) -> list[Claim]:
-        """Takes an answer in; gives the claims that it settled, won or lost."""
+        """Take an answer in; give the claims that it settled, won or lost."""
         if answer.call != self._pending:
             return []
         wrote = self._pending.startswith("suspects write")
@@ -290,7 +290,7 @@
 
 
 def apply_crash(rows: dict[str, SuspectRow], crash: Crash, holder: str) -> None:
-    """Records a crash; the one known suspect among those that ran is guilty."""
+    """Record a crash; the one known suspect among those that ran is guilty."""
     known = [name for name in crash.fingerprints if name in rows]
     if any(crash.mark in rows[name].marks for name in known):
         return
--- a/masticdrum/core/syncpeers.py
+++ b/masticdrum/core/syncpeers.py
@@ -29,7 +29,7 @@
 def choose_entry_peers(
     name: str, data_centre: str, instances: Sequence[Instance]
 ) -> SyncPeers:
-    """Returns the part of the entry ``name``.
+    """Return the part of the entry ``name``.
 
     An agent is fed by the best entries of its own data centre, or of all of them
     where its own has none. Every entry has some contacts, and each watcher has one
@@ -51,7 +51,7 @@
 def list_entries(
     name: str, data_centre: str, instances: Sequence[Instance]
 ) -> dict[str, list[str]]:
-    """Returns the live entries of each data centre; this one counts, listed or not."""
+    """Return the live entries of each data centre; this one counts, listed or not."""
     entries: dict[str, list[str]] = {data_centre: [name]}
     for row in instances:
         if row.role != ENTRY or row.state is not InstanceState.LIVE:
@@ -62,7 +62,7 @@
 
 
 def group_agents(instances: Sequence[Instance]) -> dict[str, list[str]]:
-    """Returns the agents' addresses by data centre, the leaving ones too."""
+    """Return the agents' addresses by data centre, the leaving ones too."""
     agents: dict[str, list[str]] = {}
     for row in instances:
         if row.role == AGENT:
@@ -73,7 +73,7 @@
 def choose_fed(
     name: str, centre: str, entries: dict[str, list[str]], addresses: list[str]
 ) -> set[str]:
-    """Returns those agents of a data centre that the entry ``name`` feeds."""
+    """Return those agents of a data centre that the entry ``name`` feeds."""
     feeders = entries.get(centre)
     if feeders is None:
         feeders = [entry for names in entries.values() for entry in names]
@@ -87,5 +87,5 @@
 
 
 def count_processes(instances: Sequence[Instance]) -> int:
-    """Returns how many entries and agents are listed."""
+    """Return how many entries and agents are listed."""
     return sum(row.role in (ENTRY, AGENT) for row in instances)
--- a/masticdrum/core/tablebody.py
+++ b/masticdrum/core/tablebody.py
@@ -13,12 +13,12 @@
 
 
 def pack_tables(tables: Tables) -> bytes:
-    """Returns the body of a ``TablesGive``."""
+    """Return the body of a ``TablesGive``."""
     return zlib.compress(msgspec.json.encode(tables), LEVEL)
 
 
 def unpack_tables(body: bytes) -> Result[Tables, tuple[Fault, ...]]:
-    """Returns the checked tables of a ``TablesGive``, which may hold anything."""
+    """Return the checked tables of a ``TablesGive``, which may hold anything."""
     inflater = zlib.decompressobj()
     try:
         text = inflater.decompress(body, MAX_TABLES_BYTES)
--- a/masticdrum/core/tablecheck.py
+++ b/masticdrum/core/tablecheck.py
@@ -33,7 +33,7 @@
 
 
 def decode_tables(body: bytes) -> Result[Tables, tuple[Fault, ...]]:
-    """Decodes and checks tables from JSON; the failure lists every fault found."""
+    """Decode and check tables from JSON; the failure lists every fault found."""
     decoded = decode_json(body, Tables)
     if not isinstance(decoded, Success):
         return Failure((decoded.failure(),))
@@ -41,7 +41,7 @@
 
 
 def check_tables(tables: Tables) -> Result[Tables, tuple[Fault, ...]]:
-    """Returns the tables if they are sound, or else every fault with its path.
+    """Return the tables if they are sound, or else every fault with its path.
 
     A fault reads, for example, ``pools[1].upstreams[0]: data centre 'x' is not
     listed``.
@@ -53,7 +53,7 @@
 
 
 def find_faults(tables: Tables) -> Iterator[Fault]:
-    """Yields every fault of the tables."""
+    """Yield every fault of the tables."""
     data_centres = {row.name for row in tables.data_centres}
     stores = {row.name for row in tables.stores}
     pools = {row.name: row for row in tables.pools}
@@ -73,7 +73,7 @@
 
 
 def check_names(path: str, noun: str, rows: Sequence[Named]) -> Iterator[Fault]:
-    """Yields a fault for each malformed or repeated name of a list."""
+    """Yield a fault for each malformed or repeated name of a list."""
     seen: set[str] = set()
     for i, row in enumerate(rows):
         if not NAME.fullmatch(row.name):
@@ -84,7 +84,7 @@
 
 
 def check_store(path: str, store: Store, data_centres: set[str]) -> Iterator[Fault]:
-    """Yields every fault of one store instance."""
+    """Yield every fault of one store instance."""
     if store.data_centre not in data_centres:
         yield Fault(path, f"data centre {store.data_centre!r} is not listed")
     if not is_address(store.address, "http"):
@@ -94,7 +94,7 @@
 def check_pool(
     path: str, pool: Pool, data_centres: set[str], stores: set[str]
 ) -> Iterator[Fault]:
-    """Yields every fault of one pool."""
+    """Yield every fault of one pool."""
     if not pool.upstreams:
         yield Fault(f"{path}.upstreams", f"pool {pool.name!r} has no upstream")
     if pool.kind is PoolKind.ENGINE and not (pool.model and pool.version):
@@ -114,7 +114,7 @@
 
 
 def check_cold_start(path: str, cold_start: ColdStart) -> Iterator[Fault]:
-    """Yields every fault of a cold start's limits."""
+    """Yield every fault of a cold start's limits."""
     yield from check_least(f"{path}.limit", cold_start.limit, 1)
     yield from check_least(f"{path}.step", cold_start.step, 1)
     yield from check_above_zero(f"{path}.every_s", cold_start.every_s)
@@ -123,7 +123,7 @@
 def check_upstream(
     path: str, upstream: Upstream, data_centres: set[str]
 ) -> Iterator[Fault]:
-    """Yields every fault of one upstream."""
+    """Yield every fault of one upstream."""
     if upstream.data_centre not in data_centres:
         yield Fault(path, f"data centre {upstream.data_centre!r} is not listed")
     if not is_address(upstream.agent, "tcp"):
@@ -132,7 +132,7 @@
 
 
 def check_agents(pools: Iterable[Pool]) -> Iterator[Fault]:
-    """Yields a fault for each agent address that two upstreams share."""
+    """Yield a fault for each agent address that two upstreams share."""
     owners: dict[str, str] = {}
     for i, pool in enumerate(pools):
         for j, upstream in enumerate(pool.upstreams):
@@ -144,7 +144,7 @@
 
 
 def check_route(path: str, route: Route, pools: dict[str, Pool]) -> Iterator[Fault]:
-    """Yields every fault of one route."""
+    """Yield every fault of one route."""
     pool = pools.get(route.pool)
     if pool is None:
         yield Fault(f"{path}.pool", f"pool {route.pool!r} is not listed")
@@ -163,7 +163,7 @@
 
 
 def check_workspaces(path: str, workspaces: list[str]) -> Iterator[Fault]:
-    """Yields a fault for each malformed or repeated workspace of a route."""
+    """Yield a fault for each malformed or repeated workspace of a route."""
     seen: set[str] = set()
     for i, workspace in enumerate(workspaces):
         if not NAME.fullmatch(workspace):
@@ -174,12 +174,12 @@
 
 
 def check_least(path: str, value: int, least: int) -> Iterator[Fault]:
-    """Yields a fault if ``value`` is below ``least``."""
+    """Yield a fault if ``value`` is below ``least``."""
     if value < least:
         yield Fault(path, f"{value} is below {least}")
 
 
 def check_above_zero(path: str, value: float) -> Iterator[Fault]:
-    """Yields a fault if ``value`` isn't above zero."""
+    """Yield a fault if ``value`` isn't above zero."""
     if value <= 0:
         yield Fault(path, f"{value} is not above 0")
--- a/masticdrum/core/tablediff.py
+++ b/masticdrum/core/tablediff.py
@@ -30,12 +30,12 @@
 
 
 def show(value: Any) -> str:
-    """Writes a value on one line."""
+    """Write a value on one line."""
     return msgspec.json.encode(value).decode()
 
 
 def list_changes(old: Tables, new: Tables) -> list[Change]:
-    """Lists what an edit from ``old`` to ``new`` changes, serials left aside."""
+    """List what an edit from ``old`` to ``new`` changes, serials left aside."""
     before = msgspec.to_builtins(old)
     after = msgspec.to_builtins(new)
     changes: list[Change] = []
@@ -45,7 +45,7 @@
 
 
 def compare(path: str, old: Any, new: Any) -> Iterator[Change]:
-    """Yields the differences between two values at one path."""
+    """Yield the differences between two values at one path."""
     if old == new:
         return
     if isinstance(old, dict) and isinstance(new, dict):
@@ -59,7 +59,7 @@
 
 
 def compare_rows(path: str, old: list[Any], new: list[Any]) -> Iterator[Change]:
-    """Yields the differences between two lists, whose rows are told by name."""
+    """Yield the differences between two lists, whose rows are told by name."""
     before = {name_row(row): row for row in old}
     after = {name_row(row): row for row in new}
     for name in before | after:
@@ -75,5 +75,5 @@
 
 
 def name_row(row: Any) -> str:
-    """Returns a row's name; a plain text is its own name."""
+    """Return a row's name; a plain text is its own name."""
     return row["name"] if isinstance(row, dict) else str(row)
--- a/masticdrum/core/tableedit.py
+++ b/masticdrum/core/tableedit.py
@@ -13,13 +13,13 @@
 
 
 def digest_tables(tables: Tables) -> str:
-    """Returns a digest of what the tables say, whatever their serial."""
+    """Return a digest of what the tables say, whatever their serial."""
     bare = replace(tables, serial=0, edits=[])
     return xxh3_128_hexdigest(msgspec.json.encode(bare))
 
 
 def prepare_edit(current: Tables, wanted: Tables, floor: int = 0) -> Tables:
-    """Returns the tables that put ``wanted`` in force after ``current``.
+    """Return the tables that put ``wanted`` in force after ``current``.
 
     Their serial is the next one, and above ``floor``.
     """
@@ -35,7 +35,7 @@
 
 
 def set_out(tables: Tables, data_centre: str, out: bool) -> Result[Tables, Fault]:
-    """Returns the tables with one data centre taken out, or back."""
+    """Return the tables with one data centre taken out, or back."""
     if all(row.name != data_centre for row in tables.data_centres):
         text = f"data centre {data_centre!r} is not listed"
         return Failure(Fault("data_centres", text))
@@ -44,11 +44,11 @@
 
 
 def mark(row: DataCentre, data_centre: str, out: bool) -> DataCentre:
-    """Returns the row, marked if it is the one meant."""
+    """Return the row, marked if it is the one meant."""
     return replace(row, out=out) if row.name == data_centre else row
 
 
 def list_returning(current: Tables, wanted: Tables) -> list[str]:
-    """Lists the data centres that are out now and would come back by an edit."""
+    """List the data centres that are out now and would come back by an edit."""
     out = {row.name for row in current.data_centres if row.out}
     return [row.name for row in wanted.data_centres if row.name in out and not row.out]
--- a/masticdrum/core/tablesync.py
+++ b/masticdrum/core/tablesync.py
@@ -186,7 +186,7 @@
         return self.serial > 0 and self._doubted_at is not None
 
     def find_next_timer(self) -> float:
-        """Returns when ``wake`` is due, in seconds."""
+        """Return when ``wake`` is due, in seconds."""
         if not self._started:
             return 0.0
         due = self.timers.find_next()
@@ -205,7 +205,7 @@
         return self._begin_doubt(now)
 
     def adopt(self, tables: Tables, now: float) -> None:
-        """Puts tables in force that the caller vouches for."""
+        """Put tables in force that the caller vouches for."""
         require(tables.serial >= self.serial, "an installed serial only grows")
         self.tables = tables
         self._packed = b""
@@ -243,7 +243,7 @@
         return effects
 
     def take_envelope(self, peer: str, serial: int, now: float) -> list[SyncEffect]:
-        """Compares serials with a peer that sent something."""
+        """Compare serials with a peer that sent something."""
         self._hear(peer, now)
         if serial < self.serial:
             return self._tell(peer, now)
@@ -258,7 +258,7 @@
         return self._ask(peer, now)
 
     def take_ask(self, peer: str) -> list[SyncEffect]:
-        """Gives the tables to a peer that asked, unless they are in doubt here."""
+        """Give the tables to a peer that asked, unless they are in doubt here."""
         if not self.is_ready:
             return []
         if not self._packed:
@@ -276,7 +276,7 @@
         return self._install(unpacked.unwrap(), f"peer '{peer}'", now)
 
     def take_object(self, answer: ObjectAnswer, now: float) -> list[SyncEffect]:
-        """Takes the platform's answer to a read or a watch."""
+        """Take the platform's answer to a read or a watch."""
         call = self._calls.pop(answer.call, None)
         if call is None:
             return []
@@ -296,7 +296,7 @@
                 return [Log(LogNumber.PLATFORM_FAILED, detail=text)]
 
     def wake(self, now: float) -> list[SyncEffect]:
-        """Does what is due."""
+        """Do what is due."""
         effects: list[SyncEffect] = []
         for name in self.timers.pop_due(now):
             effects += self._take_timer(name, now)
@@ -522,7 +522,7 @@
 
 
 def reject_tables(source: str, faults: Sequence[Fault]) -> list[SyncEffect]:
-    """Returns the effects of refusing tables whole."""
+    """Return the effects of refusing tables whole."""
     text = f"from {source}: {'; '.join(str(fault) for fault in faults)}"
     return [
         Log(LogNumber.TABLES_REJECTED, detail=text),
--- a/masticdrum/core/waiting.py
+++ b/masticdrum/core/waiting.py
@@ -51,18 +51,18 @@
         self._virtual = 0.0
 
     def preview_tag(self, workspace: str) -> float:
-        """Finds the start tag that the workspace's next request would get."""
+        """Find the start tag that the workspace's next request would get."""
         return max(self._virtual, self._finish.get(workspace, 0.0))
 
     def push(self, ticket: Ticket) -> None:
-        """Appends a request to its workspace's queue."""
+        """Append a request to its workspace's queue."""
         ticket.tag = self.preview_tag(ticket.workspace)
         self._finish[ticket.workspace] = ticket.tag + ticket.work
         self.queues.setdefault(ticket.workspace, deque()).append(ticket)
         self.size += 1
 
     def pop(self) -> Ticket:
-        """Takes the request with the lowest start tag."""
+        """Take the request with the lowest start tag."""
         queue = min(self.queues.values(), key=lambda q: (q[0].tag, q[0].arrived))
         ticket = queue[0]
         self._virtual = ticket.tag
@@ -70,7 +70,7 @@
         return ticket
 
     def remove(self, ticket: Ticket) -> None:
-        """Takes out one request, from wherever it stands."""
+        """Take out one request, from wherever it stands."""
         queue = self.queues[ticket.workspace]
         queue.remove(ticket)
         self.size -= 1
@@ -81,7 +81,7 @@
             self._virtual = 0.0
 
     def drop(self, workspace: str) -> Ticket:
-        """Takes back the newest request of a workspace, and its share with it."""
+        """Take back the newest request of a workspace, and its share with it."""
         ticket = self.queues[workspace][-1]
         self.remove(ticket)
         if self.size:
@@ -93,11 +93,11 @@
         return max(self.queues, key=lambda name: (len(self.queues[name]), name))
 
     def find_oldest(self) -> float:
-        """Finds the earliest arrival; the lane must not be empty."""
+        """Find the earliest arrival; the lane must not be empty."""
         return min(queue[0].arrived for queue in self.queues.values())
 
     def count_before(self, tag: float) -> int:
-        """Counts the requests that go before one with the start tag ``tag``."""
+        """Count the requests that go before one with the start tag ``tag``."""
         return sum(t.tag <= tag for queue in self.queues.values() for t in queue)
 
 
@@ -129,28 +129,28 @@
         return victim
 
     def pop(self, now: float) -> Ticket:
-        """Takes the request that starts next; the queue must not be empty."""
+        """Take the request that starts next; the queue must not be empty."""
         urgency = self._choose_class(now)
         ticket = self.lanes[urgency].pop()
         del self.tickets[ticket.attempt]
         return ticket
 
     def remove(self, attempt: str) -> Ticket | None:
-        """Takes out a request that is no longer wanted."""
+        """Take out a request that is no longer wanted."""
         ticket = self.tickets.pop(attempt, None)
         if ticket is not None:
             self.lanes[ticket.urgency].remove(ticket)
         return ticket
 
     def expire(self, now: float) -> list[Ticket]:
-        """Takes out all requests whose deadline has passed."""
+        """Take out all requests whose deadline has passed."""
         late = [t for t in self.tickets.values() if t.deadline <= now]
         for ticket in late:
             self.remove(ticket.attempt)
         return late
 
     def count_ahead(self, workspace: str, urgency: Urgency) -> int:
-        """Counts the requests that a new one would wait for."""
+        """Count the requests that a new one would wait for."""
         higher = CLASSES[: CLASSES.index(urgency)]
         lane = self.lanes[urgency]
         own = lane.count_before(lane.preview_tag(workspace))
--- a/masticdrum/programs/ctl.py
+++ b/masticdrum/programs/ctl.py
@@ -49,7 +49,7 @@
         self.output = output
 
     def load(self) -> CtlSettings:
-        """Returns the settings, or ends the process."""
+        """Return the settings, or end the process."""
         return unwrap_or_exit(load_settings(self._path, CtlSettings))
 
 
@@ -225,12 +225,12 @@
 
 
 def choose_timeout(settings: CtlSettings, timeout: float | None) -> float:
-    """Returns the command line's timeout, or else that of the settings."""
+    """Return the command line's timeout, or else that of the settings."""
     return settings.apply_timeout_s if timeout is None else timeout
 
 
 def load_folder(output: Output, folder: Path) -> Tables:
-    """Reads and checks the declarations of a folder, or ends the process."""
+    """Read and check the declarations of a folder, or end the process."""
     files = {
         name: unwrap_or_exit(read_file(folder / name))
         for name in (ROUTES_FILE, POOLS_FILE)
@@ -243,7 +243,7 @@
 
 
 def confirm_changes(output: Output, current: Tables, wanted: Tables, yes: bool) -> None:
-    """Shows the changes and asks whether they are meant, or ends the process."""
+    """Show the changes and ask whether they are meant, or end the process."""
     output.note(describe_changes(current, list_changes(current, wanted)))
     if yes:
         return
--- a/masticdrum/programs/ctloutput.py
+++ b/masticdrum/programs/ctloutput.py
@@ -45,7 +45,7 @@
 
 
 def describe_end(applied: Applied) -> str:
-    """Returns one sentence on how an edit ended."""
+    """Return one sentence on how an edit ended."""
     text = SENTENCES[applied.ending].format(serial=applied.tables.serial)
     if applied.overtaken:
         text += ", and overtaken by a later edit"
@@ -70,7 +70,7 @@
         self.as_json = as_json
 
     def show(self, text: str, value: Any) -> None:
-        """Prints ``value`` as JSON, or else ``text``."""
+        """Print ``value`` as JSON, or else ``text``."""
         if self.as_json:
             click.echo(msgspec.json.encode(value))
         elif text:
@@ -82,6 +82,6 @@
             click.echo(text, err=True)
 
     def end(self, code: ExitCode, text: str, **values: Any) -> NoReturn:
-        """Prints the last word and ends the process with ``code``."""
+        """Print the last word and end the process with ``code``."""
         self.show(text, {"exit": code, "text": text, **values})
         sys.exit(code)
--- a/masticdrum/programs/ctlsession.py
+++ b/masticdrum/programs/ctlsession.py
@@ -52,7 +52,7 @@
         )
 
     async def read_tables(self) -> Tables:
-        """Returns the tables in force, or ends the process."""
+        """Return the tables in force, or end the process."""
         stored = await self.editor.read()
         if isinstance(stored, Failure):
             failure = stored.failure()
@@ -62,7 +62,7 @@
         return stored.unwrap().tables
 
     async def list_instances(self) -> tuple[Instance, ...]:
-        """Returns the instance list, empty where it gives no answer."""
+        """Return the instance list, empty where it gives no answer."""
         listed = await self._instances.read()
         return () if listed is None else listed.instances
 
@@ -72,14 +72,14 @@
         return await fleet.ask(await self.list_instances())
 
     async def find_floor(self, tables: Tables) -> int:
-        """Returns the highest serial in force where the platform holds no tables."""
+        """Return the highest serial in force where the platform holds no tables."""
         if tables.serial:
             return 0
         reports = await self.ask_fleet(Tables())
         return max((report.serial or 0 for report in reports), default=0)
 
     async def finish(self, applied: Applied, timeout_s: float) -> None:
-        """Reports how an edit ended and waits until it is in force everywhere."""
+        """Report how an edit ended and wait until it is in force everywhere."""
         faults = [str(fault) for fault in applied.faults]
         if ENDINGS[applied.ending] is not ExitCode.DONE:
             text = "\n".join([*faults, describe_end(applied)])
@@ -126,7 +126,7 @@
     def guard_returning(
         self, current: Tables, wanted: Tables, allowed: tuple[str, ...]
     ) -> None:
-        """Ends the process if an edit would bring a data centre back unasked."""
+        """End the process if an edit would bring a data centre back unasked."""
         for name in list_returning(current, wanted):
             if name not in allowed:
                 text = (
@@ -141,7 +141,7 @@
     output: Output,
     command: Callable[[Session], Awaitable[None]],
 ) -> None:
-    """Runs one command to its end."""
+    """Run one command to its end."""
 
     async def run() -> None:
         ended: BaseException | None = None
--- a/masticdrum/programs/ctltext.py
+++ b/masticdrum/programs/ctltext.py
@@ -8,7 +8,7 @@
 
 
 def describe_changes(current: Tables, changes: list[Change]) -> str:
-    """Lists changes for people, with the serial that they are made against."""
+    """List changes for people, with the serial that they are made against."""
     lines = [str(change) for change in changes] or ["no changes"]
     return "\n".join([*lines, f"against serial {current.serial}"])
 
@@ -63,7 +63,7 @@
 
 
 def describe_load(report: Report) -> str:
-    """Writes an agent's load in a few words."""
+    """Write an agent's load in a few words."""
     load = report.load
     if load is None:
         return ""
--- a/masticdrum/shell/applying.py
+++ b/masticdrum/shell/applying.py
@@ -39,7 +39,7 @@
     """Carries out an object call; it answers whatever fails."""
 
     async def ask(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
-        """Returns the call's answer."""
+        """Return the call's answer."""
 
 
 class Ending(StrEnum):
@@ -88,17 +88,17 @@
         self._timeout_s = timeout_s
 
     async def read(self) -> Result[Stored, Fault | Unread]:
-        """Reads the tables, with repeats until the time is up."""
+        """Read the tables, with repeats until the time is up."""
         return await self._read_until(trio.current_time() + self._timeout_s)
 
     async def apply(self, change: Change) -> Applied:
-        """Applies ``change`` to the tables that stand now. It is safe to repeat."""
+        """Apply ``change`` to the tables that stand now. It is safe to repeat."""
         return await self._edit(change, None, 0)
 
     async def replace(
         self, wanted: Tables, serial: int | None = None, floor: int = 0
     ) -> Applied:
-        """Puts ``wanted`` in force instead of the tables whose serial is ``serial``.
+        """Put ``wanted`` in force instead of the tables whose serial is ``serial``.
 
         Without a serial, instead of those that stand now. The new serial is above
         ``floor``, which matters where the object was deleted. It is safe to repeat.
@@ -158,7 +158,7 @@
 
 
 def read_stored(answer: ObjectAnswer) -> Result[Stored, Fault | Unread]:
-    """Decodes the tables that the platform holds."""
+    """Decode the tables that the platform holds."""
     decoded = decode_json(answer.body, Tables)
     if not isinstance(decoded, Success):
         return Failure(decoded.failure())
@@ -166,7 +166,7 @@
 
 
 def end_unread(failure: Fault | Unread, ending: Ending) -> Applied:
-    """Ends an edit whose tables can't be read."""
+    """End an edit whose tables can't be read."""
     if isinstance(failure, Fault):
         return Applied(Ending.WRONG, faults=(failure,))
     return Applied(ending)
--- a/masticdrum/shell/fleet.py
+++ b/masticdrum/shell/fleet.py
@@ -136,12 +136,12 @@
 
 
 def make_report(row: Instance) -> Report:
-    """Returns the empty report of one instance."""
+    """Return the empty report of one instance."""
     return Report(row.name, row.role, row.data_centre, row.state.value, row.address)
 
 
 def read_hints(reports: Iterable[Report], now: float) -> dict[str, Hint]:
-    """Returns the loads that agents reported, by their upstreams' names."""
+    """Return the loads that agents reported, by their upstreams' names."""
     return {
         row.upstream: Hint(row.load, now) for row in reports if row.load is not None
     }
--- a/masticdrum/shell/journal.py
+++ b/masticdrum/shell/journal.py
@@ -20,7 +20,7 @@
         self.instance = instance
 
     def format(self, record: logging.LogRecord) -> str:
-        """Writes the time, the process and the event of a record."""
+        """Write the time, the process and the event of a record."""
         line: dict[str, object] = {
             "time": datetime.fromtimestamp(record.created, UTC).isoformat(),
             "level": record.levelname.lower(),
@@ -38,7 +38,7 @@
 
 
 def describe_event(event: Log) -> dict[str, object]:
-    """Turns a log event into the keys of its line, without the empty ones."""
+    """Turn a log event into the keys of its line, without the empty ones."""
     keys: dict[str, object] = {
         "event": int(event.number),
         "name": event.number.name.lower(),
@@ -52,7 +52,7 @@
 
 
 def open_journal(program: str, instance: str, stream: TextIO | None = None) -> None:
-    """Sends all logging of this process to ``stream``, standard error by default."""
+    """Send all logging of this process to ``stream``, standard error by default."""
     handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonLines(program, instance))
     root = logging.getLogger()
--- a/masticdrum/shell/meters.py
+++ b/masticdrum/shell/meters.py
@@ -58,17 +58,17 @@
         self._labels: dict[str, set[str]] = {}
 
     def count(self, effect: Count) -> None:
-        """Adds to a counter."""
+        """Add to a counter."""
         label = self._bound_label(effect.counter, effect.reason)
         self._counters[effect.counter].labels(label).inc(effect.amount)
 
     def observe(self, effect: Observe) -> None:
-        """Puts a value into a histogram."""
+        """Put a value into a histogram."""
         label = self._bound_label(effect.histogram, effect.label)
         self._histograms[effect.histogram].labels(label).observe(effect.value)
 
     def export(self) -> bytes:
-        """Returns all series in the text format that a scraper reads."""
+        """Return all series in the text format that a scraper reads."""
         return generate_latest(self.registry)
 
     def _bound_label(self, meter: str, value: str) -> str:
--- a/masticdrum/shell/settings.py
+++ b/masticdrum/shell/settings.py
@@ -16,7 +16,7 @@
 
 
 def load_settings(path: Path, kind: type[S]) -> Result[S, str]:
-    """Reads one JSON file of settings.
+    """Read one JSON file of settings.
 
     The failure is a text for the operator that names the file and the path of the
     fault in it, for example ``entry.json: limits.max_body_bytes: 0 is not above 0``.
@@ -39,7 +39,7 @@
 
 
 def load_credentials(path: Path) -> Result[dict[str, str], str]:
-    """Reads the workspaces of callers, by the SHA-256 of their bearer tokens.
+    """Read the workspaces of callers, by the SHA-256 of their bearer tokens.
 
     A failure names the file and the row by its number, never a digest.
     """
@@ -59,7 +59,7 @@
 
 
 def load_secret(path: str | None) -> Result[str, str]:
-    """Reads a secret from a file's first line; no path means no secret."""
+    """Read a secret from a file's first line; no path means no secret."""
     if path is None:
         return Success("")
     body = read_file(Path(path))
@@ -67,7 +67,7 @@
 
 
 def read_file(path: Path) -> Result[bytes, str]:
-    """Reads a whole file, or says which one can't be read and why."""
+    """Read a whole file, or say which one can't be read and why."""
     try:
         return Success(path.read_bytes())
     except OSError as error:
--- a/tests/core/mutants.py
+++ b/tests/core/mutants.py
@@ -29,7 +29,7 @@
 
 
 def believe_conflicts(patch: Patch) -> None:
-    """Takes a write that lost the conditional update for a good one."""
+    """Take a write that lost the conditional update for a good one."""
     take = Partition._take_written
 
     def believe(self: Any, op: Any, answer: Any, step: Any, now: float) -> None:
@@ -43,7 +43,7 @@
 
 
 def believe_lost_writes(patch: Patch) -> None:
-    """Takes a write without an answer for a good one."""
+    """Take a write without an answer for a good one."""
     take = Partition._take_written
 
     def believe(self: Any, op: Any, answer: Any, step: Any, now: float) -> None:
@@ -71,13 +71,13 @@
 
 
 def take_unknown_for_not_run(patch: Patch) -> None:
-    """Takes every end without an answer for "not run"."""
+    """Take every end without an answer for "not run"."""
     patch.setattr(callframes, "_tells_not_run", lambda message: True)
     patch.setattr(callframes, "_is_from", lambda expected, incarnation: True)
 
 
 def forget_attempts(patch: Patch) -> None:
-    """Runs each copy of a dispatch at the agent."""
+    """Run each copy of a dispatch at the agent."""
     take = Attempts.take_call
 
     def forget(self: Any, link: str, call: Any, gate: Any, now: float) -> Any:
@@ -91,7 +91,7 @@
 
 
 def ignore_incarnation(patch: Patch) -> None:
-    """Runs dispatches that were meant for a replaced agent."""
+    """Run dispatches that were meant for a replaced agent."""
     take = Attempts.take_call
 
     def ignore(self: Any, link: str, call: Any, gate: Any, now: float) -> Any:
@@ -149,12 +149,12 @@
 
 
 def ignore_bodies(patch: Patch) -> None:
-    """Takes any body for the one that a key was used with first."""
+    """Take any body for the one that a key was used with first."""
     patch.setattr(calls, "digest_request", lambda route, body: b"")
 
 
 def mix_workspaces(patch: Patch) -> None:
-    """Finds a key's record whatever workspace it belongs to."""
+    """Find a key's record whatever workspace it belongs to."""
 
     def find(self: Any, workspace: str, key: str) -> Any:
         for name, item in self._known.items():
@@ -172,7 +172,7 @@
 
 
 def seal_without_merged(patch: Patch) -> None:
-    """Drops the last segment's records where they should be merged."""
+    """Drop the last segment's records where they should be merged."""
     plan = partition.plan_seal
 
     def drop(number: int, head: Any, *rest: Any) -> Any:
@@ -184,7 +184,7 @@
 
 
 def give_back_for_others(patch: Patch) -> None:
-    """Gives back claims that another entry made and may have dispatched under."""
+    """Give back claims that another entry made and may have dispatched under."""
     withdraw = Partition._withdraw
 
     def withdraw_all(self: Any, pending: Any, now: float) -> None:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -43,7 +43,7 @@
 
 
 def run_warm(admission: Admission, now: float, seconds: float) -> float:
-    """Keeps the upstream busy with runs that give tokens and never end."""
+    """Keep the upstream busy with runs that give tokens and never end."""
     until = now + seconds
     while now < until:
         now = round(now + 0.1, 3)
--- a/tests/core/test_agentguards.py
+++ b/tests/core/test_agentguards.py
@@ -155,7 +155,7 @@
 
 
 def read_trial(platform: Platform) -> str:
-    """Gives the token of the trial that the platform holds."""
+    """Give the token of the trial that the platform holds."""
     rows = msgspec.json.decode(platform.objects[SUSPECTS_PATH][1])["rows"]
     return str(rows["culprit"]["trial"])
 
--- a/tests/core/test_departure.py
+++ b/tests/core/test_departure.py
@@ -41,7 +41,7 @@
 
 
 def make_world(seed: int = 1, entries: int = 3, asks: int = 90) -> StreamWorld:
-    """Returns a world without a platform, whose callers ask all the time."""
+    """Return a world without a platform, whose callers ask all the time."""
     world = StreamWorld(seed, entries=entries, network=Network(repeated=0.02))
     listed = InstancesListed(list_rows(world))
     for name in [*world.entries, *world.agents]:
@@ -151,7 +151,7 @@
 
 
 def check_whole(world: StreamWorld) -> None:
-    """Checks that callers got whole answers, or a refusal that is true."""
+    """Check that callers got whole answers, or a refusal that is true."""
     for served in world.served.values():
         if isinstance(served.end, GiveRefusal):
             assert served.end.outcome is Outcome.NOT_RUN, served.end
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -227,7 +227,7 @@
 
 
 def mutate_dead(self: Permits, token: str, now: float) -> bool:
-    """Takes over what has only outlived its lease, not the load it began."""
+    """Take over what has only outlived its lease, not the load it began."""
     return now - self._seen[token].since >= permits.LEASE_S
 
 
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -224,7 +224,7 @@
 
 
 def mutate_claim(rows: Any, change: Any, holder: str) -> None:
-    """Takes a trial over although another agent holds it."""
+    """Take a trial over although another agent holds it."""
     if isinstance(change, Claim):
         rows.setdefault(change.fingerprint, SuspectRow(1)).trial = change.token
         return
--- a/tests/core/test_tablesync.py
+++ b/tests/core/test_tablesync.py
@@ -22,7 +22,7 @@
 
 
 def make_world(seed: int = 1, **sizes: Any) -> SyncWorld:
-    """Returns a world in which every process has the first tables."""
+    """Return a world in which every process has the first tables."""
     world = SyncWorld(seed, **sizes)
     world.run(START_S)
     assert world.list_behind(1) == []
--- a/tests/core/test_waiting.py
+++ b/tests/core/test_waiting.py
@@ -55,7 +55,7 @@
 
 
 def check_share(works: list[tuple[str, float]]) -> None:
-    """Served work of two backlogged workspaces differs by two requests at most."""
+    """Keep the served work of two backlogged workspaces two requests apart at most."""
     lane = Lane()
     for number, (workspace, work) in enumerate(works):
         lane.push(make_ticket(number, workspace, work=work))
--- a/tests/processes/test_bad_input.py
+++ b/tests/processes/test_bad_input.py
@@ -50,7 +50,7 @@
 
 
 def send_raw(system: System, request: bytes, more: Iterator[bytes] = iter(())) -> Raw:
-    """Sends octets as they are, and ``more`` until an answer comes."""
+    """Send octets as they are, and ``more`` until an answer comes."""
     parts = urlsplit(system.entries[0])
     connection = h11.Connection(h11.CLIENT)
     connection.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
@@ -73,7 +73,7 @@
 def send_until_answered(
     peer: socket.socket, request: bytes, more: Iterator[bytes]
 ) -> None:
-    """Sends a request, and then more of it until an answer arrives."""
+    """Send a request, and then more of it until an answer arrives."""
     peer.sendall(request)
     for piece in more:
         peer.settimeout(0.0)
@@ -93,7 +93,7 @@
 
 
 def receive(peer: socket.socket) -> bytes:
-    """Reads what has arrived; a reset after the answer counts as its end."""
+    """Read what has arrived; a reset after the answer counts as its end."""
     try:
         return peer.recv(65536)
     except ConnectionError:
@@ -103,7 +103,7 @@
 def make_request(
     target: str, body: bytes, *headers: tuple[str, str], method: str = "POST"
 ) -> bytes:
-    """Makes a request with the headers as they are given."""
+    """Make a request with the headers as they are given."""
     lines = [f"{method} {target} HTTP/1.1", "Host: entry"]
     lines += [f"{name}: {value}" for name, value in headers]
     lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
@@ -111,12 +111,12 @@
 
 
 def make_completion(value: Any) -> bytes:
-    """Makes an authorized completion request whose body is ``value`` as JSON."""
+    """Make an authorized completion request whose body is ``value`` as JSON."""
     return make_request("/v1/completions", json.dumps(value).encode(), AUTHORIZED)
 
 
 def check_refusal(answer: Raw, kind: ErrorKind, outcome: str = "not_run") -> None:
-    """Checks that an answer is the refusal of ``kind`` and tells the outcome."""
+    """Check that an answer is the refusal of ``kind`` and tell the outcome."""
     assert answer.error.get("kind") == kind, answer
     assert answer.error["outcome"] == outcome
     assert answer.error["message"]
@@ -124,7 +124,7 @@
 
 
 def check_unharmed(system: System) -> None:
-    """Checks that the entry still answers and holds no request."""
+    """Check that the entry still answers and holds no request."""
     for name in system.plan.entries:
         system.children[name].check()
     wait_until(
--- a/tests/processes/test_run.py
+++ b/tests/processes/test_run.py
@@ -13,7 +13,7 @@
 
 
 def read_addresses(child: Child) -> list[str]:
-    """Reads the addresses that ``demo.run`` prints first, one a line."""
+    """Read the addresses that ``demo.run`` prints first, one a line."""
     addresses = []
     while line := child.read_line().split():
         addresses.append(line[1].decode())
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -24,7 +24,7 @@
 def ask_and_disturb(
     system: System, prompt: str, disturb: Callable[[str], None]
 ) -> Answer:
-    """Sends a prompt and, once its text grows, disturbs the engine that serves it."""
+    """Send a prompt and, once its text grows, disturbs the engine that serves it."""
     disturbed = False
 
     def take_text(text: str) -> None:
@@ -40,14 +40,14 @@
 
 
 def find_serving(system: System) -> str:
-    """Finds the engine that runs something."""
+    """Find the engine that runs something."""
     serving = [name for name in system.plan.engines if system.show(name)["running"]]
     assert len(serving) == 1
     return serving[0]
 
 
 def check_text(answer: Answer, prompt: str, length: int) -> None:
-    """Checks that every token came once, in order, or an explicit error behind them."""
+    """Check that every token came once, in order, or an explicit error behind them."""
     expected = "".join(make_tokens(prompt, 0, length, "v1"))
     if answer.whole:
         assert answer.text == expected
--- a/tests/soak_admission.py
+++ b/tests/soak_admission.py
@@ -106,7 +106,7 @@
             self.world.tell(self.number, incarnation, "end", attempt)
 
     def restart(self, loud_part: float) -> None:
-        """Turns cold; only a part of the broken runs' connections tell so."""
+        """Turn cold; only a part of the broken runs' connections tell so."""
         lost, self.runs = list(self.runs), {}
         self.boot += 1
         self.busy_s = 0.0
@@ -117,7 +117,7 @@
                 self.world.tell(self.number, incarnation, "fail", attempt)
 
     def report(self) -> tuple[int, int]:
-        """Gives boot and running count as they were up to a lag ago."""
+        """Give boot and running count as they were up to a lag ago."""
         moment = self.world.now - self.world.random.uniform(0, LOAD_LAG_S - TRANSIT_S)
         seen = [h for h in self.history if h[0] <= moment] or self.history[:1]
         self.history = self.history[len(seen) - 1 :]
@@ -141,7 +141,7 @@
         self.world.after(POLL_S, self.poll, self.incarnation)
 
     def hear(self, incarnation: int, kind: str, value: Any) -> None:
-        """Handles one event, after a freeze if there is one."""
+        """Handle one event, after a freeze if there is one."""
         if incarnation != self.incarnation:
             return
         now = self.world.now
@@ -275,7 +275,7 @@
         engine.mute |= set(engine.runs)
 
     def _centre(self, step: Step) -> None:
-        """Takes a whole data centre down and back, all its upstreams cold."""
+        """Take a whole data centre down and back, all its upstreams cold."""
         self.seen["data centre"] += 1
         for engine in self.engines[UPSTREAMS // 2 :]:
             engine.restart(0.5)
@@ -316,7 +316,7 @@
 
 
 def run_script(seed: int, script: list[Step]) -> World:
-    """Runs one script to its end; raises on a violation."""
+    """Run one script to its end; raise on a violation."""
     world = World(seed)
     for step in script:
         world.at(step.at, world.apply, step)
@@ -325,7 +325,7 @@
 
 
 def find_violation(seed: int, script: list[Step]) -> str:
-    """Runs a script and describes its violation, or gives an empty string."""
+    """Run a script and describe its violation, or give an empty string."""
     try:
         run_script(seed, script)
     except (Violation, InvariantBroken) as error:
@@ -334,7 +334,7 @@
 
 
 def shrink(seed: int, script: list[Step]) -> list[Step]:
-    """Removes steps in ever smaller chunks while the violation stays."""
+    """Remove steps in ever smaller chunks while the violation stays."""
     size = len(script) // 2
     while size:
         first = 0
@@ -352,7 +352,7 @@
 @click.option("--seed", default=1, help="The first episode's seed.")
 @click.option("--events", default=1_000_000, help="Stop after so many events.")
 def main(seed: int, events: int) -> None:
-    """Runs episodes until so many events have passed."""
+    """Run episodes until so many events have passed."""
     done, seen = 0, Counter[str]()
     episode = seed
     while done < events:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -164,7 +164,7 @@
 
 
 def encode(line: dict[str, Any]) -> bytes:
-    """Encodes one line of a stream."""
+    """Encode one line of a stream."""
     return json.dumps(line).encode() + b"\n"
 
 
--- a/tests/standins/enginemodel.py
+++ b/tests/standins/enginemodel.py
@@ -87,7 +87,7 @@
     cut: bool = False
 
     def make_tokens(self, first: int, last: int) -> list[str]:
-        """Makes the run's tokens ``first`` up to and without ``last``."""
+        """Make the run's tokens ``first`` up to and without ``last``."""
         return make_tokens(self.body.prompt, first, last, self.version)
 
 
@@ -102,18 +102,18 @@
 
 
 def make_token(prompt: str, number: int, version: str) -> str:
-    """Makes token ``number`` of a prompt, the same on every engine of a version."""
+    """Make token ``number`` of a prompt, the same on every engine of a version."""
     name = f"{version}/{number}".encode()
     return xxh64_hexdigest(name, seed=xxh64_intdigest(prompt.encode()))[:5] + " "
 
 
 def make_tokens(prompt: str, first: int, last: int, version: str) -> list[str]:
-    """Makes tokens ``first`` up to and without ``last``."""
+    """Make tokens ``first`` up to and without ``last``."""
     return [make_token(prompt, number, version) for number in range(first, last)]
 
 
 def make_payload(key: str, size: int) -> bytes:
-    """Makes the payload of a block, the same on every engine."""
+    """Make the payload of a block, the same on every engine."""
     seed = xxh64_hexdigest(key.encode()).encode()
     return (seed * (size // len(seed) + 1))[:size]
 
@@ -130,7 +130,7 @@
         return len(self._payloads)
 
     def reuse(self, keys: list[str]) -> int:
-        """Counts the leading keys that are held, and marks them as used."""
+        """Count the leading keys that are held, and marks them as used."""
         for count, key in enumerate(keys):
             if key not in self._payloads:
                 return count
@@ -138,11 +138,11 @@
         return len(keys)
 
     def get(self, key: str) -> bytes | None:
-        """Reads a block's payload."""
+        """Read a block's payload."""
         return self._payloads.get(key)
 
     def put(self, key: str, payload: bytes, capacity: int, now: float) -> None:
-        """Holds a block and evicts what no longer fits."""
+        """Hold a block and evicts what no longer fits."""
         if key not in self._payloads:
             self._note(key, True, now)
         self._payloads[key] = payload
@@ -156,7 +156,7 @@
             self._note(key, False, now)
 
     def list_events(self, after: int, until: float, gap: int) -> dict[str, Any]:
-        """Lists changes behind number ``after``; each ``gap``-th one is left out."""
+        """List changes behind number ``after``; each ``gap``-th one is left out."""
         number = after
         changes: dict[str, bool] = {}
         for event, time, key, held in self._events:
@@ -217,7 +217,7 @@
         return now < self._starting_until
 
     def start(self, body: RunBody, now: float) -> int:
-        """Takes a run; gives 200, 409 (version), 429 (full) or 503 (starting)."""
+        """Take a run; give 200, 409 (version), 429 (full) or 503 (starting)."""
         self.advance(now)
         if self.is_starting(now):
             return 503
@@ -241,7 +241,7 @@
         return 200
 
     def cancel(self, name: str, now: float) -> None:
-        """Cancels a run."""
+        """Cancel a run."""
         self.advance(now)
         run = self.runs.pop(name, None)
         if run is None:
@@ -267,7 +267,7 @@
         self._report()
 
     def turn_cold(self) -> None:
-        """Makes the engine cold without a word."""
+        """Make the engine cold without a word."""
         self._worked_s = 0.0
 
     def order(self, body: OrderBody, now: float) -> int:
@@ -282,14 +282,14 @@
         return 200
 
     def load(self, version: str, now: float) -> None:
-        """Serves ``version`` from now on; runs in progress keep their own."""
+        """Serve ``version`` from now on; runs in progress keep their own."""
         self.advance(now)
         self.cache.shrink(0, now)
         self.version = version
         self._report()
 
     def import_block(self, key: str, payload: bytes, version: str, now: float) -> int:
-        """Takes a block into the cache; gives 204, or 409 for another version."""
+        """Take a block into the cache; give 204, or 409 for another version."""
         self.advance(now)
         if version != self.version:
             return 409
@@ -299,7 +299,7 @@
         return 204
 
     def report(self, now: float) -> LoadReport:
-        """Reports load as it was ``report_lag_s`` ago."""
+        """Report load as it was ``report_lag_s`` ago."""
         self.advance(now)
         self._report()
         until = now - self.faults.report_lag_s
@@ -307,13 +307,13 @@
         return seen[-1] if seen else self._reports[0][1]
 
     def list_events(self, after: int, now: float) -> dict[str, Any]:
-        """Lists cache events behind ``after``, late and with gaps."""
+        """List cache events behind ``after``, late and with gaps."""
         self.advance(now)
         until = now - self.faults.events_lag_s
         return self.cache.list_events(after, until, self.faults.events_gap)
 
     def count_ready(self, run: Run, now: float) -> int:
-        """Gives the number behind the last token that a run has made."""
+        """Give the number behind the last token that a run has made."""
         if now < run.ready_at:
             return run.first
         if not self.faults.token_s:
@@ -322,7 +322,7 @@
         return min(run.last, run.first + made)
 
     def find_next(self, run: Run, number: int) -> float:
-        """Gives the time at which token ``number`` is made."""
+        """Give the time at which token ``number`` is made."""
         return run.ready_at + (number - run.first) * self.faults.token_s
 
     def advance(self, now: float) -> None:
@@ -340,7 +340,7 @@
         self._forget_ended(now)
 
     def count_running(self) -> int:
-        """Counts the runs that have begun and not ended."""
+        """Count the runs that have begun and not ended."""
         return len(self._decoding) + (self._prefill is not None)
 
     def _find_step(self) -> tuple[float, Run] | None:
--- a/tests/standins/instances.py
+++ b/tests/standins/instances.py
@@ -31,11 +31,11 @@
         self._history: deque[tuple[float, list[Instance]]] = deque(maxlen=1000)
 
     def replace(self, instances: list[Instance], now: float) -> None:
-        """Makes ``instances`` the true list from ``now`` on."""
+        """Make ``instances`` the true list from ``now`` on."""
         self._history.append((now, instances))
 
     def list(self, lag_s: float, now: float) -> list[Instance]:
-        """Lists the instances as they were ``lag_s`` ago."""
+        """List the instances as they were ``lag_s`` ago."""
         seen = [rows for since, rows in self._history if since <= now - lag_s]
         return seen[-1] if seen else []
 
--- a/tests/standins/objects.py
+++ b/tests/standins/objects.py
@@ -78,13 +78,13 @@
         return replace(answer, call=call.call)
 
     def get(self, path: str, known: int, now: float) -> ObjectAnswer:
-        """Reads an object; unchanged where its version is at most ``known``."""
+        """Read an object; unchanged where its version is at most ``known``."""
         if not self.admit_read(now):
             return ObjectAnswer("", ObjectStatus.REJECTED)
         return self.peek(path, known)
 
     def peek(self, path: str, known: int = 0) -> ObjectAnswer:
-        """Reads an object without counting a call."""
+        """Read an object without counting a call."""
         if path not in self._objects:
             return ObjectAnswer("", ObjectStatus.MISSING)
         version, body = self._objects[path]
@@ -93,7 +93,7 @@
         return ObjectAnswer("", ObjectStatus.OK, version, body)
 
     def put(self, path: str, body: bytes, expected: int, now: float) -> ObjectAnswer:
-        """Writes an object whose version is ``expected``; zero creates it."""
+        """Write an object whose version is ``expected``; zero creates it."""
         if len(body) > MAX_BODY or not self.admit_write(now):
             return ObjectAnswer("", ObjectStatus.REJECTED)
         standing = self._objects.get(path, (0, b""))[0]
@@ -106,7 +106,7 @@
         return ObjectAnswer("", ObjectStatus.OK, self.version)
 
     def delete(self, path: str, expected: int, now: float) -> ObjectAnswer:
-        """Deletes an object whose version is ``expected``."""
+        """Delete an object whose version is ``expected``."""
         if not self.admit_write(now):
             return ObjectAnswer("", ObjectStatus.REJECTED)
         if path not in self._objects:
@@ -120,7 +120,7 @@
         return ObjectAnswer("", ObjectStatus.OK, self.version)
 
     def list(self, prefix: str, after: str, now: float) -> ObjectAnswer:
-        """Lists names below ``prefix`` that sort after ``after``, a page at most."""
+        """List names below ``prefix`` that sort after ``after``, a page at most."""
         if not self.admit_read(now):
             return ObjectAnswer("", ObjectStatus.REJECTED)
         place = max(bisect_left(self._names, prefix), bisect_right(self._names, after))
@@ -129,13 +129,13 @@
         return ObjectAnswer("", ObjectStatus.OK, names=names)
 
     def admit_read(self, now: float) -> bool:
-        """Counts a read; false in an outage or past the ceiling."""
+        """Count a read; false in an outage or past the ceiling."""
         if self.faults.outage:
             return False
         return self._reads.allow(self.faults.read_rate, now)
 
     def admit_write(self, now: float) -> bool:
-        """Counts a write; false in an outage or past the ceiling."""
+        """Count a write; false in an outage or past the ceiling."""
         if self.faults.outage:
             return False
         return self._writes.allow(self.faults.write_rate, now)
@@ -205,7 +205,7 @@
 
 
 def make_reply(answer: ObjectAnswer, method: str = "GET", expected: int = 0) -> Reply:
-    """Makes the HTTP answer to one call."""
+    """Make the HTTP answer to one call."""
     if answer.status is not ObjectStatus.OK:
         return Reply(STATUSES[answer.status])
     if method == "DELETE":
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -67,7 +67,7 @@
 
 
 def make_json(value: Any, status: int = 200, **headers: str) -> Reply:
-    """Makes an answer with a JSON body."""
+    """Make an answer with a JSON body."""
     return Reply(status, json.dumps(value).encode(), HEADERS_OF_JSON | headers)
 
 
@@ -79,7 +79,7 @@
         self._seen: float | None = None
 
     def allow(self, rate: float, now: float) -> bool:
-        """Counts one call; false past the rate. A rate of zero is no ceiling."""
+        """Count one call; false past the rate. A rate of zero is no ceiling."""
         burst = max(1.0, rate / 10)
         passed = burst if self._seen is None else (now - self._seen) * rate
         self._tokens = min(burst, self._tokens + passed)
@@ -110,7 +110,7 @@
         raise NotImplementedError
 
     def control(self, changes: dict[str, Any]) -> None:
-        """Sets faults by name; an unknown name or a wrong type raises."""
+        """Set faults by name; an unknown name or a wrong type raises."""
         changes = dict(changes)
         action = changes.pop("do", None)
         if action is not None and action not in self.actions:
@@ -121,7 +121,7 @@
             self.actions[action]()
 
     def show(self) -> dict[str, Any]:
-        """Shows the faults and the counts of calls."""
+        """Show the faults and the counts of calls."""
         return {"faults": msgspec.to_builtins(self.faults), "counts": self.counts}
 
     def silence(self) -> None:
@@ -179,7 +179,7 @@
 
 
 async def read_request(scope: Any, receive: Any) -> Request:
-    """Reads a request to its end."""
+    """Read a request to its end."""
     body = bytearray()
     more = True
     while more:
@@ -196,13 +196,13 @@
 
 
 async def wait_for_disconnect(receive: Any) -> None:
-    """Waits until the caller closes its connection."""
+    """Wait until the caller closes its connection."""
     while (await receive())["type"] != "http.disconnect":
         pass
 
 
 async def cancel_at_disconnect(receive: Any, scope: trio.CancelScope) -> None:
-    """Cancels ``scope`` when the caller closes its connection."""
+    """Cancel ``scope`` when the caller closes its connection."""
     await wait_for_disconnect(receive)
     scope.cancel()
 
@@ -210,7 +210,7 @@
 async def send_reply(
     reply: Reply, send: Any, is_silent: Callable[[], bool] = lambda: False
 ) -> None:
-    """Sends an answer; a broken one ends without its last octets."""
+    """Send an answer; a broken one ends without its last octets."""
     headers = [(k.encode(), v.encode()) for k, v in reply.headers.items()]
     if reply.chunks is None:
         length = len(reply.body) + reply.broken
@@ -231,7 +231,7 @@
 async def send_chunks(
     chunks: AsyncIterator[bytes], send: Any, is_silent: Callable[[], bool]
 ) -> bool:
-    """Sends chunks until the last one, for ever once silent; false when broken."""
+    """Send chunks until the last one, for ever once silent; false when broken."""
     try:
         async for chunk in chunks:
             if is_silent():
@@ -243,14 +243,14 @@
 
 
 async def send_body(send: Any, body: bytes) -> None:
-    """Sends one piece of a body."""
+    """Send one piece of a body."""
     await send({"type": "http.response.body", "body": body, "more_body": True})
 
 
 async def serve(
     app: Any, port: int = 0, task_status: Any = trio.TASK_STATUS_IGNORED
 ) -> None:
-    """Serves an app on loopback; reports its address, ``http://127.0.0.1:PORT``."""
+    """Serve an app on loopback; report its address, ``http://127.0.0.1:PORT``."""
     config = hypercorn.Config()
     config.bind = [f"127.0.0.1:{port}"]
     config.loglevel = "ERROR"
@@ -262,7 +262,7 @@
 
 
 def run_standin(make_app: Callable[[], StandIn]) -> None:
-    """Runs one stand-in as a process of its own.
+    """Run one stand-in as a process of its own.
 
     ``--port`` zero takes a free port; ``--control`` is a JSON object of faults to
     start with. One line of JSON with the address says that it is ready.
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -49,12 +49,12 @@
         self._counts: defaultdict[str, Counter[str]] = defaultdict(Counter)
 
     def execute(self, workspace: str, key: str) -> int:
-        """Executes a call; gives how often this key ran, this time included."""
+        """Execute a call; give how often this key ran, this time included."""
         self._counts[workspace][key] += 1
         return self._counts[workspace][key]
 
     def count(self, workspace: str | None = None) -> dict[str, int]:
-        """Counts executions by key, of one workspace or of all."""
+        """Count executions by key, of one workspace or of all."""
         if workspace is not None:
             return dict(self._counts[workspace])
         return dict(sum(self._counts.values(), Counter()))
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -66,7 +66,7 @@
         self.blocks: OrderedDict[str, Block] = OrderedDict()
 
     def put(self, key: str, part: str, body: bytes, now: float) -> int:
-        """Holds a part that can't be read yet; gives 204, or 507 when full."""
+        """Hold a part that can't be read yet; give 204, or 507 when full."""
         self.parts.pop((key, part), None)
         if self.faults.full or not self._make_room(len(body), now):
             return 507
@@ -74,7 +74,7 @@
         return 204
 
     def commit(self, key: str, part: str, now: float) -> int:
-        """Makes a part readable; gives 204, or 404 for an unknown part."""
+        """Make a part readable; give 204, or 404 for an unknown part."""
         body = self.parts.pop((key, part), None)
         if body is None:
             return 404
@@ -85,7 +85,7 @@
         return 204
 
     def get(self, key: str) -> bytes | None:
-        """Reads a committed block, damaged where the faults say so."""
+        """Read a committed block, damaged where the faults say so."""
         if key not in self.blocks:
             return None
         self.blocks.move_to_end(key)
@@ -99,13 +99,13 @@
         return 204
 
     def release(self, key: str, holder: str) -> int:
-        """Ends a lease."""
+        """End a lease."""
         if key in self.blocks:
             self.blocks[key].leases.pop(holder, None)
         return 204
 
     def show_status(self) -> dict[str, int]:
-        """Shows sizes and use of both tiers, in bytes."""
+        """Show sizes and use of both tiers, in bytes."""
         return {
             "memory_used": self._measure(False),
             "memory_size": self.faults.memory_size,
@@ -231,7 +231,7 @@
 
 
 def now_s() -> float:
-    """Reads the clock, in seconds."""
+    """Read the clock, in seconds."""
     return trio.current_time()
 
 
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -43,7 +43,7 @@
 
 
 def call_app(app: StandIn, use: Callable[[Caller], Awaitable[None]]) -> None:
-    """Serves an app in this process and calls it."""
+    """Serve an app in this process and calls it."""
 
     async def main() -> None:
         async with (
--- a/tests/tablesamples.py
+++ b/tests/tablesamples.py
@@ -12,7 +12,7 @@
 
 
 def make_tables(serial: int = 0, centres: str = "ab", each: int = 2) -> Tables:
-    """Makes a pool with ``each`` upstreams in each data centre, one letter a name."""
+    """Make a pool with ``each`` upstreams in each data centre, one letter a name."""
     upstreams = [
         Upstream(f"u-{name}{i}", name, f"tcp://127.0.0.1:{7000 + 100 * n + i}")
         for n, name in enumerate(centres)
