Part plain data from the large modules and serve repeated logic by one piece

Cause: partition, tablesync and completions held settings, messages and machine in one file; calls and completions chose upstreams, and both programs set up the platform's clients, in the same words twice. Change: partitionstep, syncstep, refusals, completionmeters and platformclients; one pick_upstream for both kinds of requests. Ruled out today: parting the state machines themselves, whose functions call each other. Conclusion: moves alone, no behaviour changed.

--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -18,7 +18,7 @@
 from msgspec.msgpack import encode
 
 from masticdrum.core.ledger import Ledger
-from masticdrum.core.partition import LedgerOptions, Step
+from masticdrum.core.partitionstep import LedgerOptions, Step
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.segments import choose_partition, digest_request
 from masticdrum.core.stamps import make_attempt
--- a/masticdrum/core/agentstate.py
+++ b/masticdrum/core/agentstate.py
@@ -12,7 +12,8 @@
 from masticdrum.core.permits import Permits
 from masticdrum.core.run import Run
 from masticdrum.core.suspects import Suspects
-from masticdrum.core.tablesync import SyncOptions, TableSync
+from masticdrum.core.syncstep import SyncOptions
+from masticdrum.core.tablesync import TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.tables import Pool, PoolKind, Tables
--- a/masticdrum/core/agenttables.py
+++ b/masticdrum/core/agenttables.py
@@ -3,7 +3,7 @@
 from masticdrum.core.agentcache import update_rules
 from masticdrum.core.agentstate import AgentState
 from masticdrum.core.runs import report_load
-from masticdrum.core.tablesync import Ask, Give, Greet, SyncEffect
+from masticdrum.core.syncstep import Ask, Give, Greet, SyncEffect
 from masticdrum.core.tableview import TableView
 from masticdrum.model.agent_events import AgentEffect, ReplyFrame
 from masticdrum.model.entry_events import FrameReceived
--- a/masticdrum/core/callends.py
+++ b/masticdrum/core/callends.py
@@ -1,8 +1,8 @@
 """How a plain service call ends at an entry: replayed, refused, forgotten."""
 
-from masticdrum.core.completions import refuse_request
 from masticdrum.core.entrystate import EntryState, TimerName
 from masticdrum.core.invariants import require
+from masticdrum.core.refusals import refuse_request
 from masticdrum.core.servicecall import ServiceCall
 from masticdrum.model.entry_events import (
     EntryEffect,
--- a/masticdrum/core/callframes.py
+++ b/masticdrum/core/callframes.py
@@ -21,7 +21,7 @@
     try_next,
 )
 from masticdrum.core.entrystate import EntryState, TimerName
-from masticdrum.core.partition import release
+from masticdrum.core.partitionstep import release
 from masticdrum.core.servicecall import CallStage, ServiceCall
 from masticdrum.model.entry_events import (
     EntryEffect,
--- a/masticdrum/core/calls.py
+++ b/masticdrum/core/calls.py
@@ -14,8 +14,7 @@
     refuse_call,
     replay_reply,
 )
-from masticdrum.core.candidates import list_excluded
-from masticdrum.core.completions import refuse_request
+from masticdrum.core.candidates import pick_upstream
 from masticdrum.core.entrance import check_call
 from masticdrum.core.entrystate import EntryState, TimerName
 from masticdrum.core.forwarding import (
@@ -30,8 +29,8 @@
 )
 from masticdrum.core.invariants import require
 from masticdrum.core.links import Peer
-from masticdrum.core.partition import Step, Verdict, release
-from masticdrum.core.placement import order_upstreams
+from masticdrum.core.partitionstep import Step, Verdict, release
+from masticdrum.core.refusals import refuse_request
 from masticdrum.core.segments import digest_request
 from masticdrum.core.servicecall import CallStage, ServiceCall
 from masticdrum.core.stamps import make_attempt, read_key_time
@@ -237,18 +236,8 @@
     pool = state.view.find_pool(call.route.pool)
     if pool is None:
         return None
-    names = order_upstreams(
-        state.view.find_ranking(pool.name),
-        state.rng.getrandbits(64),
-        call.route.urgency,
-        state.links.hints,
-        list_excluded(state, pool) | set(call.tried),
-        now,
-        most=1,
-    )
-    if not names:
-        return None
-    return state.view.find_upstream(pool.name, names[0])
+    key = state.rng.getrandbits(64)
+    return pick_upstream(state, pool, key, call.route.urgency, call.tried, now)
 
 
 def greet_calls(state: EntryState, peer: Peer, now: float) -> list[EntryEffect]:
--- a/masticdrum/core/candidates.py
+++ b/masticdrum/core/candidates.py
@@ -1,9 +1,11 @@
-"""Which upstream a completion is given to next."""
+"""Which upstream a request is given to next."""
+
+from collections.abc import Iterable
 
 from masticdrum.core.completion import Completion
 from masticdrum.core.entrystate import EntryState
 from masticdrum.core.placement import order_upstreams
-from masticdrum.model.tables import Pool, Upstream
+from masticdrum.model.tables import Pool, Upstream, Urgency
 
 
 def choose_upstream(
@@ -16,12 +18,29 @@
     key = state.preambles.find_key(
         completion.workspace, completion.prompt, pool.block_bytes
     )
+    return pick_upstream(
+        state, pool, key, completion.route.urgency, completion.tried, now
+    )
+
+
+def pick_upstream(
+    state: EntryState,
+    pool: Pool,
+    key: int,
+    urgency: Urgency,
+    tried: Iterable[str],
+    now: float,
+) -> Upstream | None:
+    """Return the best upstream of a pool for a placement key, or None.
+
+    ``tried`` holds the names that were given the request before.
+    """
     names = order_upstreams(
         state.view.find_ranking(pool.name),
         key,
-        completion.route.urgency,
+        urgency,
         state.links.hints,
-        list_excluded(state, pool) | set(completion.tried),
+        list_excluded(state, pool) | set(tried),
         now,
         most=1,
     )
--- a/masticdrum/core/completions.py
+++ b/masticdrum/core/completions.py
@@ -4,15 +4,16 @@
 
 from masticdrum.core.candidates import choose_upstream
 from masticdrum.core.completion import Attempt, Completion
+from masticdrum.core.completionmeters import count_blocks, observe_wait
 from masticdrum.core.digests import fingerprint_text
 from masticdrum.core.entrance import check_completion
 from masticdrum.core.entrystate import EntryState, TimerName
 from masticdrum.core.invariants import require
+from masticdrum.core.refusals import refuse_request
 from masticdrum.model.entry_events import (
     CompletionAsked,
     EntryEffect,
     GiveEnd,
-    GiveRefusal,
     GiveTokens,
     SendFrame,
 )
@@ -27,16 +28,13 @@
     Refused,
     Resume,
     Tokens,
-    Usage,
 )
 from masticdrum.model.tables import Upstream
 from masticdrum.model.telemetry import (
     Count,
     Counter,
-    Histogram,
     Log,
     LogNumber,
-    Observe,
 )
 
 DEADLINE = "completion deadline"
@@ -73,18 +71,6 @@
     return [counted, *try_next(state, completion, now)]
 
 
-def refuse_request(
-    request: str, kind: ErrorKind, outcome: Outcome, *, retry_after_s: float = 0.0
-) -> list[EntryEffect]:
-    """Answer a request with an error of the closed list, counted and logged."""
-    hint = max(retry_after_s, ANSWERS[kind].retry_after_s)
-    return [
-        GiveRefusal(request, kind, outcome, hint),
-        Count(Counter.REFUSALS, kind.value),
-        Log(LogNumber.REQUEST_REFUSED, request=request, detail=kind.value),
-    ]
-
-
 def abandon_completion(
     state: EntryState, completion: Completion, now: float
 ) -> list[EntryEffect]:
@@ -132,7 +118,7 @@
     fresh = message.tokens[expected - message.first :]
     if not fresh:
         return [Count(Counter.FRAMES_DROPPED, "duplicate")]
-    effects: list[EntryEffect] = [_observe_wait(completion, now)]
+    effects: list[EntryEffect] = [observe_wait(completion, now)]
     if expected == 0:
         completion.version = message.version
     completion.token_at = now
@@ -165,7 +151,7 @@
     effects = _acknowledge(state, completion, attempt, now)
     _forget(state, completion)
     effects.append(GiveEnd(completion.request, count, message.reason, message.usage))
-    effects += _count_blocks(message.usage)
+    effects += count_blocks(message.usage)
     effects.append(
         Log(
             LogNumber.REQUEST_FINISHED,
@@ -252,27 +238,6 @@
     return effects
 
 
-def _observe_wait(completion: Completion, now: float) -> Observe:
-    urgency = completion.route.urgency.value
-    if not completion.delivered:
-        waited = now - completion.arrived_at
-        return Observe(Histogram.FIRST_TOKEN, waited, urgency)
-    return Observe(Histogram.BETWEEN_TOKENS, now - completion.token_at, urgency)
-
-
-def _count_blocks(usage: Usage) -> list[EntryEffect]:
-    sources = {
-        "cached": usage.cached,
-        "imported": usage.imported,
-        "recomputed": usage.recomputed,
-    }
-    return [
-        Count(Counter.PROMPT_BLOCKS, source, blocks)
-        for source, blocks in sources.items()
-        if blocks
-    ]
-
-
 def _hear(completion: Completion, now: float) -> Attempt:
     attempt = completion.attempt
     assert attempt is not None
--- a/masticdrum/core/entrystate.py
+++ b/masticdrum/core/entrystate.py
@@ -8,12 +8,13 @@
 from masticdrum.core.ledger import Ledger
 from masticdrum.core.links import Links
 from masticdrum.core.openrequests import OpenRequests
-from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.partitionstep import LedgerOptions
 from masticdrum.core.peers import Peers
 from masticdrum.core.preambles import Preambles
 from masticdrum.core.retries import RetryBudget
 from masticdrum.core.servicecall import ServiceCalls
-from masticdrum.core.tablesync import SyncOptions, TableSync
+from masticdrum.core.syncstep import SyncOptions
+from masticdrum.core.tablesync import TableSync
 from masticdrum.core.tableview import TableView
 from masticdrum.core.timers import Timers
 from masticdrum.model.platform import Instance
--- a/masticdrum/core/entrytables.py
+++ b/masticdrum/core/entrytables.py
@@ -3,7 +3,7 @@
 from masticdrum.core.completions import renew_link
 from masticdrum.core.entrystate import EntryState
 from masticdrum.core.links import Peer
-from masticdrum.core.tablesync import Ask, Give, Greet, SyncEffect
+from masticdrum.core.syncstep import Ask, Give, Greet, SyncEffect
 from masticdrum.core.tableview import TableView
 from masticdrum.model.entry_events import EntryEffect, SendFrame
 from masticdrum.model.messages import (
--- a/masticdrum/core/forwarding.py
+++ b/masticdrum/core/forwarding.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from masticdrum.core.entrystate import EntryState, TimerName
-from masticdrum.core.partition import Step, Verdict
+from masticdrum.core.partitionstep import Step, Verdict
 from masticdrum.core.peers import Forwarded
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.model.entry_events import EntryEffect, ReplyFrame, SendFrame
--- a/masticdrum/core/ledger.py
+++ b/masticdrum/core/ledger.py
@@ -12,12 +12,8 @@
 from random import Random
 
 from masticdrum.core.judgement import Pending
-from masticdrum.core.partition import (
-    LedgerOptions,
-    Partition,
-    Step,
-    make_end,
-)
+from masticdrum.core.partition import Partition
+from masticdrum.core.partitionstep import LedgerOptions, Step, make_end
 from masticdrum.core.segments import choose_partition
 from masticdrum.core.timers import Timers
 from masticdrum.model.ledger import KeyState, Record
--- a/masticdrum/core/tablesync.py
+++ b/masticdrum/core/tablesync.py
@@ -13,11 +13,19 @@
 from collections.abc import Sequence
 from random import Random
 
-from msgspec import Struct
 from returns.result import Failure
 
 from masticdrum.core.invariants import require
 from masticdrum.core.syncpeers import SyncPeers, choose_entry_peers, count_processes
+from masticdrum.core.syncstep import (
+    Ask,
+    Give,
+    Greet,
+    PlatformCall,
+    SyncEffect,
+    SyncOptions,
+    reject_tables,
+)
 from masticdrum.core.tablebody import pack_tables, unpack_tables
 from masticdrum.core.tablecheck import decode_tables
 from masticdrum.core.tableedit import TABLES_PATH, digest_tables
@@ -37,70 +45,6 @@
 UNLISTED_PROCESSES = 5000  # assumed size of the fleet without an instance list
 
 
-class SyncOptions(Struct, frozen=True):
-    """Times in seconds and rates in calls a second, with whom they concern.
-
-    ``poll_rate`` and ``lonely_rate`` bound the reads of the whole fleet: a process
-    polls as seldom as its share allows, and more often while no peer talks to it.
-    ``stale_s`` is how long a peer may go on with older tables than these. After
-    ``unconfirmed_s`` without a word from platform or peers a process says so and
-    serves on: in an outage no edit is accepted, so the tables at hand are the newest.
-    """
-
-    name: str
-    data_centre: str
-    is_entry: bool
-    tick_s: float = 1.0
-    greet_s: float = 4.0
-    greets_per_s: float = 25.0
-    silent_s: float = 10.0
-    watch_s: float = 25.0
-    call_s: float = 5.0
-    first_retry_s: float = 0.25
-    last_retry_s: float = 4.0
-    ask_s: float = 1.0
-    doubt_s: float = 2.0
-    frozen_s: float = 3.0
-    stale_s: float = 2.0
-    poll_s: float = 30.0
-    poll_rate: float = 20.0
-    lonely_after_s: float = 8.0
-    lonely_poll_s: float = 5.0
-    lonely_rate: float = 200.0
-    unconfirmed_s: float = 60.0
-
-
-class Greet(Struct, frozen=True):
-    """Shows a peer this serial; ``renew`` asks for a new connection to it."""
-
-    peer: str
-    renew: bool = False
-
-
-class Ask(Struct, frozen=True):
-    """Asks a peer for its tables."""
-
-    peer: str
-
-
-class Give(Struct, frozen=True):
-    """Gives a peer these tables."""
-
-    peer: str
-    body: bytes
-
-
-class PlatformCall(Struct):
-    """A read of the tables that was not answered yet."""
-
-    purpose: str
-    begun_at: float
-    due_at: float
-
-
-SyncEffect = Greet | Ask | Give | ObjectGet | Log | Count
-
-
 class TableSync:
     """The part of a reducer that keeps the tables up to date.
 
@@ -521,15 +465,6 @@
         self.timers.set(POLL, now + period * self._rng.uniform(0.5, 1.5))
 
 
-def reject_tables(source: str, faults: Sequence[Fault]) -> list[SyncEffect]:
-    """Return the effects of refusing tables whole."""
-    text = f"from {source}: {'; '.join(str(fault) for fault in faults)}"
-    return [
-        Log(LogNumber.TABLES_REJECTED, detail=text),
-        Count(Counter.TABLES, "rejected"),
-    ]
-
-
 def owns_call(answer: ObjectAnswer) -> bool:
     """Tells whether an object call's answer belongs to the tables."""
     return answer.call.startswith(CALL_PREFIX)
--- a/masticdrum/programs/agent.py
+++ b/masticdrum/programs/agent.py
@@ -36,12 +36,11 @@
 from masticdrum.shell.asgi import Receive, Scope, Send, send_json
 from masticdrum.shell.blockclient import BlockClient
 from masticdrum.shell.engineclient import EngineClient
-from masticdrum.shell.instanceclient import InstanceClient
 from masticdrum.shell.journal import open_journal, write_event
 from masticdrum.shell.keys import LinkKeys
 from masticdrum.shell.loop import Loop
 from masticdrum.shell.meters import Meters
-from masticdrum.shell.objectclient import ObjectClient
+from masticdrum.shell.platformclients import PlatformClients
 from masticdrum.shell.probes import Probes
 from masticdrum.shell.serviceclient import ServiceClient
 from masticdrum.shell.settings import load_settings
@@ -85,18 +84,7 @@
             lambda: self.state.engine.boot,
         )
         self.service = ServiceClient(nursery, submit, url, settings.timeouts)
-        self.objects = ObjectClient(
-            nursery,
-            submit,
-            settings.object_api,
-            timeout_s=settings.platform.call_s,
-        )
-        self.instances = InstanceClient(
-            submit,
-            settings.instance_list,
-            every_s=settings.platform.instances_every_s,
-            timeout_s=settings.platform.call_s,
-        )
+        self.platform = PlatformClients(nursery, submit, settings)
         self.probes = Probes(self.meters, self._is_ready, self._describe)
 
     async def answer(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -134,7 +122,7 @@
             case Log() | Count() | Observe():
                 carry_out_telemetry(self.meters, effect)
             case ObjectGet() | ObjectPut() | ObjectDelete() | ObjectList():
-                self.objects.start(effect)
+                self.platform.objects.start(effect)
             case FetchBlocks() | KeepBlock():
                 self.blocks.start(effect)
             case GiveOrder():
@@ -183,7 +171,7 @@
         process = AgentProcess(settings, keys, nursery)
         process.links.listen(settings.listen)
         nursery.start_soon(process.loop.run_timers)
-        nursery.start_soon(process.instances.run)
+        nursery.start_soon(process.platform.instances.run)
         nursery.start_soon(process.poll_load)
         nursery.start_soon(watch_signals, process.ask_shutdown)
         process.loop.submit(Woken())
--- a/masticdrum/programs/entry.py
+++ b/masticdrum/programs/entry.py
@@ -9,7 +9,7 @@
 
 from masticdrum.core.entry import reduce_entry
 from masticdrum.core.entrystate import EntryOptions, EntryState
-from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.partitionstep import LedgerOptions
 from masticdrum.core.peers import is_peer_link
 from masticdrum.model.entry_events import (
     CloseLink,
@@ -39,13 +39,12 @@
 from masticdrum.shell.asgi import Receive, Scope, Send
 from masticdrum.shell.callers import Callers
 from masticdrum.shell.entrylinks import EntryLinks
-from masticdrum.shell.instanceclient import InstanceClient
 from masticdrum.shell.journal import open_journal, write_event
 from masticdrum.shell.keys import LinkKeys
 from masticdrum.shell.loop import Loop
 from masticdrum.shell.meters import Meters
-from masticdrum.shell.objectclient import ObjectClient
 from masticdrum.shell.peerlinks import PeerLinks
+from masticdrum.shell.platformclients import PlatformClients
 from masticdrum.shell.probes import Probes
 from masticdrum.shell.settings import load_credentials, load_settings
 from masticdrum.shell.signals import watch_signals
@@ -88,18 +87,7 @@
         self.links = EntryLinks(nursery, submit, keys)
         self.peers = PeerLinks(nursery, submit, self.meters, keys)
         self.callers = Callers(submit, credentials, settings.limits, self.meters)
-        self.objects = ObjectClient(
-            nursery,
-            submit,
-            settings.object_api,
-            timeout_s=settings.platform.call_s,
-        )
-        self.instances = InstanceClient(
-            submit,
-            settings.instance_list,
-            every_s=settings.platform.instances_every_s,
-            timeout_s=settings.platform.call_s,
-        )
+        self.platform = PlatformClients(nursery, submit, settings)
         self.probes = Probes(self.meters, self._is_ready, self._describe)
 
     async def answer(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -138,7 +126,7 @@
             case CloseLink():
                 self._choose_links(effect.link).close(effect.link)
             case ObjectGet() | ObjectPut() | ObjectDelete() | ObjectList():
-                self.objects.start(effect)
+                self.platform.objects.start(effect)
             case Exit():
                 self.ended.set()
 
@@ -172,7 +160,7 @@
         if settings.listen is not None:
             process.peers.listen(settings.listen)
         nursery.start_soon(process.loop.run_timers)
-        nursery.start_soon(process.instances.run)
+        nursery.start_soon(process.platform.instances.run)
         nursery.start_soon(watch_signals, process.ask_shutdown)
         process.loop.submit(Woken())
         await run_webserver(
--- a/tests/callworld.py
+++ b/tests/callworld.py
@@ -17,7 +17,7 @@
 from masticdrum.core.agentstate import AgentOptions, AgentState
 from masticdrum.core.entry import reduce_entry
 from masticdrum.core.entrystate import EntryOptions, EntryState, TimerName
-from masticdrum.core.partition import LedgerOptions
+from masticdrum.core.partitionstep import LedgerOptions
 from masticdrum.core.tableedit import TABLES_PATH
 from masticdrum.model.agent_events import (
     CallService,
