Forward requests on the users' platform: the first whole path

An entry on each edge machine routes by host and longest prefix, chooses an upstream from the platform's list and sends to it directly; an agent beside each engine orders new weights under a permit. Decisions are reducers without I/O; masticdrum/platform only translates.

--- /dev/null
+++ b/masticdrum/core/beliefs.py
@@ -0,0 +1,277 @@
+"""What a process believes of configuration and upstreams, and until when.
+
+Beliefs only grow newer within one life: an older configuration is never installed. A
+request that needs a key may only be sent while the lease on the configuration lasts,
+which is counted from the latest time at which the configuration surely held.
+"""
+
+from msgspec import Struct
+
+from masticdrum.core.directory import DirectoryIndex
+from masticdrum.model.belief import (
+    BeliefEvent,
+    DataCentresOut,
+    DirectoryRead,
+    DirectoryVouched,
+    Member,
+    MembersListed,
+    Source,
+    SourceLost,
+    SourceRegained,
+    UpstreamChanged,
+    UpstreamGone,
+    UpstreamsListed,
+    WeightsNamed,
+)
+from masticdrum.model.directory import Directory, ForwardService, Upstream
+from masticdrum.model.telemetry import Facts, Log, LogNumber
+
+LEASE_MARGIN_S = 0.6  # a request's way to its upstream, its queue and clocks' drift
+RETURN_S = 2.0  # how long upstreams may take to register again after an outage
+OUTAGE_S = 1.0  # shorter gaps in reading lapse no entry
+
+
+class BeliefBounds(Struct, frozen=True):
+    """How long beliefs may be acted on, in seconds.
+
+    ``revoke_s`` is how soon a key that is taken away must be dead everywhere;
+    ``drain_s`` how long an upstream that is gone may still be sent to.
+    """
+
+    revoke_s: float
+    drain_s: float
+
+
+class Known(Struct):
+    """An upstream with what this process has learnt of it beside its entry.
+
+    ``lapsing`` is when it stops being used though its entry is gone, if it is.
+    """
+
+    upstream: Upstream
+    cold_until: float = 0.0
+    lapsing: float | None = None
+
+
+class Beliefs:
+    """Everything believed of the platform by one process."""
+
+    __slots__ = (
+        "bounds",
+        "by_service",
+        "index",
+        "known",
+        "lease_until",
+        "lost",
+        "members",
+        "out",
+        "returning_until",
+        "weights",
+    )
+
+    def __init__(self, bounds: BeliefBounds) -> None:
+        self.bounds = bounds
+        self.index: DirectoryIndex | None = None
+        self.lease_until = 0.0
+        self.known: dict[str, Known] = {}
+        self.by_service: dict[str, dict[str, Known]] = {}
+        self.out: frozenset[str] | None = None
+        self.weights: dict[str, int] = {}
+        self.members: tuple[Member, ...] | None = None
+        self.lost: dict[Source, float] = {}
+        self.returning_until = 0.0
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force, zero if none is."""
+        return 0 if self.index is None else self.index.directory.version
+
+    def is_leased(self, now: float) -> bool:
+        """Tell whether requests with keys may be sent now."""
+        return now < self.lease_until
+
+    def find_usable(self, service: str, now: float) -> list[Known]:
+        """List the upstreams of a service that may get new work."""
+        out = self.out or frozenset()
+        return [
+            known
+            for known in self.by_service.get(service, {}).values()
+            if not known.upstream.leaving
+            and known.upstream.data_centre not in out
+            and (known.lapsing is None or now < known.lapsing)
+        ]
+
+    def find_service(self, upstream: Upstream) -> ForwardService | None:
+        """Return the service that an upstream belongs to."""
+        return None if self.index is None else self.index.services.get(upstream.service)
+
+    def count_members(self, role: str) -> int:
+        """Count the processes of a role that share limits, this one included."""
+        if self.members is None:
+            return 1
+        return max(1, sum(member.role == role for member in self.members))
+
+
+def take_belief(beliefs: Beliefs, event: BeliefEvent, now: float) -> list[Log]:
+    """Take one event in and return what is to be logged."""
+    match event:
+        case DirectoryRead():
+            return _take_directory(beliefs, event)
+        case DirectoryVouched():
+            _extend_lease(beliefs, event.vouched)
+            return []
+        case UpstreamsListed():
+            return _take_list(beliefs, event, now)
+        case UpstreamChanged():
+            return _take_upstream(beliefs, event.upstream, now)
+        case UpstreamGone():
+            return _take_gone(beliefs, event.name, now)
+        case DataCentresOut():
+            return _take_out(beliefs, event.names, now)
+        case WeightsNamed():
+            return _take_weights(beliefs, event)
+        case MembersListed():
+            return _take_members(beliefs, event)
+        case SourceLost() | SourceRegained():
+            return _take_reachability(beliefs, event, now)
+
+
+def _take_directory(beliefs: Beliefs, event: DirectoryRead) -> list[Log]:
+    directory = event.directory
+    if directory.version < beliefs.version:
+        facts = _describe_versions(beliefs, directory)
+        return [Log(LogNumber.DIRECTORY_IGNORED, facts=facts)]
+    _extend_lease(beliefs, event.vouched)
+    if directory.version == beliefs.version:
+        return []
+    facts = _describe_versions(beliefs, directory)
+    beliefs.index = DirectoryIndex(directory)
+    return [Log(LogNumber.DIRECTORY_INSTALLED, facts=facts)]
+
+
+def _describe_versions(beliefs: Beliefs, directory: Directory) -> Facts:
+    return {
+        "version": directory.version,
+        "before": beliefs.version,
+        "routes": len(directory.routes),
+        "workspaces": len(directory.workspaces),
+    }
+
+
+def _extend_lease(beliefs: Beliefs, vouched: float) -> None:
+    until = vouched + beliefs.bounds.revoke_s - LEASE_MARGIN_S
+    beliefs.lease_until = max(beliefs.lease_until, until)
+
+
+def _take_list(beliefs: Beliefs, event: UpstreamsListed, now: float) -> list[Log]:
+    logs: list[Log] = []
+    listed = {upstream.name for upstream in event.upstreams}
+    for upstream in event.upstreams:
+        logs += _take_upstream(beliefs, upstream, now)
+    for name in [name for name in beliefs.known if name not in listed]:
+        logs += _take_gone(beliefs, name, now)
+    return logs
+
+
+def _take_upstream(beliefs: Beliefs, upstream: Upstream, now: float) -> list[Log]:
+    old = beliefs.known.get(upstream.name)
+    cold_until = now + upstream.cold_s if upstream.cold_s > 0 else 0.0
+    if old is None or old.upstream.born != upstream.born:
+        known = Known(upstream, cold_until)
+    else:
+        known = old
+        known.cold_until = max(known.cold_until, cold_until)
+    was_leaving = old is not None and old.upstream.leaving
+    known.upstream = upstream
+    known.lapsing = None
+    if old is not None and old.upstream.service != upstream.service:
+        beliefs.by_service[old.upstream.service].pop(upstream.name, None)
+    beliefs.known[upstream.name] = known
+    beliefs.by_service.setdefault(upstream.service, {})[upstream.name] = known
+    if old is None:
+        return [_log_upstream(LogNumber.UPSTREAM_SEEN, upstream)]
+    if upstream.leaving and not was_leaving:
+        return [_log_upstream(LogNumber.UPSTREAM_LEAVING, upstream)]
+    return []
+
+
+def _take_gone(beliefs: Beliefs, name: str, now: float) -> list[Log]:
+    known = beliefs.known.get(name)
+    if known is None:
+        return []
+    if now < beliefs.returning_until and known.lapsing is None:
+        until = min(beliefs.returning_until, now + beliefs.bounds.drain_s)
+        known.lapsing = until
+    if known.lapsing is not None and now < known.lapsing:
+        return []
+    del beliefs.known[name]
+    beliefs.by_service[known.upstream.service].pop(name, None)
+    return [_log_upstream(LogNumber.UPSTREAM_GONE, known.upstream)]
+
+
+def _log_upstream(number: LogNumber, upstream: Upstream) -> Log:
+    return Log(
+        number,
+        facts={
+            "upstream": upstream.name,
+            "service": upstream.service,
+            "data_centre": upstream.data_centre,
+            "cold_s": upstream.cold_s,
+        },
+    )
+
+
+def _take_out(beliefs: Beliefs, names: frozenset[str], now: float) -> list[Log]:
+    before = beliefs.out
+    if names == before:
+        return []
+    for known in beliefs.known.values():
+        centre = known.upstream.data_centre
+        if before is not None and centre in before and centre not in names:
+            service = beliefs.find_service(known.upstream)
+            cold_s = 0.0 if service is None else service.cold_s
+            known.cold_until = max(known.cold_until, now + cold_s)
+    beliefs.out = names
+    return [Log(LogNumber.DATA_CENTRES_CHANGED, facts={"out": sorted(names)})]
+
+
+def _take_weights(beliefs: Beliefs, event: WeightsNamed) -> list[Log]:
+    if event.version <= beliefs.weights.get(event.model, 0):
+        return []
+    beliefs.weights[event.model] = event.version
+    facts: Facts = {
+        "model": event.model,
+        "version": event.version,
+    }
+    return [Log(LogNumber.WEIGHTS_NAMED, facts=facts)]
+
+
+def _take_members(beliefs: Beliefs, event: MembersListed) -> list[Log]:
+    before = 0 if beliefs.members is None else len(beliefs.members)
+    beliefs.members = event.members
+    if before == len(event.members):
+        return []
+    facts: Facts = {
+        "members": len(event.members),
+        "before": before,
+    }
+    return [Log(LogNumber.MEMBERS_CHANGED, facts=facts)]
+
+
+def _take_reachability(
+    beliefs: Beliefs, event: SourceLost | SourceRegained, now: float
+) -> list[Log]:
+    if isinstance(event, SourceLost):
+        beliefs.lost.setdefault(event.source, now)
+        source = event.source.value
+        return [
+            Log(LogNumber.SOURCE_LOST, detail=event.reason, facts={"source": source})
+        ]
+    beliefs.lost.pop(event.source, None)
+    if event.source is Source.UPSTREAMS and event.lost_s > OUTAGE_S:
+        beliefs.returning_until = now + RETURN_S
+    facts: Facts = {
+        "source": event.source.value,
+        "lost_s": round(event.lost_s, 3),
+    }
+    return [Log(LogNumber.SOURCE_REGAINED, facts=facts)]
--- /dev/null
+++ b/masticdrum/core/directory.py
@@ -0,0 +1,54 @@
+"""Finds a request's route and workspace in a directory.
+
+index = DirectoryIndex(directory)
+index.find_route("shop.example", "/orders/new/7")  # the longest prefix that fits
+"""
+
+from masticdrum.model.directory import (
+    Directory,
+    ForwardRoute,
+    ForwardService,
+    ForwardWorkspace,
+)
+
+
+class DirectoryIndex:
+    """A directory with the lookups that each request needs."""
+
+    __slots__ = ("directory", "models", "services", "_routes", "_workspaces")
+
+    def __init__(self, directory: Directory) -> None:
+        self.directory = directory
+        self.services: dict[str, ForwardService] = {
+            service.name: service for service in directory.services
+        }
+        self._routes: dict[str, dict[str, ForwardRoute]] = {}
+        for route in directory.routes:
+            self._routes.setdefault(route.host, {})[route.prefix] = route
+        self._workspaces = {
+            key: workspace
+            for workspace in directory.workspaces
+            for key in workspace.keys
+        }
+        self.models = {
+            model: service.name
+            for service in directory.services
+            if service.engine is not None
+            for model in service.engine.models
+        }
+
+    def find_route(self, host: str, path: str) -> ForwardRoute | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+        prefixes = self._routes.get(host)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def find_workspace(self, key: str) -> ForwardWorkspace | None:
+        """Return the workspace that holds ``key``."""
+        return self._workspaces.get(key)
--- /dev/null
+++ b/masticdrum/core/exchangestate.py
@@ -0,0 +1,144 @@
+"""The state of an entry that forwards exchanges."""
+
+from random import Random
+
+from msgspec import Struct
+
+from masticdrum.core.beliefs import BeliefBounds, Beliefs
+from masticdrum.core.coldpace import ColdBounds, ColdPace
+from masticdrum.core.retrywindow import RetryBounds, RetryWindow
+from masticdrum.core.standing import Standing
+from masticdrum.core.timers import Timers
+from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
+from masticdrum.model.exchange import Prompt
+
+TimerName = tuple[str, int]
+
+
+class ForwardBounds(Struct, frozen=True):
+    """Every figure that bounds what an entry may do; times are seconds.
+
+    ``weights_s`` is how long requests may begin on older weights after newer ones
+    were named.
+    """
+
+    beliefs: BeliefBounds
+    retries: RetryBounds
+    cold: ColdBounds
+    weights_s: float
+    stop_linger_s: float
+
+
+class Attempt:
+    """One send of an exchange to an upstream."""
+
+    __slots__ = ("began", "number", "upstream")
+
+    def __init__(self, number: int, upstream: str, began: float) -> None:
+        self.number = number
+        self.upstream = upstream
+        self.began = began
+
+
+class Exchange:
+    """One request of a caller that has no final answer yet.
+
+    ``sends`` counts the attempts that may have run; ``maybe_ran`` whether there was
+    one. ``last_event`` is the id of the last event that was passed on.
+    """
+
+    __slots__ = (
+        "arrived",
+        "attempt",
+        "begun",
+        "deadline",
+        "handle",
+        "last_event",
+        "maybe_ran",
+        "passed",
+        "prompt",
+        "rejections",
+        "request",
+        "route",
+        "sends",
+        "service",
+        "tried",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        handle: int,
+        request: str,
+        route: ForwardRoute,
+        service: str,
+        workspace: ForwardWorkspace | None,
+        arrived: float,
+        deadline: float,
+    ) -> None:
+        self.handle = handle
+        self.request = request
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.arrived = arrived
+        self.deadline = deadline
+        self.prompt: Prompt | None = None
+        self.attempt: Attempt | None = None
+        self.begun = False
+        self.passed = False
+        self.maybe_ran = False
+        self.sends = 0
+        self.rejections = 0
+        self.last_event: int | None = None
+        self.tried: set[str] = set()
+
+
+class ExchangeState:
+    """Everything one forwarding entry knows; ``role`` names its fellows."""
+
+    def __init__(self, name: str, role: str, bounds: ForwardBounds, seed: int) -> None:
+        self.name = name
+        self.role = role
+        self.bounds = bounds
+        self.random = Random(seed)
+        self.beliefs = Beliefs(bounds.beliefs)
+        self.exchanges: dict[int, Exchange] = {}
+        self.open: dict[str, int] = {}
+        self.standings: dict[str, Standing] = {}
+        self.windows: dict[str, RetryWindow] = {}
+        self.pace = ColdPace(bounds.cold, self.random)
+        self.timers: Timers[TimerName] = Timers()
+        self.attempts = 0
+        self.weights_at: dict[str, float] = {}
+        self.leased = False
+        self.stop_from: float | None = None
+        self.stop_by: float | None = None
+        self.left = False
+
+    def find_next_timer(self) -> float | None:
+        """Return when the next timer is due, in seconds, or None."""
+        return self.timers.find_next()
+
+    def find_window(self, service: str) -> RetryWindow:
+        """Return the retry bound of a service."""
+        window = self.windows.get(service)
+        if window is None:
+            window = self.windows[service] = RetryWindow(self.bounds.retries)
+        return window
+
+    def count_fellows(self) -> int:
+        """Count the entries that share limits with this one."""
+        return self.beliefs.count_members(self.role)
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether callers should be sent here."""
+        beliefs = self.beliefs
+        return (
+            self.stop_from is None
+            and beliefs.index is not None
+            and beliefs.members is not None
+            and beliefs.out is not None
+            and bool(beliefs.known)
+            and beliefs.is_leased(now)
+        )
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -1,10 +1,10 @@
 """Permits for weight loads: leases with fencing numbers in one platform object.
 
-At most ``LOAD_PERMITS`` leases stand at once. A grant is a conditional write; its
+At most ``PermitBounds.loads`` leases stand at once. A grant is a conditional write; its
 fencing number is one higher than any before. The holder counts its lease from the
-moment at which it sent the write, and orders nothing past ``LEASE_S`` less a margin.
-Others take a lease over once they have seen it unchanged, by their own clock, for
-``TAKEOVER_S``, which covers an order given at the last moment and the load that it
+moment at which it sent the write, and orders nothing past it less a margin.
+Others take a lease over once they have seen it unchanged, by their own clock, for a
+lease and a load, which covers an order given at the last moment and the load that it
 began. A lost answer is settled by reading the object: a lease with one's own token was
 granted.
 """
@@ -27,7 +27,6 @@
 LEASE_S = 10.0
 MARGIN_S = 1.0  # for the order's way to the upstream, and for clocks' drift
 LONGEST_LOAD_S = 60.0  # that goes on after its agent died
-TAKEOVER_S = LEASE_S + LONGEST_LOAD_S
 RENEW_EVERY_S = 3.0
 FIRST_POLL_S = 0.5
 LONGEST_POLL_S = 10.0
@@ -54,6 +53,20 @@
     since: float
 
 
+class PermitBounds(Struct, frozen=True):
+    """How many permits stand at once and how they are kept; times are seconds.
+
+    ``load_s`` is the longest that a load goes on after its agent died.
+    """
+
+    loads: int = LOAD_PERMITS
+    lease_s: float = LEASE_S
+    load_s: float = LONGEST_LOAD_S
+    renew_every_s: float = RENEW_EVERY_S
+    first_poll_s: float = FIRST_POLL_S
+    longest_poll_s: float = LONGEST_POLL_S
+
+
 class Wish(StrEnum):
     """What the agent wants of its permit."""
 
@@ -79,11 +92,15 @@
         "_token",
         "_version",
         "_wake_at",
+        "bounds",
         "holder",
         "wish",
     )
 
-    def __init__(self, holder: str, seed: int) -> None:
+    def __init__(
+        self, holder: str, seed: int, bounds: PermitBounds | None = None
+    ) -> None:
+        self.bounds = PermitBounds() if bounds is None else bounds
         self.holder = holder
         self.wish = Wish.NONE
         self._random = Random(seed)
@@ -98,7 +115,7 @@
         self._fence = 0
         self._sent_at: dict[int, float] = {}
         self._expires_at = 0.0
-        self._poll_s = FIRST_POLL_S
+        self._poll_s = self.bounds.first_poll_s
         self._wake_at = 0.0
 
     def find_fence(self, now: float) -> int:
@@ -182,9 +199,9 @@
         if self._retired:
             return
         sent_at = self._sent_at.get(lease.renewals, 0.0)
-        self._expires_at = sent_at + LEASE_S - MARGIN_S
-        self._wake_at = max(now, sent_at + RENEW_EVERY_S)
-        self._poll_s = FIRST_POLL_S
+        self._expires_at = sent_at + self.bounds.lease_s - MARGIN_S
+        self._wake_at = max(now, sent_at + self.bounds.renew_every_s)
+        self._poll_s = self.bounds.first_poll_s
 
     def _propose(self, now: float) -> PermitTable | None:
         dead = [t for t in self._seen if self._is_dead(t, now)]
@@ -202,7 +219,7 @@
             own.renewals += 1
             self._sent_at[own.renewals] = now
             return table
-        if len(leases) >= LOAD_PERMITS:
+        if len(leases) >= self.bounds.loads:
             return None
         table.fence += 1
         self._token = f"{self.holder}/{self._calls}"
@@ -212,10 +229,12 @@
         return table
 
     def _is_dead(self, token: str, now: float) -> bool:
-        return token != self._token and now - self._seen[token].since >= TAKEOVER_S
+        unchanged_s = now - self._seen[token].since
+        takeover_s = self.bounds.lease_s + self.bounds.load_s
+        return token != self._token and unchanged_s >= takeover_s
 
     def _back_off(self, now: float) -> None:
         # The next look must be a fresh one: read again.
         self._version = -1
         self._wake_at = now + self._poll_s * self._random.uniform(0.5, 1.5)
-        self._poll_s = min(LONGEST_POLL_S, 2 * self._poll_s)
+        self._poll_s = min(self.bounds.longest_poll_s, 2 * self._poll_s)
--- a/masticdrum/core/settingscheck.py
+++ b/masticdrum/core/settingscheck.py
@@ -7,9 +7,18 @@
 
 from masticdrum.core.addresses import is_address, is_socket_address
 from masticdrum.model.faults import Fault
-from masticdrum.model.settings import AgentSettings, CtlSettings, EntrySettings
-
-AnySettings = EntrySettings | AgentSettings | CtlSettings
+from masticdrum.model.settings import (
+    AdviserSettings,
+    AgentSettings,
+    CtlSettings,
+    EntrySettings,
+    ForwardSettings,
+)
+
+AnySettings = (
+    EntrySettings | AgentSettings | CtlSettings | ForwardSettings | AdviserSettings
+)
+SOCKET_ADDRESSES = frozenset({"http", "probes", "metrics", "store"})
 
 ADDRESS_SCHEMES = {
     "listen": "tcp",
@@ -45,5 +54,5 @@
     scheme = ADDRESS_SCHEMES.get(name)
     if scheme is not None and not is_address(text, scheme):
         yield Fault(path, f"{text!r} is not {scheme}://IP:PORT")
-    if name == "http" and not is_socket_address(text):
+    if name in SOCKET_ADDRESSES and not is_socket_address(text):
         yield Fault(path, f"{text!r} is not IP:PORT")
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -96,6 +96,51 @@
     grace_s: float = 30.0
 
 
+class ForwardSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of an entry that forwards requests unchanged.
+
+    ``http``, ``probes`` and ``metrics`` are the ``IP:PORT`` for callers, readiness and
+    metrics; ``store`` is that of the platform's store. ``drain_s`` is how long an
+    upstream that is leaving may still be sent to, ``revoke_s`` how soon a key that is
+    taken away must be dead, ``weights_s`` how long requests may begin on older weights
+    after newer ones were named. Repeated sends of a service are bounded by
+    ``retry_ratio`` of its requests in ``retry_window_s`` and ``retry_extra``, those to
+    a cold upstream by its own rate times ``cold_factor`` and ``cold_slack``, over all
+    entries together. ``grace_s`` bounds a shutdown.
+    """
+
+    name: str
+    data_centre: str
+    http: str
+    probes: str
+    metrics: str
+    store: str
+    drain_s: float = 2.0
+    revoke_s: float = 5.0
+    weights_s: float = 12.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_extra: float = 20.0
+    cold_factor: float = 1.0
+    cold_slack: float = 1.0
+    grace_s: float = 8.0
+
+
+class AdviserSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of an agent that advises entries and gives its engine its orders.
+
+    ``upstream`` and ``metrics`` are ``IP:PORT``; ``store`` is that of the platform's
+    store. ``grace_s`` bounds a shutdown.
+    """
+
+    name: str
+    data_centre: str
+    upstream: str
+    metrics: str
+    store: str
+    grace_s: float = 8.0
+
+
 class CtlSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of ``masticdrumctl``.
 
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum, StrEnum
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 
 class LogNumber(IntEnum):
@@ -31,6 +31,32 @@
     RUN_FINISHED = 41
     RUN_FAILED = 42
     RUN_CANCELLED = 43
+    EXCHANGE_REFUSED = 50
+    EXCHANGE_SENT = 51
+    EXCHANGE_ATTEMPT_ENDED = 52
+    EXCHANGE_ANSWERED = 53
+    EXCHANGE_BROKEN = 54
+    EXCHANGE_ABANDONED = 55
+    DIRECTORY_INSTALLED = 60
+    DIRECTORY_IGNORED = 61
+    LEASE_LAPSED = 62
+    LEASE_REGAINED = 63
+    UPSTREAM_SEEN = 64
+    UPSTREAM_LEAVING = 65
+    UPSTREAM_GONE = 66
+    DATA_CENTRES_CHANGED = 67
+    WEIGHTS_NAMED = 68
+    MEMBERS_CHANGED = 69
+    SOURCE_LOST = 70
+    SOURCE_REGAINED = 71
+    READINESS_CHANGED = 72
+    CLOCK_JUMPED = 73
+    ORDER_GIVEN = 74
+    ORDER_ANSWERED = 75
+    UPSTREAM_AVOIDED = 76
+    OBJECT_UNREADABLE = 77
+    SETTINGS_RELOADED = 78
+    LINES_DROPPED = 79
 
 
 class Counter(StrEnum):
@@ -46,6 +72,10 @@
     LINK_BYTES = "link_bytes"
     BLOCKS = "blocks"
     PROMPT_BLOCKS = "prompt_blocks"
+    EXCHANGES = "exchanges"
+    ATTEMPTS = "attempts"
+    ORDERS = "orders"
+    CONNECTIONS = "connections"
 
 
 class Histogram(StrEnum):
@@ -54,15 +84,21 @@
     FIRST_TOKEN = "first_token_seconds"
     BETWEEN_TOKENS = "between_tokens_seconds"
     QUEUE_WAIT = "queue_wait_seconds"
+    EXCHANGE_FIRST = "exchange_first_seconds"
+    EXCHANGE_WHOLE = "exchange_whole_seconds"
+
+
+Facts = dict[str, str | int | float | bool | list[str]]
 
 
 class Log(Struct, frozen=True):
-    """Writes one numbered log event."""
+    """Writes one numbered log event; ``facts`` are the inputs that decided."""
 
     number: LogNumber
     request: str = ""
     attempt: str = ""
     detail: str = ""
+    facts: Facts = field(default_factory=dict)
 
 
 class Count(Struct, frozen=True):
--- /dev/null
+++ b/masticdrum/platform/agent.py
@@ -0,0 +1,70 @@
+"""``python -m masticdrum.platform.agent``: the agent beside an engine."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import click
+import trio
+
+from masticdrum.model.settings import AdviserSettings
+from masticdrum.model.telemetry import Count, Counter
+from masticdrum.platform.engine import Engine
+from masticdrum.platform.followers import UPSTREAMS, WEIGHTS, Follower
+from masticdrum.platform.settings import platform_settings
+from masticdrum.platform.store import Store
+from masticdrum.programs.adviser import Submit, run_adviser
+from masticdrum.programs.commands import (
+    check_option,
+    unwrap_or_exit,
+)
+from masticdrum.shell.journal import open_bounded_journal
+from masticdrum.shell.meters import Meters
+from masticdrum.shell.settings import load_settings
+
+
+class PlatformParts:
+    """The clients of the platform that an agent needs."""
+
+    def __init__(self, settings: AdviserSettings) -> None:
+        self._settings = settings
+        self._meters: Meters | None = None
+        self._store = Store(settings.store, self._count)
+
+    def make_engine(self, submit: Submit) -> Engine:
+        """Return the client of the engine."""
+        return Engine(submit, self._settings.upstream, self._settings.name)
+
+    def make_store(self, meters: Meters) -> Store:
+        """Return the client of the store."""
+        self._meters = meters
+        return self._store
+
+    def follow(self, submit: Submit) -> list[Callable[[], Awaitable[None]]]:
+        """Return what must run to follow the platform."""
+        return [
+            Follower(followed, self._store, submit, Random()).run
+            for followed in (UPSTREAMS, WEIGHTS)
+        ]
+
+    def _count(self, how: str) -> None:
+        if self._meters is not None:
+            self._meters.count(Count(Counter.PLATFORM_CALLS, how))
+
+
+@click.command()
+@platform_settings
+@check_option
+def main(settings: Path, check: bool) -> None:
+    """Run an agent beside an engine with the SETTINGS in a JSON file."""
+    loaded = unwrap_or_exit(load_settings(settings, AdviserSettings))
+    if check:
+        click.echo(f"{settings}: ok")
+        return
+    open_bounded_journal("masticdrum-agent", loaded.name, sys.stdout.fileno())
+    trio.run(run_adviser, loaded, PlatformParts(loaded))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/masticdrum/platform/entry.py
@@ -0,0 +1,81 @@
+"""``python -m masticdrum.platform.entry``: the forwarding entry on the platform."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import click
+import trio
+from returns.result import Failure
+
+from masticdrum.model.belief import Member
+from masticdrum.model.settings import ForwardSettings
+from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
+from masticdrum.platform.followers import (
+    DATA_CENTRES,
+    DIRECTORY,
+    MEMBERS,
+    UPSTREAMS,
+    WEIGHTS,
+    Follower,
+)
+from masticdrum.platform.headers import PlatformForm
+from masticdrum.platform.members import announce
+from masticdrum.platform.settings import platform_settings
+from masticdrum.platform.store import Store
+from masticdrum.programs.commands import (
+    check_option,
+    unwrap_or_exit,
+)
+from masticdrum.programs.forwarder import ROLE, Submit, run_forwarder
+from masticdrum.shell.journal import open_bounded_journal, write_event
+from masticdrum.shell.meters import Meters
+from masticdrum.shell.settings import load_settings
+
+FOLLOWED = (DIRECTORY, UPSTREAMS, DATA_CENTRES, WEIGHTS, MEMBERS)
+
+
+def follow(
+    settings: ForwardSettings, submit: Submit, meters: Meters
+) -> list[Callable[[], Awaitable[None]]]:
+    """Return what must run to follow the platform."""
+    store = Store(
+        settings.store, lambda how: meters.count(Count(Counter.PLATFORM_CALLS, how))
+    )
+    member = Member(settings.name, ROLE, settings.data_centre)
+    runs: list[Callable[[], Awaitable[None]]] = [lambda: announce(store, member)]
+    for followed in FOLLOWED:
+        runs.append(Follower(followed, store, submit, Random()).run)
+    return runs
+
+
+@click.command()
+@platform_settings
+@check_option
+def main(settings: Path, check: bool) -> None:
+    """Run a forwarding entry with the SETTINGS in a JSON file."""
+    loaded = unwrap_or_exit(load_settings(settings, ForwardSettings))
+    if check:
+        click.echo(f"{settings}: ok")
+        return
+    open_bounded_journal("masticdrum-entry", loaded.name, sys.stdout.fileno())
+
+    def reread() -> ForwardSettings | None:
+        result = load_settings(settings, ForwardSettings)
+        if isinstance(result, Failure):
+            write_event(Log(LogNumber.TABLES_REJECTED, detail=result.failure()))
+            return None
+        return result.unwrap()
+
+    trio.run(
+        run_forwarder,
+        loaded,
+        PlatformForm(),
+        lambda submit, meters: follow(loaded, submit, meters),
+        reread,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/masticdrum/platform/objects.py
@@ -0,0 +1,213 @@
+"""The store's objects, decoded into the product's types.
+
+An entry that can't be read raises ``msgspec.MsgspecError``; it names nothing to use.
+"""
+
+import msgspec
+from msgspec import UNSET, Raw, Struct, UnsetType, field
+
+from masticdrum.model.belief import Member
+from masticdrum.model.directory import (
+    Backend,
+    CallerLimits,
+    Directory,
+    EngineShape,
+    ForwardRoute,
+    ForwardService,
+    ForwardWorkspace,
+    RouteKind,
+    Upstream,
+)
+
+MS_PER_S = 1000
+ROUTE_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+STATES = {"ready": False, "draining": True}
+
+
+class Metadata(Struct):
+    """What the store keeps of each object."""
+
+    name: str
+    revision: int = 0
+    deleting: bool = False
+
+
+class StoredObject(Struct):
+    """One object; ``spec`` is decoded by kind."""
+
+    metadata: Metadata
+    spec: Raw = Raw(b"null")
+    status: Raw = Raw(b"null")
+
+
+class WireBackend(Struct):
+    service: str
+    weight: float = 1.0
+
+
+class WireRoute(Struct):
+    name: str
+    hostname: str
+    pathPrefix: str  # noqa: N815
+    routeType: str  # noqa: N815
+    timeoutMs: float = 30_000  # noqa: N815
+    targetLatencyMs: float = 1000  # noqa: N815
+    maxAttempts: int = 1  # noqa: N815
+    priority: int = 0
+    service: str | None = None
+    backends: list[WireBackend] = field(default_factory=list)
+    public: bool = False
+    resumable: bool = False
+    gapTargetMs: float = 0  # noqa: N815
+
+
+class WireModel(Struct):
+    name: str
+
+
+class WireEngine(Struct):
+    slots: int = 1
+    kvCapacityTokens: int = 0  # noqa: N815
+    models: list[WireModel] = field(default_factory=list)
+
+
+class WireService(Struct):
+    name: str
+    maxConnections: int = 0  # noqa: N815
+    coldStartS: float = 0  # noqa: N815
+    coldPerS: float = 0  # noqa: N815
+    engine: WireEngine | None = None
+
+
+class WireTenant(Struct):
+    name: str
+    apiKeys: list[str] = field(default_factory=list)  # noqa: N815
+    priority: int | None = None
+    isolated: bool = False
+
+
+class WireLimits(Struct):
+    maxHeaderBytes: int = 16 * 1024  # noqa: N815
+    maxBodyBytes: int = 4 * 1024 * 1024  # noqa: N815
+    headerTimeoutMs: float = 3000  # noqa: N815
+    idleTimeoutMs: float = 15_000  # noqa: N815
+
+
+class WireConfig(Struct):
+    version: int
+    routes: list[WireRoute] = field(default_factory=list)
+    services: list[WireService] = field(default_factory=list)
+    limits: WireLimits = field(default_factory=WireLimits)
+    tenants: list[WireTenant] | UnsetType = UNSET
+
+
+class WireWeights(Struct):
+    name: str
+    version: int = 0
+
+
+class WireServer(Struct):
+    """A server's entry; ``version`` there is that of its software, not of weights."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    coldRemainingMs: float = 0  # noqa: N815
+    born: int = 0
+    models: list[WireWeights] = field(default_factory=list)
+
+
+class WireNamedWeights(Struct):
+    model: str
+    version: int
+
+
+def read_directory(spec: bytes) -> Directory:
+    """Read the configuration."""
+    wire = msgspec.json.decode(spec, type=WireConfig)
+    tenants = [] if isinstance(wire.tenants, UnsetType) else wire.tenants
+    limits = wire.limits
+    return Directory(
+        version=wire.version,
+        routes=tuple(read_route(route) for route in wire.routes),
+        services=tuple(read_service(service) for service in wire.services),
+        workspaces=tuple(
+            ForwardWorkspace(t.name, tuple(t.apiKeys), t.priority, t.isolated)
+            for t in tenants
+        ),
+        keyed=not isinstance(wire.tenants, UnsetType),
+        limits=CallerLimits(
+            limits.maxHeaderBytes,
+            limits.maxBodyBytes,
+            limits.headerTimeoutMs / MS_PER_S,
+            limits.idleTimeoutMs / MS_PER_S,
+        ),
+    )
+
+
+def read_route(wire: WireRoute) -> ForwardRoute:
+    """Read one route."""
+    backends = tuple(Backend(b.service, b.weight) for b in wire.backends)
+    if wire.service is not None:
+        backends = (Backend(wire.service),)
+    return ForwardRoute(
+        name=wire.name,
+        host=wire.hostname.lower(),
+        prefix=wire.pathPrefix,
+        kind=ROUTE_KINDS.get(wire.routeType, RouteKind.NON_IDEMPOTENT),
+        backends=backends,
+        timeout_s=wire.timeoutMs / MS_PER_S,
+        target_s=wire.targetLatencyMs / MS_PER_S,
+        max_attempts=max(1, wire.maxAttempts),
+        urgency=wire.priority,
+        public=wire.public,
+        resumable=wire.resumable,
+        gap_s=wire.gapTargetMs / MS_PER_S,
+    )
+
+
+def read_service(wire: WireService) -> ForwardService:
+    """Read one service."""
+    engine = None
+    if wire.engine is not None:
+        models = tuple(model.name for model in wire.engine.models)
+        engine = EngineShape(wire.engine.slots, wire.engine.kvCapacityTokens, models)
+    return ForwardService(
+        wire.name, wire.maxConnections, wire.coldStartS, wire.coldPerS, engine
+    )
+
+
+def read_upstream(name: str, spec: bytes) -> Upstream:
+    """Read a server's entry."""
+    wire = msgspec.json.decode(spec, type=WireServer)
+    host, _, port = wire.address.rpartition(":")
+    if wire.state not in STATES or not host or not port.isdigit():
+        raise msgspec.ValidationError(f"state {wire.state!r}, address {wire.address!r}")
+    return Upstream(
+        name=name,
+        service=wire.service,
+        address=wire.address,
+        data_centre=wire.zone,
+        slots=wire.slots,
+        leaving=STATES[wire.state],
+        cold_s=wire.coldRemainingMs / MS_PER_S,
+        born=wire.born,
+        weights={model.name: model.version for model in wire.models},
+    )
+
+
+def read_named_weights(spec: bytes) -> tuple[str, int]:
+    """Read which version of a model is wanted."""
+    wire = msgspec.json.decode(spec, type=WireNamedWeights)
+    return wire.model, wire.version
+
+
+def read_member(spec: bytes) -> Member:
+    """Read what a process of the system says of itself."""
+    return msgspec.json.decode(spec, type=Member)
--- /dev/null
+++ b/masticdrum/platform/store.py
@@ -0,0 +1,162 @@
+"""The client of the platform's store: single calls, lists and watches."""
+
+from collections.abc import Callable
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+import httpcore
+import msgspec
+import trio
+from msgspec import Raw, Struct
+
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectGet,
+    ObjectPut,
+    ObjectStatus,
+)
+from masticdrum.platform.objects import StoredObject
+from masticdrum.shell.upstreamstream import LeanBackend
+
+T = TypeVar("T")
+CALL_S = 1.5  # answers take some 4 ms; a slow store 60 times as long
+MAX_CONNECTIONS = 12  # one a watch, and some for writes
+KIND_PREFIX = "masticdrum-"  # kinds of our own, apart from the platform's
+MS_PER_S = 1000
+GONE = 410
+STATUSES = {
+    200: ObjectStatus.OK,
+    201: ObjectStatus.OK,
+    404: ObjectStatus.MISSING,
+    409: ObjectStatus.CONFLICT,
+    413: ObjectStatus.REJECTED,
+    429: ObjectStatus.REJECTED,
+    503: ObjectStatus.REJECTED,
+}
+
+
+class StoreFailed(Exception):
+    """A call got no answer that says what the store holds."""
+
+
+class HistoryGone(Exception):
+    """The store has forgotten what a watch asked for."""
+
+
+class Page(Struct):
+    """A part of a list."""
+
+    items: list[Raw]
+    asOf: int  # noqa: N815
+    hasMore: bool = False  # noqa: N815
+
+
+class Change(Struct):
+    """One event of a watch."""
+
+    object: Raw
+    deleted: bool = False
+
+
+class Changes(Struct):
+    """What a watch returns."""
+
+    events: list[Change]
+    asOf: int  # noqa: N815
+
+
+class Store:
+    """Calls to the platform's store; ``address`` is ``IP:PORT``."""
+
+    def __init__(self, address: str, count_call: Callable[[str], None]) -> None:
+        self._base = f"http://{address}/v1/objects/"
+        self._count_call = count_call
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, network_backend=LeanBackend()
+        )
+
+    async def list_page(self, kind: str, after: str) -> Page:
+        """Read a part of the objects of a kind."""
+        query = {"after": after} if after else {}
+        status, body = await self._call("GET", kind, query)
+        if status != 200:
+            raise StoreFailed(f"list of {kind}: status {status}")
+        return decode(body, Page)
+
+    async def watch(self, kind: str, since: int, wait_s: float) -> Changes:
+        """Wait for changes of a kind after a revision."""
+        query = {"watch": str(since), "waitMs": str(int(wait_s * MS_PER_S))}
+        status, body = await self._call("GET", kind, query, wait_s=wait_s)
+        if status == GONE:
+            raise HistoryGone
+        if status != 200:
+            raise StoreFailed(f"watch of {kind}: status {status}")
+        return decode(body, Changes)
+
+    async def ask(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
+        """Carry out a call on one of our own objects; no failure is raised."""
+        kind, _, name = call.path.partition("/")
+        path = f"{KIND_PREFIX}{kind}"
+        try:
+            if isinstance(call, ObjectGet):
+                status, body = await self._call("GET", f"{path}/{quote(name)}")
+            else:
+                status, body = await self._put(path, name, call)
+        except StoreFailed:
+            return ObjectAnswer(call.call, ObjectStatus.LOST)
+        how = STATUSES.get(status, ObjectStatus.LOST)
+        if how is not ObjectStatus.OK:
+            return ObjectAnswer(call.call, how)
+        stored = decode(body, StoredObject)
+        return ObjectAnswer(
+            call.call, how, stored.metadata.revision, bytes(stored.spec)
+        )
+
+    async def delete(self, kind: str, name: str, revision: int) -> None:
+        """Delete one of our own objects if it has not changed."""
+        query = {"revision": str(revision)}
+        await self._call("DELETE", f"{KIND_PREFIX}{kind}/{quote(name)}", query)
+
+    async def _put(self, path: str, name: str, call: ObjectPut) -> tuple[int, bytes]:
+        metadata: dict[str, str | int] = {"name": name}
+        if call.expected > 0:
+            metadata["revision"] = call.expected
+        body = msgspec.json.encode({"metadata": metadata, "spec": Raw(call.body)})
+        if call.expected > 0:
+            return await self._call("PUT", f"{path}/{quote(name)}", body=body)
+        return await self._call("POST", path, body=body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        *,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+    ) -> tuple[int, bytes]:
+        url = self._base + path + (f"?{urlencode(query)}" if query else "")
+        headers = [("Content-Type", "application/json")] if body else []
+        self._count_call(method)
+        try:
+            with trio.fail_after(CALL_S + wait_s):
+                response = await self._pool.request(
+                    method, url, headers=headers, content=body
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            OSError,
+            trio.TooSlowError,
+        ) as error:
+            raise StoreFailed(f"{method} {path}: {error!r}") from error
+        return response.status, response.content
+
+
+def decode(body: bytes, kind: type[T]) -> T:
+    """Decode an answer; raises ``StoreFailed``."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreFailed(f"the answer can't be read: {error}") from error
--- a/masticdrum/shell/callerchannel.py
+++ b/masticdrum/shell/callerchannel.py
@@ -1,13 +1,13 @@
 """What the reducer gives to one caller, until the caller's task takes it."""
 
-import trio
+from typing import Generic, TypeVar
 
-from masticdrum.model.entry_events import GiveAnswer, GiveEnd, GiveRefusal, GiveTokens
+import trio
 
-Given = GiveTokens | GiveEnd | GiveAnswer | GiveRefusal
+Given = TypeVar("Given")
 
 
-class CallerChannel:
+class CallerChannel(Generic[Given]):
     """A queue from the reducer to the task that writes to one caller."""
 
     __slots__ = ("_receive", "_send")
--- a/masticdrum/shell/callers.py
+++ b/masticdrum/shell/callers.py
@@ -37,7 +37,7 @@
     send_json,
     send_whole,
 )
-from masticdrum.shell.callerchannel import CallerChannel, Given
+from masticdrum.shell.callerchannel import CallerChannel
 from masticdrum.shell.meters import Meters
 from masticdrum.shell.requestbody import Refusal, parse_completion, read_body
 
@@ -47,6 +47,7 @@
 ]
 MAX_KEY_BYTES = 255
 Asked = CompletionAsked | CallAsked | CallerGone
+Given = GiveTokens | GiveEnd | GiveAnswer | GiveRefusal
 
 
 class CallerStalled(Exception):
@@ -67,7 +68,7 @@
         self._credentials = credentials
         self._limits = limits
         self._meters = meters
-        self._channels: dict[str, CallerChannel] = {}
+        self._channels: dict[str, CallerChannel[Given]] = {}
 
     def give(self, given: Given) -> None:
         """Pass an effect to the caller's task; a caller that is gone gets nothing."""
@@ -138,7 +139,7 @@
         send: Send,
         write: Callable[..., Awaitable[None]],
     ) -> None:
-        channel = CallerChannel()
+        channel: CallerChannel[Given] = CallerChannel()
         self._channels[event.request] = channel
         ended = False
 
@@ -163,7 +164,7 @@
                 self._submit(CallerGone(event.request))
 
     async def _write_stream(
-        self, event: CompletionAsked, channel: CallerChannel, send: Send
+        self, event: CompletionAsked, channel: CallerChannel[Given], send: Send
     ) -> None:
         begun = False
         while True:
@@ -182,7 +183,10 @@
                 return
 
     async def _write_whole(
-        self, event: CompletionAsked | CallAsked, channel: CallerChannel, send: Send
+        self,
+        event: CompletionAsked | CallAsked,
+        channel: CallerChannel[Given],
+        send: Send,
     ) -> None:
         texts: list[str] = []
         while True:
--- a/masticdrum/shell/journal.py
+++ b/masticdrum/shell/journal.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from masticdrum.model.telemetry import Log
+from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.shell.linewriter import LineWriter
 
 LOGGER = "masticdrum"
 
@@ -48,12 +49,38 @@
         "attempt": event.attempt,
         "detail": event.detail,
     }
-    return keys | {key: text for key, text in texts.items() if text}
+    return keys | {key: text for key, text in texts.items() if text} | event.facts
 
 
 def open_journal(program: str, instance: str, stream: TextIO | None = None) -> None:
     """Send all logging of this process to ``stream``, standard error by default."""
-    handler = logging.StreamHandler(stream)
+    _install(logging.StreamHandler(stream), program, instance)
+
+
+class BoundedHandler(logging.StreamHandler[LineWriter]):
+    """Writes lines through a ``LineWriter`` and tells how many it left out."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, unless there are too many."""
+        event = getattr(record, "event", None)
+        name = event.number.name if isinstance(event, Log) else record.name
+        if self.stream.admit(name):
+            super().emit(record)
+        dropped = self.stream.take_dropped()
+        if dropped:
+            told = Log(LogNumber.LINES_DROPPED, facts={**dropped})
+            line = logging.LogRecord(LOGGER, logging.INFO, "", 0, "", (), None)
+            line.event = told
+            super().emit(line)
+
+
+def open_bounded_journal(program: str, instance: str, descriptor: int) -> None:
+    """Send all logging of this process to a descriptor, never waiting for it."""
+    handler = BoundedHandler(LineWriter(descriptor))
+    _install(handler, program, instance)
+
+
+def _install(handler: logging.Handler, program: str, instance: str) -> None:
     handler.setFormatter(JsonLines(program, instance))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/masticdrum/shell/loop.py
+++ b/masticdrum/shell/loop.py
@@ -24,7 +24,7 @@
     ``reduce`` takes an event and the time, ``carry_out`` one effect; ``wake`` is the
     event for "time has passed"; ``settle`` is called once no event is left and may
     submit more. An event submitted from within an effect waits for
-    its turn.
+    its turn. ``clock`` gives the time in seconds that the reducer and its timers see.
     """
 
     def __init__(
@@ -34,7 +34,9 @@
         carry_out: Callable[[Effect], None],
         wake: Event,
         settle: Callable[[], None],
+        clock: Callable[[], float] = trio.current_time,
     ) -> None:
+        self._clock = clock
         self._state = state
         self._reduce = reduce
         self._carry_out = carry_out
@@ -66,11 +68,13 @@
     def _drain(self) -> None:
         while self._events:
             event = self._events.popleft()
-            for effect in self._reduce(event, trio.current_time()):
+            for effect in self._reduce(event, self._clock()):
                 self._carry_out(effect)
             if not self._events:
                 self._settle()
 
     def _find_deadline(self) -> float:
         at = self._state.find_next_timer()
-        return NEVER if at is None else at
+        if at is None:
+            return NEVER
+        return trio.current_time() + (at - self._clock())
--- a/masticdrum/shell/settings.py
+++ b/masticdrum/shell/settings.py
@@ -8,9 +8,17 @@
 
 from masticdrum.core.decoding import decode_json
 from masticdrum.core.settingscheck import find_settings_faults
-from masticdrum.model.settings import AgentSettings, CtlSettings, EntrySettings
+from masticdrum.model.settings import (
+    AdviserSettings,
+    AgentSettings,
+    CtlSettings,
+    EntrySettings,
+    ForwardSettings,
+)
 
-S = TypeVar("S", EntrySettings, AgentSettings, CtlSettings)
+S = TypeVar(
+    "S", EntrySettings, AgentSettings, CtlSettings, ForwardSettings, AdviserSettings
+)
 
 TOKEN_DIGEST = re.compile(r"[0-9a-f]{64}")
 
--- a/masticdrum/shell/signals.py
+++ b/masticdrum/shell/signals.py
@@ -12,3 +12,10 @@
         async for _ in signals:
             on_end()
             return
+
+
+async def watch_reloads(on_reload: Callable[[], None]) -> None:
+    """Call ``on_reload`` at each SIGHUP."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            on_reload()
--- a/masticdrum/shell/webserver.py
+++ b/masticdrum/shell/webserver.py
@@ -22,6 +22,16 @@
     """
 
     write_timeout_s = WRITE_TIMEOUT_S
+    read_idle_s: Callable[[], float] = staticmethod(lambda: KEEP_ALIVE_S)
+
+    @property
+    def keep_alive_timeout(self) -> float:
+        """How long a connection may be idle, in seconds, as of now."""
+        return self.read_idle_s()
+
+    @keep_alive_timeout.setter
+    def keep_alive_timeout(self, value: float) -> None:
+        self.read_idle_s = lambda: value
 
     def create_sockets(self) -> Sockets:
         """Create the listening sockets, whose options accepted ones inherit."""
@@ -34,19 +44,24 @@
 
 async def run_webserver(
     application: Application,
-    address: str,
+    addresses: str | list[str],
     *,
     max_header_bytes: int,
     grace_s: float,
     until: Callable[..., Awaitable[None]],
     write_timeout_s: float = WRITE_TIMEOUT_S,
+    read_idle_s: Callable[[], float] | None = None,
 ) -> None:
-    """Serve HTTP at ``IP:PORT`` until ``until`` returns."""
+    """Serve HTTP at one or several ``IP:PORT`` until ``until`` returns.
+
+    ``read_idle_s`` tells how long a connection may be idle, where that changes.
+    """
     config = WebserverConfig()
     config.write_timeout_s = write_timeout_s
-    config.bind = [address]
+    config.bind = [addresses] if isinstance(addresses, str) else addresses
     config.h11_max_incomplete_size = max_header_bytes + HEADER_SLACK_BYTES
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    if read_idle_s is not None:
+        config.read_idle_s = read_idle_s
     config.graceful_timeout = grace_s
     config.accesslog = None
     config.errorlog = None
