Roll out new weights faster, and fetch a prompt's beginning from its home engine

Ruled out: slow calls to the store (4 ms each), refused orders (none). Change: half of the engines may be under orders at once, leases of an agent's earlier lives lapse at once, an order that an engine refuses ends at once, and sends on older weights stop 4 s before the bound. A prompt that goes elsewhere names its home engine as the source of its beginning. Requests under way are reset instead of closed: with an orderly close a frozen engine took up requests whose callers had left (GONE).

--- a/masticdrum/core/adviser.py
+++ b/masticdrum/core/adviser.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from masticdrum.core.beliefs import BeliefBounds, Beliefs, Known, take_belief
 from masticdrum.core.orders import Orders
@@ -17,12 +18,15 @@
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
 from masticdrum.model.telemetry import Count, Counter, Facts, Log, LogNumber
 
-LOADING_PART = 0.4  # of the engines; the platform's loads slow down beyond it
+# Most of an order is the wait for runs to finish, so that three of six engines under
+# orders seldom load at once; with fewer, a rollout outlasted its bound when one froze.
+LOADING_PART = 0.5
+ORDER_RETRY_S = 0.5  # after an order that failed, often as the engine was replaced
 BELIEFS = BeliefBounds(revoke_s=0.0, drain_s=0.0)  # an agent sends no requests
 PERMITS = PermitBounds(
-    lease_s=4.0,  # an agent that died holds others up for that long and a load
-    load_s=4.0,  # three times the time that one load takes alone
-    renew_every_s=1.5,  # twice in a lease, so that one lost write does no harm
+    lease_s=3.0,  # an agent that died holds others up for that long and a load
+    load_s=2.0,  # one and a half times the time that a load takes alone
+    renew_every_s=1.0,  # twice in a lease, so that one lost write does no harm
     first_poll_s=0.2,
     longest_poll_s=0.6,  # half of a load, so that a free permit is soon seen
 )
@@ -41,13 +45,17 @@
 
 
 class AdviserState:
-    """What one agent knows of its engine, which serves at ``upstream``."""
+    """What one agent knows of its engine, which serves at ``upstream``.
 
-    def __init__(self, name: str, upstream: str, seed: int) -> None:
+    ``life`` tells this life of the agent from its earlier ones.
+    """
+
+    def __init__(self, name: str, life: str, upstream: str, seed: int) -> None:
         self.name = name
         self.upstream = upstream
         self.beliefs = Beliefs(BELIEFS)
-        self.orders = Orders(Permits(name, seed, PERMITS))
+        permits = Permits(f"{name}/{life}", seed, PERMITS, kin=f"{name}/")
+        self.orders = Orders(permits, ORDER_RETRY_S)
         self.weights: dict[str, int] = {}
         self.stopping = False
 
@@ -56,11 +64,13 @@
         return None
 
     def find_own(self) -> Known | None:
-        """Return the engine beside this agent, if it is registered."""
-        for known in self.beliefs.known.values():
-            if known.upstream.address == self.upstream:
-                return known
-        return None
+        """Return the newest engine registered at this agent's side, if any is."""
+        beside = [
+            known
+            for known in self.beliefs.known.values()
+            if known.upstream.address == self.upstream
+        ]
+        return max(beside, key=lambda known: known.upstream.born, default=None)
 
 
 def reduce_adviser(
@@ -134,14 +144,7 @@
     loads = max(1, int(LOADING_PART * engines))
     if loads == state.orders.permits.bounds.loads:
         return state.orders.permits.bounds
-    return PermitBounds(
-        loads,
-        PERMITS.lease_s,
-        PERMITS.load_s,
-        PERMITS.renew_every_s,
-        PERMITS.first_poll_s,
-        PERMITS.longest_poll_s,
-    )
+    return replace(PERMITS, loads=loads)
 
 
 def _take_order_answer(
--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -53,4 +53,6 @@
     named_at = state.weights_at.get(model)
     if named_at is None or now < named_at + state.bounds.weights_s:
         return usable
-    return [known for known in usable if known.upstream.weights.get(model, 0) >= wanted]
+    current = [k for k in usable if k.upstream.weights.get(model, 0) >= wanted]
+    # Without the platform no engine can be ordered: older weights beat none then.
+    return usable if not current and state.beliefs.lost else current
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -9,7 +9,7 @@
 from masticdrum.core.exchangestate import Attempt, Exchange, ExchangeState
 from masticdrum.core.invariants import require
 from masticdrum.core.standing import Standing
-from masticdrum.core.upstreamchoice import choose_upstream
+from masticdrum.core.upstreamchoice import Choice, choose_upstream
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace, RouteKind
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.exchange import (
@@ -137,11 +137,12 @@
     if exchange.workspace is not None and not state.beliefs.is_leased(now):
         return _give_up(state, exchange, ErrorKind.TABLES_STALE, now)
     candidates = list_candidates(state, exchange, now)
-    known = choose_upstream(
+    choice = choose_upstream(
         candidates, exchange.prompt, lambda name: state.open.get(name, 0), state.random
     )
-    if known is None:
+    if choice is None:
         return _give_up(state, exchange, ErrorKind.NO_UPSTREAM, now)
+    known = choice.known
     upstream = known.upstream
     service = state.beliefs.find_service(upstream)
     if is_cold(known, now) and service is not None and service.cold_per_s > 0:
@@ -166,13 +167,13 @@
             "lease_s": round(state.beliefs.lease_until - now, 3),
         },
     )
-    return [_describe_attempt(state, exchange, known.upstream.name, now), log]
+    return [_describe_attempt(state, exchange, choice, now), log]
 
 
 def _describe_attempt(
-    state: ExchangeState, exchange: Exchange, name: str, now: float
+    state: ExchangeState, exchange: Exchange, choice: Choice, now: float
 ) -> StartAttempt:
-    upstream = state.beliefs.known[name].upstream
+    upstream = choice.known.upstream
     left_s = exchange.deadline - now
     weights, scope = 0, ""
     if exchange.prompt is not None:
@@ -185,13 +186,14 @@
     return StartAttempt(
         handle=exchange.handle,
         attempt=state.attempts,
-        upstream=name,
+        upstream=upstream.name,
         address=upstream.address,
         workspace="" if workspace is None else workspace.name,
         left_s=left_s,
         first_wait_s=_find_patience(exchange, left_s),
         expect_weights=weights,
         cache_scope=scope,
+        cache_source="" if choice.holder is None else choice.holder.upstream.address,
         urgency=min(LEAST_URGENT, urgency) if exchange.prompt else UNSHARED,
         last_event=exchange.last_event,
     )
--- a/masticdrum/core/orders.py
+++ b/masticdrum/core/orders.py
@@ -19,10 +19,19 @@
 class Orders:
     """What one agent has ordered and what it waits for."""
 
-    __slots__ = ("_given_at", "_next_at", "_number", "fence", "order", "permits")
+    __slots__ = (
+        "_given_at",
+        "_next_at",
+        "_number",
+        "fence",
+        "order",
+        "permits",
+        "retry_s",
+    )
 
-    def __init__(self, permits: Permits) -> None:
+    def __init__(self, permits: Permits, retry_s: float = RETRY_S) -> None:
         self.permits = permits
+        self.retry_s = retry_s
         self.order = ""
         self.fence = 0
         self._number = 0
@@ -54,7 +63,7 @@
         if answer.order != self.order or not answer.settled:
             return
         self.order = ""
-        self._next_at = now + (CONFIRM_S if answer.done else RETRY_S)
+        self._next_at = now + (CONFIRM_S if answer.done else self.retry_s)
         self.permits.give_back()
 
     def _check_timeout(self, now: float) -> None:
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -75,12 +75,17 @@
 
 
 class Permits:
-    """One agent's permit: asked for, held while it is renewed, given back."""
+    """One agent's permit: asked for, held while it is renewed, given back.
+
+    ``kin`` begins the holder names of this agent's earlier lives, which are over, so
+    that their leases are taken over at once; empty if such lives can't be told.
+    """
 
     __slots__ = (
         "_calls",
         "_expires_at",
         "_fence",
+        "_kin",
         "_poll_s",
         "_pending",
         "_proposed",
@@ -98,8 +103,13 @@
     )
 
     def __init__(
-        self, holder: str, seed: int, bounds: PermitBounds | None = None
+        self,
+        holder: str,
+        seed: int,
+        bounds: PermitBounds | None = None,
+        kin: str = "",
     ) -> None:
+        self._kin = kin
         self.bounds = PermitBounds() if bounds is None else bounds
         self.holder = holder
         self.wish = Wish.NONE
@@ -229,9 +239,13 @@
         return table
 
     def _is_dead(self, token: str, now: float) -> bool:
+        if token == self._token:
+            return False
+        if self._kin and token.startswith(self._kin):
+            return True
         unchanged_s = now - self._seen[token].since
         takeover_s = self.bounds.lease_s + self.bounds.load_s
-        return token != self._token and unchanged_s >= takeover_s
+        return unchanged_s >= takeover_s
 
     def _back_off(self, now: float) -> None:
         # The next look must be a fresh one: read again.
--- a/masticdrum/core/upstreamchoice.py
+++ b/masticdrum/core/upstreamchoice.py
@@ -9,6 +9,7 @@
 from math import ceil
 from random import Random
 
+from msgspec import Struct
 from xxhash import xxh3_64_intdigest
 
 from masticdrum.core.beliefs import Known
@@ -20,14 +21,24 @@
 Load = Callable[[str], float]
 
 
+class Choice(Struct, frozen=True):
+    """An upstream, and the engine that has likely read the prompt's beginning.
+
+    ``holder`` is None where it is the chosen upstream itself, or nothing is known.
+    """
+
+    known: Known
+    holder: Known | None = None
+
+
 def choose_upstream(
     candidates: list[Known], prompt: Prompt | None, load: Load, random: Random
-) -> Known | None:
+) -> Choice | None:
     """Return the upstream that serves a request first, or None without candidates."""
     if not candidates:
         return None
     if prompt is None or not prompt.parts:
-        return _choose_least(candidates, load, random)
+        return Choice(_choose_least(candidates, load, random))
     return _choose_holder(candidates, prompt, load)
 
 
@@ -46,7 +57,7 @@
     return load(known.upstream.name) / max(1, known.upstream.slots)
 
 
-def _choose_holder(candidates: list[Known], prompt: Prompt, load: Load) -> Known:
+def _choose_holder(candidates: list[Known], prompt: Prompt, load: Load) -> Choice:
     bound = _find_bound(candidates, load)
     key = xxh3_64_intdigest(find_affinity(prompt).encode())
     ranked = sorted(
@@ -56,8 +67,14 @@
     )
     for known in ranked:
         if load(known.upstream.name) < bound:
-            return known
-    return min(ranked, key=lambda known: load(known.upstream.name))
+            return _describe_choice(known, ranked[0])
+    least = min(ranked, key=lambda known: load(known.upstream.name))
+    return _describe_choice(least, ranked[0])
+
+
+def _describe_choice(known: Known, home: Known) -> Choice:
+    """Name the home of a prompt that goes elsewhere, to be fetched from."""
+    return Choice(known, None if known is home else home)
 
 
 def _find_bound(candidates: Iterable[Known], load: Load) -> float:
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -126,7 +126,8 @@
     """Sends an exchange's request to an upstream.
 
     ``left_s`` is how long the upstream may take. ``expect_weights`` and ``cache_scope``
-    are empty for plain services.
+    are empty for plain services. ``cache_source`` is the address of
+    an engine that likely holds the beginning of the prompt, empty for none.
     """
 
     handle: int
@@ -139,6 +140,7 @@
     fresh: bool = False
     expect_weights: int = 0
     cache_scope: str = ""
+    cache_source: str = ""
     urgency: int = 5
     last_event: int | None = None
 
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -18,6 +18,7 @@
 ORDER_S = 15.0  # a load behind runs that finish first, or an order carried out late
 POLL_S = 0.15  # reports are free from here; a load takes over a second
 ACCEPTED = (200, 202)
+REFUSED = (400, 412, 421)  # a repeat of the same order meets the same answer
 
 
 class EngineReport(Struct):
@@ -97,6 +98,9 @@
                 await trio.sleep(POLL_S)
                 continue
             status = await self._give(order, model, version, report, instance)
+            if status in REFUSED:
+                self._submit(OrderAnswered(order.order, False, detail=f"{status}"))
+                return
             accepted = status in ACCEPTED
             detail = f"status {status}"
             await trio.sleep(POLL_S)
--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -82,6 +82,8 @@
         if attempt.cache_scope:
             passed.append((b"x-cache-salt", attempt.cache_scope.encode()))
             passed.append((b"x-priority-class", str(attempt.urgency).encode()))
+        if attempt.cache_source:
+            passed.append((b"x-kv-source", attempt.cache_source.encode()))
         if attempt.expect_weights:
             passed.append((b"x-expect-version", str(attempt.expect_weights).encode()))
         return passed
--- a/masticdrum/programs/adviser.py
+++ b/masticdrum/programs/adviser.py
@@ -29,6 +29,7 @@
 
 ROLE = "agent"
 REPORT_EVERY_S = 0.25  # free from the engine's own machine
+LIFE_BYTES = 6
 MAX_HEADER_BYTES = 16 * 1024
 Submit = Callable[[AdviserEvent], None]
 
@@ -73,7 +74,10 @@
         self.meters = Meters()
         self.ended = trio.Event()
         self.state = AdviserState(
-            settings.name, settings.upstream, secrets.randbits(64)
+            settings.name,
+            secrets.token_hex(LIFE_BYTES),
+            settings.upstream,
+            secrets.randbits(64),
         )
         self.loop: Loop[AdviserEvent, AdviserEffect] = Loop(
             self.state,
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -46,11 +46,12 @@
 
 ROLE = "entry"
 SWEEP_S = 1.0  # how often idle connections are looked at
-SUSPENDED_S = 0.5  # a tick that comes later than this was a suspension or a stall
+SUSPENDED_S = 0.3  # a tick that comes later than this was a suspension or a stall
+AFTER_STALL_S = 0.2  # what lay in the kernel is read by then
 STOP_LINGER_S = 3.0  # a balancer that asks each second leaves after two misses
 HEADER_SLACK_BYTES = 32 * 1024  # so that the application itself can refuse
 MAX_HEADER_BYTES = 16 * 1024
-WEIGHTS_MARGIN_S = 2.0  # a request's wait at its engine before it begins
+WEIGHTS_MARGIN_S = 4.0  # a request's wait at its engine before it begins, at the most
 Submit = Callable[[BeliefEvent], None]
 Follow = Callable[[Submit, Meters], list[Callable[[], Awaitable[None]]]]
 
@@ -81,6 +82,7 @@
             self.meters,
             lambda: self.state.stop_from is not None,
             self.read_limits,
+            self.was_stalled,
         )
         self.probes = Probes(self.meters, self._is_ready, self._describe)
         self._probe_ports = {
@@ -88,6 +90,8 @@
             for address in (settings.probes, settings.metrics)
         }
         self._was_ready = False
+        self._ticked_at = read_clock()
+        self._stalled_until = 0.0
 
     async def answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request, of a probe or of a caller."""
@@ -113,16 +117,23 @@
         self.state.beliefs.bounds = self.state.bounds.beliefs
         write_event(Log(LogNumber.SETTINGS_RELOADED))
 
+    def was_stalled(self) -> bool:
+        """Tell whether this process has only just begun to run again."""
+        now = read_clock()
+        return now < self._stalled_until or now - self._ticked_at > SUSPENDED_S
+
     async def tick(self) -> None:
         """Look at the time, and at idle connections; runs for ever."""
-        swept_at = seen_at = read_clock()
+        swept_at = read_clock()
         while True:
             await trio.sleep(TICK_S)
             now = read_clock()
-            if now - seen_at > SUSPENDED_S:
-                facts = {"late_s": round(now - seen_at - TICK_S, 3)}
+            late_s = now - self._ticked_at - TICK_S
+            if late_s > SUSPENDED_S:
+                self._stalled_until = now + AFTER_STALL_S
+                facts = {"late_s": round(late_s, 3)}
                 write_event(Log(LogNumber.CLOCK_JUMPED, facts={**facts}))
-            seen_at = now
+            self._ticked_at = now
             self.loop.submit(Ticked())
             self._tell_readiness(now)
             if now - swept_at >= SWEEP_S:
--- a/masticdrum/shell/forwarding.py
+++ b/masticdrum/shell/forwarding.py
@@ -47,6 +47,8 @@
 from masticdrum.shell.wireform import CallerWords, WireForm, drop_hop_headers
 
 Given = PassAnswer | BeginStream | PassEvents | EndStream | BreakStream | Refuse
+SETTLE_CHECKPOINTS = 6  # the server's tasks need four to read a close and pass it on
+SETTLE_STALLED_S = 0.03  # closes reach a machine that was frozen a round trip later
 CLOSE: Headers = [(b"connection", b"close")]
 
 
@@ -69,7 +71,9 @@
         meters: Meters,
         is_stopping: Callable[[], bool],
         read_limits: Callable[[], CallerLimits],
+        was_stalled: Callable[[], bool],
     ) -> None:
+        self._was_stalled = was_stalled
         self._submit = submit
         self._form = form
         self.upstreams = UpstreamClient(nursery, submit, form, self._keep_answer)
@@ -129,7 +133,7 @@
 
     async def _serve(self, asked: ForwardAsked, receive: Receive, send: Send) -> None:
         opened = self._open[asked.handle]
-        ended = False
+        gone = asked_for = ended = False
 
         async def write_answer(scope: trio.CancelScope) -> None:
             nonlocal ended
@@ -137,17 +141,35 @@
             ended = True
             scope.cancel()
 
+        async def watch_caller(scope: trio.CancelScope) -> None:
+            nonlocal gone
+            await wait_until_gone(receive)
+            gone = True
+            scope.cancel()
+
         try:
             async with trio.open_nursery() as nursery:
-                self._submit(asked)
-                nursery.start_soon(write_answer, nursery.cancel_scope)
-                await wait_until_gone(receive)
-                nursery.cancel_scope.cancel()
+                nursery.start_soon(watch_caller, nursery.cancel_scope)
+                await self._settle()
+                if not gone:
+                    asked_for = True
+                    self._submit(asked)
+                    nursery.start_soon(write_answer, nursery.cancel_scope)
         finally:
             del self._open[asked.handle]
-            if not ended:
+            if asked_for and not ended:
                 self._submit(ForwardGone(asked.handle))
 
+    async def _settle(self) -> None:
+        """Let a close that came with the request be seen before the request is sent.
+
+        After a stall, requests lie in the kernel whose callers have long left.
+        """
+        for _ in range(SETTLE_CHECKPOINTS):
+            await trio.lowlevel.checkpoint()
+        if self._was_stalled():
+            await trio.sleep(SETTLE_STALLED_S)
+
     async def _write(self, opened: Open, send: Send) -> None:
         while True:
             for given in join_events(await opened.channel.take()):
--- a/masticdrum/shell/upstreamstream.py
+++ b/masticdrum/shell/upstreamstream.py
@@ -7,7 +7,9 @@
 
 import socket
 import ssl
+import struct
 from collections.abc import Iterable
+from contextlib import suppress
 from typing import Any
 
 import httpcore
@@ -17,6 +19,7 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_PROBES = 2
+RESET = struct.pack("ii", 1, 0)  # linger for no time
 
 
 class UpstreamStream(httpcore.AsyncNetworkStream):
@@ -45,7 +48,14 @@
         self._pending += buffer
 
     async def aclose(self) -> None:
-        """Close the connection."""
+        """Close the connection; a request that is under way is thrown away.
+
+        A reset, unlike an orderly end, lets an upstream that was stalled drop what it
+        has not read yet.
+        """
+        if self.offered:
+            with suppress(OSError, trio.ClosedResourceError):
+                self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         await self._stream.aclose()
 
     async def start_tls(
--- /dev/null
+++ b/tests/core/test_exchanges.py
@@ -0,0 +1,352 @@
+"""Forwarded requests: what is repeated, what callers are told, what never happens."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticdrum.core.attemptends import END_RULES
+from masticdrum.model.belief import (
+    DataCentresOut,
+    DirectoryRead,
+    UpstreamChanged,
+    UpstreamGone,
+    WeightsNamed,
+)
+from masticdrum.model.directory import ForwardWorkspace
+from masticdrum.model.exchange import (
+    AttemptEnd,
+    BeginStream,
+    BreakStream,
+    EndStream,
+    Leave,
+    PassAnswer,
+    PassEvents,
+    Ran,
+    Refuse,
+    StartAttempt,
+    StopAsked,
+    StopAttempt,
+    Ticked,
+)
+from tests.forwarding import (
+    KEY,
+    MODEL,
+    UPSTREAMS,
+    Entry,
+    make_directory,
+    make_upstream,
+    pick,
+    start_of,
+)
+
+FIXED = settings(derandomize=True, max_examples=300, deadline=None)
+PROMISES = (408, 421, 429, 503)
+FAILING = [end for end in AttemptEnd if end is not AttemptEnd.ANSWERED]
+UNPROVEN = [end for end in FAILING if END_RULES[end].ran is not Ran.NO]
+
+
+def test_an_answer_goes_back_unchanged() -> None:
+    entry = Entry()
+    start = start_of(entry.ask("idempotent"))
+    assert start.workspace == "depot"
+    effects = entry.end(start, AttemptEnd.ANSWERED, 200, sound=True)
+    assert pick(effects, PassAnswer) == [PassAnswer(start.handle, start.attempt)]
+    assert not entry.state.exchanges
+    assert not entry.state.open
+
+
+@pytest.mark.parametrize("end", UNPROVEN)
+def test_a_request_that_may_have_run_is_not_repeated_nor_called_not_run(
+    end: AttemptEnd,
+) -> None:
+    entry = Entry()
+    start = start_of(entry.ask("non_idempotent"))
+    effects = entry.end(start, end, 500, sound=True)
+    assert not pick(effects, StartAttempt)
+    assert all(refuse.status not in PROMISES for refuse in pick(effects, Refuse))
+    assert len(pick(effects, Refuse)) + len(pick(effects, PassAnswer)) == 1
+
+
+@pytest.mark.parametrize(
+    "end", [end for end in FAILING if END_RULES[end].ran is Ran.NO]
+)
+def test_a_request_that_did_not_run_goes_to_another_upstream(end: AttemptEnd) -> None:
+    entry = Entry()
+    first = start_of(entry.ask("non_idempotent"))
+    second = start_of(entry.end(first, end, 503))
+    assert second.upstream != first.upstream
+
+
+def test_rejections_everywhere_end_in_a_true_not_run_with_a_time_to_return() -> None:
+    entry = Entry()
+    effects = entry.ask("non_idempotent")
+    while pick(effects, StartAttempt):
+        effects = entry.end(start_of(effects), AttemptEnd.REJECTED, 503)
+    (refuse,) = pick(effects, Refuse)
+    assert refuse.status == 503
+    assert 0 < refuse.retry_after_s <= 5.0 / 3
+
+
+def test_a_broken_stream_goes_on_after_its_last_whole_event() -> None:
+    entry = Entry()
+    first = start_of(entry.ask("stream"))
+    assert pick(entry.begin(first), BeginStream)
+    entry.stream(first, 4)
+    second = start_of(entry.end(first, AttemptEnd.LOST, 200))
+    assert second.last_event == 4
+    assert second.upstream != first.upstream
+    assert not pick(entry.begin(second), BeginStream)
+    assert pick(entry.stream(second, 5), PassEvents)
+    effects = entry.end(second, AttemptEnd.ANSWERED, 200, sound=True)
+    assert pick(effects, EndStream)
+
+
+def test_a_broken_stream_that_may_not_resume_is_seen_to_be_incomplete() -> None:
+    entry = Entry()
+    start = start_of(entry.ask("once"))
+    entry.begin(start)
+    entry.stream(start, 1)
+    effects = entry.end(start, AttemptEnd.LOST, 200)
+    assert pick(effects, BreakStream)
+    assert not pick(effects, StartAttempt)
+
+
+def test_the_deadline_ends_a_request_at_once_and_truthfully() -> None:
+    entry = Entry()
+    start = start_of(entry.ask("non_idempotent", deadline_s=1.0))
+    assert start.left_s == pytest.approx(1.0)
+    entry.now += 1.0
+    effects = entry.give(Ticked())
+    assert pick(effects, StopAttempt)
+    (refuse,) = pick(effects, Refuse)
+    assert refuse.status == 504
+
+
+def test_the_routes_time_out_goes_before_a_longer_deadline() -> None:
+    entry = Entry()
+    start = start_of(entry.ask("idempotent", deadline_s=60.0))
+    assert start.left_s == pytest.approx(10.0)
+
+
+def test_a_caller_that_leaves_stops_its_work() -> None:
+    entry = Entry()
+    start = start_of(entry.ask("stream"))
+    assert pick(entry.leave(start.handle), StopAttempt)
+    assert not entry.state.exchanges
+    assert not pick(entry.end(start, AttemptEnd.LOST), StartAttempt)
+
+
+def test_keys_work_only_while_the_configuration_is_confirmed() -> None:
+    entry = Entry()
+    entry.now += 4.9
+    (refuse,) = pick(entry.ask("idempotent"), Refuse)
+    assert refuse.status == 503
+    entry.vouch()
+    assert pick(entry.ask("idempotent"), StartAttempt)
+
+
+def test_a_stale_configuration_denies_nothing() -> None:
+    entry = Entry()
+    entry.now += 30.0
+    (unknown,) = pick(entry.ask("idempotent", key="another"), Refuse)
+    (missing,) = pick(entry.ask("elsewhere"), Refuse)
+    assert (unknown.status, missing.status) == (503, 503)
+    entry.vouch()
+    (unknown,) = pick(entry.ask("idempotent", key="another"), Refuse)
+    (missing,) = pick(entry.ask("elsewhere"), Refuse)
+    assert (unknown.status, missing.status) == (401, 404)
+
+
+def test_a_retry_after_the_lease_lapsed_is_not_sent() -> None:
+    entry = Entry()
+    start = start_of(entry.ask("idempotent"))
+    entry.now += 4.9
+    effects = entry.end(start, AttemptEnd.REJECTED, 503)
+    assert not pick(effects, StartAttempt)
+    (refuse,) = pick(effects, Refuse)
+    assert refuse.status == 503
+
+
+def test_an_older_configuration_is_never_installed() -> None:
+    entry = Entry()
+    entry.give(DirectoryRead(make_directory(7, routes=()), entry.now))
+    entry.give(DirectoryRead(make_directory(3), entry.now))
+    assert entry.state.beliefs.version == 7
+    (refuse,) = pick(entry.ask("idempotent"), Refuse)
+    assert refuse.status == 404
+
+
+def test_nothing_new_goes_to_leaving_gone_or_evacuated_upstreams() -> None:
+    entry = Entry()
+    entry.give(UpstreamChanged(make_upstream("desk-1", leaving=True)))
+    entry.give(UpstreamGone("desk-2"))
+    for _ in range(20):
+        assert start_of(entry.ask("idempotent")).upstream == "desk-3"
+    entry.give(DataCentresOut(frozenset({"north"})))
+    (refuse,) = pick(entry.ask("idempotent"), Refuse)
+    assert refuse.status == 503
+
+
+def test_kept_cache_is_shared_by_weights_and_never_over_a_wall() -> None:
+    entry = Entry()
+    shared = start_of(entry.ask("stream"))
+    assert (shared.expect_weights, shared.cache_scope) == (1, f"{MODEL}.1")
+    workspaces = (ForwardWorkspace("depot", (KEY,), isolated=True),)
+    directory = make_directory(2, workspaces=workspaces)
+    entry.give(DirectoryRead(directory, entry.now))
+    walled = start_of(entry.ask("stream"))
+    assert walled.cache_scope == f"{MODEL}.1.depot"
+
+
+def test_an_upstream_that_names_newer_weights_is_believed() -> None:
+    entry = Entry(upstreams=(make_upstream("engines-1", "engines"),))
+    first = start_of(entry.ask("stream"))
+    second = start_of(entry.end(first, AttemptEnd.MISDIRECTED, 421, weights=2))
+    assert (second.upstream, second.expect_weights) == ("engines-1", 2)
+
+
+def test_older_weights_are_not_begun_once_newer_ones_must_be_in_place() -> None:
+    entry = Entry()
+    entry.give(WeightsNamed(MODEL, 2))
+    current = make_upstream("engines-2", "engines", weights={MODEL: 2})
+    entry.give(UpstreamChanged(current))
+    entry.now += 10.5
+    entry.vouch()
+    for _ in range(10):
+        assert start_of(entry.ask("stream")).upstream == "engines-2"
+
+
+def test_a_stop_waits_for_the_balancer_and_for_open_requests() -> None:
+    entry = Entry()
+    start = start_of(entry.ask("idempotent"))
+    entry.give(StopAsked(8.0))
+    assert not entry.state.is_ready(entry.now)
+    entry.now += 3.0
+    assert not pick(entry.give(Ticked()), Leave)
+    assert pick(entry.end(start, AttemptEnd.ANSWERED, 200, sound=True), Leave)
+
+
+def test_a_cold_upstream_gets_its_share_only() -> None:
+    cold = make_upstream("engines-1", "engines", cold_s=3.0)
+    entry = Entry(upstreams=(cold,))
+    sent = 0
+    for _ in range(200):
+        entry.now += 0.01
+        entry.vouch()
+        for start in pick(entry.ask("stream"), StartAttempt):
+            sent += 1
+            entry.end(start, AttemptEnd.ANSWERED, 200, sound=True)
+    assert 10 <= sent / 2.0 <= 12 * 1.5 + 5
+
+
+def test_retries_stay_within_their_window() -> None:
+    entry = Entry()
+    repeats = 0
+    for _ in range(400):
+        entry.now += 0.02
+        entry.vouch()
+        effects = entry.ask("idempotent")
+        while pick(effects, StartAttempt):
+            effects = entry.end(start_of(effects), AttemptEnd.LOST)
+            repeats += len(pick(effects, StartAttempt))
+    assert 0 < repeats <= 0.2 * 400 + 20
+
+
+class Watched:
+    """An entry with the promises that every order of events must keep."""
+
+    def __init__(self, seed: int) -> None:
+        self.entry = Entry(seed)
+        self.live: dict[int, StartAttempt] = {}
+        self.route_of: dict[int, str] = {}
+        self.ran: dict[int, int] = {}
+        self.final: set[int] = set()
+
+    def count_run(self, handle: int) -> None:
+        self.ran[handle] = self.ran.get(handle, 0) + 1
+
+    def look(self, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, StartAttempt):
+                self.look_at_start(effect)
+            elif isinstance(effect, StopAttempt):
+                del self.live[effect.handle]
+                self.count_run(effect.handle)
+            elif isinstance(effect, Refuse | PassAnswer | EndStream | BreakStream):
+                assert effect.handle not in self.final, "two final answers"
+                self.final.add(effect.handle)
+            if isinstance(effect, Refuse) and effect.status in PROMISES:
+                assert self.ran.get(effect.handle, 0) == 0, "a false 'not run'"
+
+    def look_at_start(self, start: StartAttempt) -> None:
+        assert start.handle not in self.final, "an attempt after the answer"
+        assert start.handle not in self.live, "two attempts of one exchange"
+        if self.route_of[start.handle] in ("non_idempotent", "once"):
+            assert self.ran.get(start.handle, 0) == 0, "a second run"
+        assert self.entry.state.beliefs.is_leased(self.entry.now)
+        self.live[start.handle] = start
+
+    def ask(self, number: int, end: AttemptEnd) -> None:
+        route = ROUTE_NAMES[number % len(ROUTE_NAMES)]
+        self.route_of[self.entry.handles + 1] = route
+        self.look(self.entry.ask(route))
+
+    def wait(self, number: int, end: AttemptEnd) -> None:
+        self.entry.now += number * 0.7
+        self.look(self.entry.give(Ticked()))
+
+    def vouch(self, number: int, end: AttemptEnd) -> None:
+        self.entry.vouch()
+
+    def gone(self, number: int, end: AttemptEnd) -> None:
+        self.entry.give(UpstreamGone(UPSTREAMS[number].name))
+
+    def back(self, number: int, end: AttemptEnd) -> None:
+        self.entry.give(UpstreamChanged(UPSTREAMS[number]))
+
+    def end(self, number: int, end: AttemptEnd) -> None:
+        start = self.choose(number)
+        if start is None:
+            return
+        del self.live[start.handle]
+        if END_RULES[end].ran is not Ran.NO:
+            self.count_run(start.handle)
+        sound = end is AttemptEnd.ANSWERED
+        self.look(self.entry.end(start, end, 200, sound=sound))
+
+    def stream(self, number: int, end: AttemptEnd) -> None:
+        start = self.choose(number)
+        if start is not None:
+            self.look(self.entry.begin(start))
+            self.look(self.entry.stream(start, number))
+
+    def leave(self, number: int, end: AttemptEnd) -> None:
+        start = self.choose(number)
+        if start is not None:
+            self.look(self.entry.leave(start.handle))
+            self.final.add(start.handle)
+
+    def choose(self, number: int) -> StartAttempt | None:
+        live = list(self.live.values())
+        return live[number % len(live)] if live else None
+
+
+ROUTE_NAMES = ("idempotent", "non_idempotent", "stream", "once")
+MOVES = ("ask", "end", "stream", "leave", "wait", "vouch", "gone", "back")
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(MOVES), st.integers(0, 5), st.sampled_from(list(AttemptEnd))
+    ),
+    max_size=60,
+)
+
+
+@FIXED
+@given(st.integers(0, 1000), STEPS)
+def test_no_order_of_events_breaks_a_promise(
+    seed: int, steps: list[tuple[str, int, AttemptEnd]]
+) -> None:
+    watched = Watched(seed)
+    for move, number, end in steps:
+        getattr(watched, move)(number, end)
+    assert sum(watched.entry.state.open.values()) == len(watched.live)
--- /dev/null
+++ b/tests/forwarding.py
@@ -0,0 +1,181 @@
+"""A forwarding entry driven in virtual time by tests, without any network."""
+
+from masticdrum.core.beliefs import BeliefBounds
+from masticdrum.core.coldpace import ColdBounds
+from masticdrum.core.exchangestate import ExchangeState, ForwardBounds
+from masticdrum.core.forwarder import ForwardEvent, reduce_forwarder
+from masticdrum.core.retrywindow import RetryBounds
+from masticdrum.model.belief import (
+    DataCentresOut,
+    DirectoryRead,
+    DirectoryVouched,
+    Member,
+    MembersListed,
+    UpstreamsListed,
+)
+from masticdrum.model.directory import (
+    Backend,
+    Directory,
+    EngineShape,
+    ForwardRoute,
+    ForwardService,
+    ForwardWorkspace,
+    RouteKind,
+    Upstream,
+)
+from masticdrum.model.exchange import (
+    AttemptEnd,
+    AttemptEnded,
+    ExchangeEffect,
+    ForwardAsked,
+    ForwardGone,
+    Prompt,
+    PromptPart,
+    StartAttempt,
+    StreamBegun,
+    StreamPassed,
+)
+
+HOST = "desk.example"
+KEY = "key-of-depot"
+MODEL = "m1"
+BOUNDS = ForwardBounds(
+    beliefs=BeliefBounds(revoke_s=5.0, drain_s=2.0),
+    retries=RetryBounds(ratio=0.2, window_s=10.0, extra=20.0),
+    cold=ColdBounds(factor=1.5, slack=5.0),
+    weights_s=10.0,
+    stop_linger_s=3.0,
+)
+
+
+def make_route(kind: RouteKind, **changes: object) -> ForwardRoute:
+    values: dict[str, object] = {
+        "name": kind.value,
+        "host": HOST,
+        "prefix": f"/{kind.value}/",
+        "kind": kind,
+        "backends": (Backend("desk"),),
+        "timeout_s": 10.0,
+        "target_s": 0.1,
+        "max_attempts": 2,
+    }
+    return ForwardRoute(**{**values, **changes})
+
+
+ROUTES = (
+    make_route(RouteKind.IDEMPOTENT),
+    make_route(RouteKind.NON_IDEMPOTENT),
+    make_route(
+        RouteKind.STREAM,
+        backends=(Backend("engines"),),
+        resumable=True,
+        max_attempts=3,
+        urgency=1,
+    ),
+    make_route(
+        RouteKind.STREAM, name="once", prefix="/once/", backends=(Backend("engines"),)
+    ),
+)
+
+
+def make_directory(version: int = 1, **changes: object) -> Directory:
+    values: dict[str, object] = {
+        "version": version,
+        "routes": ROUTES,
+        "services": (
+            ForwardService("desk"),
+            ForwardService(
+                "engines",
+                cold_s=3.0,
+                cold_per_s=12.0,
+                engine=EngineShape(64, 100_000, (MODEL,)),
+            ),
+        ),
+        "workspaces": (ForwardWorkspace("depot", (KEY,), urgency=2),),
+        "keyed": True,
+    }
+    return Directory(**{**values, **changes})
+
+
+def make_upstream(name: str, service: str = "desk", **changes: object) -> Upstream:
+    values: dict[str, object] = {
+        "name": name,
+        "service": service,
+        "address": f"10.0.0.{sum(name.encode()) % 250}:80",
+        "data_centre": "north",
+        "slots": 6,
+        "weights": {MODEL: 1} if service == "engines" else {},
+    }
+    return Upstream(**{**values, **changes})
+
+
+UPSTREAMS = tuple(
+    make_upstream(f"{service}-{n}", service)
+    for service in ("desk", "engines")
+    for n in (1, 2, 3)
+)
+
+
+class Entry:
+    """One entry with everything it believes, at a time that the test moves."""
+
+    def __init__(self, seed: int = 1, upstreams: tuple[Upstream, ...] = UPSTREAMS):
+        self.state = ExchangeState("entry-1", "entry", BOUNDS, seed)
+        self.now = 100.0
+        self.handles = 0
+        self.effects: list[ExchangeEffect] = []
+        self.give(DirectoryRead(make_directory(), self.now))
+        self.give(UpstreamsListed(upstreams))
+        self.give(DataCentresOut(frozenset()))
+        self.give(MembersListed((Member("entry-1", "entry", "north"),)))
+
+    def give(self, event: ForwardEvent) -> list[ExchangeEffect]:
+        effects = reduce_forwarder(self.state, event, self.now)
+        self.effects += effects
+        return effects
+
+    def vouch(self) -> None:
+        self.give(DirectoryVouched(self.now))
+
+    def ask(self, route: str, key: str = KEY, **changes: object) -> list[object]:
+        self.handles += 1
+        prompt = None
+        if route in ("stream", "once"):
+            prompt = Prompt(MODEL, (PromptPart("shared", 900), PromptPart("own", 50)))
+        values: dict[str, object] = {
+            "handle": self.handles,
+            "request": f"r{self.handles}",
+            "host": HOST,
+            "path": f"/{route}/7",
+            "arrived": self.now,
+            "key": key,
+            "deadline_s": 5.0,
+            "prompt": prompt,
+        }
+        return self.give(ForwardAsked(**{**values, **changes}))
+
+    def end(
+        self, start: StartAttempt, how: AttemptEnd, status: int = 0, **more: object
+    ) -> list[ExchangeEffect]:
+        return self.give(AttemptEnded(start.handle, start.attempt, how, status, **more))
+
+    def begin(self, start: StartAttempt) -> list[ExchangeEffect]:
+        return self.give(StreamBegun(start.handle, start.attempt))
+
+    def stream(self, start: StartAttempt, number: int) -> list[ExchangeEffect]:
+        events = f"id: {number}\ndata: x\n\n".encode()
+        return self.give(StreamPassed(start.handle, start.attempt, events, number))
+
+    def leave(self, handle: int) -> list[ExchangeEffect]:
+        return self.give(ForwardGone(handle))
+
+
+def pick(effects: list, kind: type) -> list:
+    """Return the effects of one type."""
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def start_of(effects: list) -> StartAttempt:
+    """Return the one attempt that effects begin."""
+    (start,) = pick(effects, StartAttempt)
+    return start
--- /dev/null
+++ b/tests/shell/test_forwarding.py
@@ -0,0 +1,140 @@
+"""The forwarding entry's HTTP side, driven over ASGI."""
+
+from collections import deque
+
+import trio
+
+from masticdrum.model.directory import CallerLimits
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.exchange import ForwardAsked, ForwardGone, Refuse
+from masticdrum.platform.headers import PlatformForm
+from masticdrum.shell.asgi import Message
+from masticdrum.shell.forwarding import Forwarding
+from masticdrum.shell.meters import Meters
+
+HEADERS = [(b"host", b"desk.example"), (b"x-request-id", b"r1")]
+
+
+class Caller:
+    """One request over ASGI; ``messages`` is what the caller sends."""
+
+    def __init__(self, messages: list[Message], headers: list | None = None) -> None:
+        self.messages = deque(messages)
+        self.sent: list[Message] = []
+        self.scope = {
+            "type": "http",
+            "method": "POST",
+            "path": "/a/1",
+            "raw_path": b"/a/1",
+            "query_string": b"x=%2f",
+            "headers": HEADERS if headers is None else headers,
+        }
+
+    async def receive(self) -> Message:
+        if not self.messages:
+            await trio.sleep_forever()
+        await trio.lowlevel.checkpoint()
+        return self.messages.popleft()
+
+    async def send(self, message: Message) -> None:
+        self.sent.append(message)
+
+    @property
+    def status(self) -> int:
+        return self.sent[0]["status"]
+
+
+BODY: Message = {"type": "http.request", "body": b"abc", "more_body": False}
+GONE: Message = {"type": "http.disconnect"}
+
+
+def serve(caller: Caller, stalled: bool = False, refuse: bool = True) -> list:
+    """Serve one request that the reducer refuses; returns the events."""
+    events: list = []
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+
+            def submit(event: object) -> None:
+                events.append(event)
+                if refuse and isinstance(event, ForwardAsked):
+                    kind = ErrorKind.NO_UPSTREAM
+                    forwarding.give(Refuse(event.handle, kind, 503, 0.25))
+
+            forwarding = Forwarding(
+                nursery,
+                submit,
+                PlatformForm(),
+                Meters(),
+                lambda: False,
+                CallerLimits,
+                lambda: stalled,
+            )
+            await forwarding.answer(caller.scope, caller.receive, caller.send)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    return events
+
+
+def test_a_request_is_told_with_its_target_and_refused_with_a_fraction() -> None:
+    caller = Caller([BODY])
+    (asked,) = serve(caller)
+    assert (asked.host, asked.path, asked.request) == ("desk.example", "/a/1", "r1")
+    assert caller.status == 503
+    assert (b"retry-after", b"0.250") in caller.sent[0]["headers"]
+
+
+def test_a_caller_that_left_with_its_request_is_sent_nowhere() -> None:
+    assert serve(Caller([BODY, GONE])) == []
+
+
+def test_a_close_that_follows_a_stall_is_seen_before_the_request_is_sent() -> None:
+    caller = Caller([BODY])
+
+    async def close_late() -> Message:
+        if caller.messages:
+            return caller.messages.popleft()
+        await trio.sleep(0.01)
+        return GONE
+
+    caller.receive = close_late
+    assert serve(caller, stalled=True) == []
+
+
+def test_a_caller_that_leaves_later_is_told_to_the_reducer() -> None:
+    caller = Caller([BODY])
+
+    async def close_late() -> Message:
+        if caller.messages:
+            return caller.messages.popleft()
+        await trio.sleep(0.01)
+        return GONE
+
+    caller.receive = close_late
+    asked, gone = serve(caller, refuse=False)
+    assert gone == ForwardGone(asked.handle)
+
+
+def test_two_lengths_are_refused_and_the_connection_is_closed() -> None:
+    headers = [*HEADERS, (b"content-length", b"3"), (b"transfer-encoding", b"chunked")]
+    caller = Caller([BODY], headers)
+    assert serve(caller) == []
+    assert caller.status == 400
+    assert (b"connection", b"close") in caller.sent[0]["headers"]
+
+
+def test_a_request_without_an_id_is_refused() -> None:
+    caller = Caller([BODY], [(b"host", b"desk.example")])
+    assert serve(caller) == []
+    assert caller.status == 400
+
+
+def test_large_headers_and_bodies_are_refused() -> None:
+    caller = Caller([BODY], [*HEADERS, (b"x-long", b"a" * 20_000)])
+    serve(caller)
+    assert caller.status == 431
+    large: Message = {"type": "http.request", "body": b"a" * 5_000_000}
+    caller = Caller([large])
+    serve(caller)
+    assert caller.status == 413
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,7 +6,7 @@
 import pytest
 
 ROOT = Path(__file__).parents[1] / "masticdrum"
-LAYERS = ["model", "core", "shell", "programs"]
+LAYERS = ["model", "core", "shell", "programs", "platform"]
 FORBIDDEN_BELOW_SHELL = {
     "click",
     "httpcore",
