--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -9,7 +9,7 @@
 from masticdrum.core.exchangestate import Attempt, Exchange, ExchangeState
 from masticdrum.core.invariants import require
 from masticdrum.core.standing import Standing
-from masticdrum.core.upstreamchoice import Choice, choose_upstream
+from masticdrum.core.upstreamchoice import Choice, choose_upstream, estimate_work
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace, RouteKind
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.exchange import (
@@ -96,6 +96,7 @@
         asked.arrived + limit_s,
     )
     exchange.prompt = asked.prompt
+    exchange.work = estimate_work(asked.prompt)
     exchange.last_event = asked.last_event
     return exchange
 
@@ -138,7 +139,10 @@
         return _give_up(state, exchange, ErrorKind.TABLES_STALE, now)
     candidates = list_candidates(state, exchange, now)
     choice = choose_upstream(
-        candidates, exchange.prompt, lambda name: state.open.get(name, 0), state.random
+        candidates,
+        exchange.prompt,
+        lambda name: state.open.get(name, 0),
+        state.random,
     )
     if choice is None:
         return _give_up(state, exchange, ErrorKind.NO_UPSTREAM, now)
@@ -152,7 +156,7 @@
     exchange.attempt = Attempt(state.attempts, upstream.name, now)
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
-    state.open[upstream.name] = load + 1
+    state.open[upstream.name] = load + exchange.work
     log = Log(
         LogNumber.EXCHANGE_SENT,
         request=exchange.request,
@@ -282,8 +286,8 @@
     if attempt is None:
         raise LookupError(f"exchange {exchange.handle} has no attempt")
     exchange.attempt = None
-    left = state.open.get(attempt.upstream, 0) - 1
-    require(left >= 0, "no upstream has fewer than no open requests")
+    left = state.open.get(attempt.upstream, 0) - exchange.work
+    require(left >= 0, "no upstream has less than no open work")
     if left > 0:
         state.open[attempt.upstream] = left
     else:
@@ -295,12 +299,17 @@
     state: ExchangeState, name: str, blames: bool, end: AttemptEnd, now: float
 ) -> list[ExchangeEffect]:
     standing = state.standings.get(name)
+    if standing is None:
+        if not blames and end is not AttemptEnd.REJECTED:
+            return []
+        standing = state.standings[name] = Standing()
+    if end is AttemptEnd.REJECTED:
+        standing.note_rejection(now)
+        return []
     if not blames:
-        if standing is not None and end is AttemptEnd.ANSWERED:
+        if end is AttemptEnd.ANSWERED:
             standing.note_success()
         return []
-    if standing is None:
-        standing = state.standings[name] = Standing()
     if not standing.note_failure(now):
         return []
     return [
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -43,8 +43,9 @@
 class Exchange:
     """One request of a caller that has no final answer yet.
 
-    ``sends`` counts the attempts that may have run; ``maybe_ran`` whether there was
-    one. ``last_event`` is the id of the last event that was passed on.
+    ``work`` is what it weighs at its upstream: one for a plain request, tokens for a
+    prompt. ``sends`` counts the attempts that may have run; ``maybe_ran`` tells whether
+    there was one. ``last_event`` is the id of the last event that was passed on.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "sends",
         "service",
         "tried",
+        "work",
         "workspace",
     )
 
@@ -84,6 +86,7 @@
         self.arrived = arrived
         self.deadline = deadline
         self.prompt: Prompt | None = None
+        self.work = 1
         self.attempt: Attempt | None = None
         self.begun = False
         self.passed = False
@@ -95,7 +98,10 @@
 
 
 class ExchangeState:
-    """Everything one forwarding entry knows; ``role`` names its fellows."""
+    """Everything one forwarding entry knows; ``role`` names its fellows.
+
+    ``open`` is the work that this entry has open at each upstream.
+    """
 
     def __init__(self, name: str, role: str, bounds: ForwardBounds, seed: int) -> None:
         self.name = name
--- a/masticdrum/core/upstreamchoice.py
+++ b/masticdrum/core/upstreamchoice.py
@@ -2,11 +2,12 @@
 
 Prompts that begin alike go to the engine that has read the beginning, by rendezvous
 hashing of their last shared part, unless that engine is busier than its fellows by more
-than ``LOAD_BOUND``. Plain requests go to the least busy of two drawn at random.
+than ``LOAD_BOUND``. An engine's load is counted in tokens, since a long prompt takes as
+much of its time and memory as many short ones. Plain requests go to the least busy of
+two drawn at random.
 """
 
 from collections.abc import Callable, Iterable
-from math import ceil
 from random import Random
 
 from msgspec import Struct
@@ -17,7 +18,8 @@
 from masticdrum.model.exchange import Prompt
 
 LOAD_BOUND = 1.25  # of the mean load; a queue a quarter longer than its fellows'
-LOAD_SLACK = 1  # requests, so that a mean below one doesn't spread every prompt
+RUN_TOKENS = 600  # what a run costs beside its tokens: its steps among others' pieces
+OUT_WEIGHT = 10  # a token that is made takes as long as ten that are read together
 Load = Callable[[str], float]
 
 
@@ -42,6 +44,13 @@
     return _choose_holder(candidates, prompt, load)
 
 
+def estimate_work(prompt: Prompt | None) -> int:
+    """Estimate what a request weighs at its upstream."""
+    if prompt is None:
+        return 1
+    return RUN_TOKENS + prompt.tokens_in + OUT_WEIGHT * prompt.tokens_out
+
+
 def find_affinity(prompt: Prompt) -> str:
     """Return the part of a prompt by which its engine is chosen."""
     shared = prompt.parts[-2] if len(prompt.parts) > 1 else prompt.parts[-1]
@@ -58,7 +67,7 @@
 
 
 def _choose_holder(candidates: list[Known], prompt: Prompt, load: Load) -> Choice:
-    bound = _find_bound(candidates, load)
+    bound = _find_bound(candidates, load, estimate_work(prompt))
     key = xxh3_64_intdigest(find_affinity(prompt).encode())
     ranked = sorted(
         candidates,
@@ -77,6 +86,7 @@
     return Choice(known, None if known is home else home)
 
 
-def _find_bound(candidates: Iterable[Known], load: Load) -> float:
+def _find_bound(candidates: Iterable[Known], load: Load, work: int) -> float:
+    """Return the load from which an engine is too busy for one more of ``work``."""
     loads = [load(known.upstream.name) for known in candidates]
-    return ceil(LOAD_BOUND * (sum(loads) + 1) / len(loads)) + LOAD_SLACK
+    return LOAD_BOUND * (sum(loads) + work) / len(loads)
--- a/tests/core/test_exchanges.py
+++ b/tests/core/test_exchanges.py
@@ -349,4 +349,7 @@
     watched = Watched(seed)
     for move, number, end in steps:
         getattr(watched, move)(number, end)
-    assert sum(watched.entry.state.open.values()) == len(watched.live)
+    state = watched.entry.state
+    sent = [exchange for exchange in state.exchanges.values() if exchange.attempt]
+    assert {exchange.handle for exchange in sent} == set(watched.live)
+    assert sum(state.open.values()) == sum(exchange.work for exchange in sent)
