Test the platform's programs with stand-ins of our own

Ports are now found all at once: asked for one by one, 3 of 1000 fleets got one port twice, and then a test's store was a server (seen once: its first write was answered 421).

--- a/masticdrum/shell/linewriter.py
+++ b/masticdrum/shell/linewriter.py
@@ -47,6 +47,8 @@
         now = self._clock()
         if not self.dropped or now - self._told_at < SUMMARY_S:
             return {}
+        if len(self._buffer) > MAX_BUFFER:
+            return {}
         self._told_at = now
         dropped = dict(self.dropped)
         self.dropped.clear()
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,179 @@
+"""The programs on the platform's protocols, as real processes with stand-ins."""
+
+import signal
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.platform.fleet import HOST, KEY, Fleet, make_config
+from tests.processes.deployment import request
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    fleet = Fleet(tmp_path)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def find(answer: object, name: bytes) -> bytes:
+    return next((v for k, v in answer.headers if k.lower() == name), b"")
+
+
+def test_requests_are_forwarded_and_answers_returned_unchanged(fleet: Fleet) -> None:
+    answer = fleet.ask("/book/7?x=%2f", "r1", body=b"two wheels")
+    assert (answer.status, answer.content) == (200, b"answer to two wheels")
+    assert find(answer, b"x-response-signature").startswith(b"signed-by-i-desk")
+    assert find(answer, b"x-request-id") == b"r1"
+    shown = fleet.control("desk-1")["seen"] + fleet.control("desk-2")["seen"]
+    (seen,) = shown
+    assert seen["x-tenant"] == "depot"
+    assert seen["path"] == "/book/7"
+    assert "authorization" not in seen
+    assert 0 < int(seen["x-deadline-ms"]) <= 4000
+    assert fleet.ask("/book/7", "r2", key="other").status == 401
+    assert fleet.ask("/none/7", "r3").status == 404
+    assert fleet.ask("/book/7", "r4", body=b"a" * 1001).status == 413
+    metrics = request("GET", f"{fleet.name_url('entry metrics')}/metrics").content
+    assert b"masticdrum_exchanges_total" in metrics
+
+
+def test_headers_of_ours_are_not_taken_from_callers(fleet: Fleet) -> None:
+    sent = {"X-Tenant": "other", "X-Cache-Salt": "s", "X-Kv-Source": "10.0.0.1:1"}
+    assert fleet.ask("/stream/7", "r1", **sent, **{"X-Model": "m1"}).status == 200
+    shown = fleet.control("engine-1")["seen"] + fleet.control("engine-2")["seen"]
+    (seen,) = shown
+    assert seen["x-tenant"] == "depot"
+    assert seen["x-cache-salt"] == "m1.1"
+    assert "x-kv-source" not in seen
+    assert seen["x-expect-version"] == "1"
+
+
+def test_a_stream_goes_on_at_another_server_after_a_break(fleet: Fleet) -> None:
+    for name in ("engine-1", "engine-2"):
+        fleet.control(name, break_after=2, events=6)
+    fleet.control("engine-2", break_after=0)
+    answers = [fleet.ask("/stream/7", f"r{n}") for n in range(4)]
+    whole = b"".join(b"id: %d\ndata: piece\n\n" % n for n in range(1, 7))
+    assert [answer.content for answer in answers] == [whole] * 4
+    assert fleet.control("engine-1")["runs"], "no stream was broken"
+
+
+def test_a_booking_whose_answer_is_lost_is_neither_repeated_nor_denied(
+    fleet: Fleet,
+) -> None:
+    for name in ("desk-1", "desk-2"):
+        fleet.control(name, lose=True)
+    assert fleet.ask("/book/7", "r1").status == 502
+    assert fleet.count_runs("r1") == 1
+
+
+def test_rejected_requests_go_elsewhere_and_end_in_a_true_not_run(
+    fleet: Fleet,
+) -> None:
+    fleet.control("desk-1", reject=True)
+    assert [fleet.ask("/book/7", f"a{n}").status for n in range(4)] == [200] * 4
+    fleet.control("desk-2", reject=True)
+    answer = fleet.ask("/book/7", "r1")
+    assert answer.status == 503
+    assert 0 < float(find(answer, b"retry-after")) < 4 / 3
+    assert fleet.count_runs("r1") == 0
+
+
+def test_edits_leavings_and_evacuations_take_hold(fleet: Fleet) -> None:
+    fleet.put("config", "main", make_config(5, ["new-key"]))
+    fleet.wait_until(
+        lambda: fleet.ask("/look/7", "r1", key="new-key").status == 200, "new key"
+    )
+    assert fleet.ask("/look/7", "r2", key=KEY).status == 401
+    fleet.register("desk-1", state="draining")
+    fleet.wait_until(lambda: '"upstream_leaving"' in fleet.read_logs(), "leaving")
+    before = fleet.control("desk-1")["runs"]
+    for number in range(5):
+        fleet.ask("/look/7", f"b{number}", key="new-key")
+    assert fleet.control("desk-1")["runs"] == before
+    fleet.put("evacuations", "olten-a", {})
+    fleet.wait_until(
+        lambda: fleet.ask("/look/7", "c1", key="new-key").status == 503, "evacuation"
+    )
+    fleet.delete("evacuations", "olten-a")
+    fleet.wait_until(
+        lambda: fleet.ask("/look/7", "c2", key="new-key").status == 200, "return"
+    )
+
+
+def test_an_unreadable_entry_names_no_server_and_harms_no_other(fleet: Fleet) -> None:
+    fleet.put("servers", "i-odd", {"service": 7, "state": "asleep"})
+    fleet.put("servers", "i-empty", None)
+    fleet.wait_until(lambda: '"object_unreadable"' in fleet.read_logs(), "unreadable")
+    assert fleet.ask("/look/7", "r1").status == 200
+
+
+def test_a_store_that_forgets_its_history_is_listed_again(fleet: Fleet) -> None:
+    fleet.control("store", do="forget")
+    fleet.put("config", "main", make_config(9, ["new-key"]))
+    fleet.wait_until(
+        lambda: fleet.ask("/look/7", "r1", key="new-key").status == 200, "new key"
+    )
+
+
+def test_a_lost_store_ends_requests_with_keys_and_its_return_resumes_them(
+    fleet: Fleet,
+) -> None:
+    fleet.control("store", hang=True, do="silence")
+    fleet.wait_for("entry probes", "/readyz", 503)
+    answer = fleet.ask("/look/7", "r1")
+    assert answer.status == 503
+    assert fleet.count_runs("r1") == 0
+    fleet.control("store", hang=False)
+    fleet.wait_for("entry probes", "/readyz")
+    assert fleet.ask("/look/7", "r2").status == 200
+    assert '"lease_lapsed"' in fleet.read_logs()
+
+
+def test_a_stop_finishes_what_runs_and_says_that_it_closes(fleet: Fleet) -> None:
+    fleet.running["entry"].send_signal(signal.SIGTERM)
+    fleet.wait_for("entry probes", "/readyz", 503)
+    answer = fleet.ask("/look/7", "r1")
+    assert answer.status == 200
+    assert find(answer, b"connection") == b"close"
+    assert fleet.running["entry"].wait(timeout=10) == 0
+    assert '"shutdown_done"' in fleet.read_logs()
+
+
+def test_a_reload_takes_new_bounds_and_refuses_broken_ones(fleet: Fleet) -> None:
+    path = fleet.folder / "entry.json"
+    sound = path.read_text()
+    path.write_text("{")
+    fleet.running["entry"].send_signal(signal.SIGHUP)
+    fleet.wait_until(lambda: '"tables_rejected"' in fleet.read_logs(), "rejected")
+    path.write_text(sound.replace('"name"', '"drain_s": 1.5, "name"'))
+    fleet.running["entry"].send_signal(signal.SIGHUP)
+    fleet.wait_until(lambda: '"settings_reloaded"' in fleet.read_logs(), "reloaded")
+    assert fleet.ask("/look/7", "r1").status == 200
+
+
+def test_the_agent_orders_new_weights_once_and_entries_follow(fleet: Fleet) -> None:
+    fleet.start_agent()
+    fleet.put("versions", "m1", {"model": "m1", "version": 2})
+    fleet.wait_until(lambda: fleet.control("engine-1")["orders"], "an order")
+    (order,) = fleet.control("engine-1")["orders"]
+    assert (order["op"], order["model"], order["version"]) == ("version", "m1", 2)
+    assert (order["holder"], order["expect"]) == ("agent", 0)
+    assert order["fencingToken"] > 0
+    fleet.wait_until(lambda: '"order_answered"' in fleet.read_logs(), "its end")
+    time.sleep(0.6)
+    assert len(fleet.control("engine-1")["orders"]) == 1
+
+
+def test_broken_settings_are_a_clear_error(fleet: Fleet) -> None:
+    path = fleet.write_settings("agent", upstream="nowhere", grace_s=-1)
+    fleet.run("agent", "masticdrum.platform.agent", settings=path)
+    assert fleet.running["agent"].wait(timeout=10) == 2
+    assert "grace_s: -1.0 is not above 0" in fleet.read_logs()
+    assert HOST not in fleet.read_logs()
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterable
+from contextlib import ExitStack
 from hashlib import sha256
 from pathlib import Path
 from typing import Any
@@ -34,11 +36,15 @@
         return f"{error['kind']} {error['outcome']}" if error else ""
 
 
-def find_port() -> int:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port: int = free.getsockname()[1]
-        return port
+def find_ports(names: Iterable[str]) -> dict[str, int]:
+    """Find a free port for each name; asked for one by one, two may be the same."""
+    with ExitStack() as held:
+        ports: dict[str, int] = {}
+        for name in names:
+            free = held.enter_context(socket.socket())
+            free.bind(("127.0.0.1", 0))
+            ports[name] = free.getsockname()[1]
+        return ports
 
 
 def request(
@@ -60,11 +66,9 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.running: dict[str, subprocess.Popen[bytes]] = {}
-        self.ports = {
-            name: find_port()
-            for name in ("objects", "instances", "service", "links")
-            + ("agent", "entry-1", "entry-2", "entry-1 peers", "entry-2 peers")
-        }
+        names = ("objects", "instances", "service", "links", "agent")
+        names += ("entry-1", "entry-2", "entry-1 peers", "entry-2 peers")
+        self.ports = find_ports(names)
 
     def name_url(self, name: str) -> str:
         return f"http://127.0.0.1:{self.ports[name]}"
--- a/tests/processes/test_tables.py
+++ b/tests/processes/test_tables.py
@@ -1,7 +1,6 @@
 """An edit reaches real entries and agents, also while the platform is down."""
 
 import json
-import socket
 import subprocess
 import sys
 import time
@@ -15,19 +14,13 @@
 
 from masticdrum.model.tables import DataCentre, Pool, PoolKind, Route, Tables, Upstream
 from masticdrum.programs.ctloutput import ExitCode
+from tests.processes.deployment import find_ports
 from tests.processes.test_ctl import Desk, run_standin
 
 AGENTS = ["agent-a", "agent-b"]
 PATIENCE_S = 60.0
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def wait_for(check: Callable[[], bool]) -> None:
     deadline = time.monotonic() + PATIENCE_S
     while not check():
@@ -53,8 +46,12 @@
         self.objects = stack.enter_context(run_standin("objects"))
         self.instances = stack.enter_context(run_standin("instances"))
         self.desk = Desk(folder, self.objects, self.instances)
-        self.listen = {name: f"127.0.0.1:{find_port()}" for name in AGENTS}
-        self.http = {name: f"127.0.0.1:{find_port()}" for name in [*AGENTS, "entry"]}
+        http = [*AGENTS, "entry"]
+        links = [f"{name} link" for name in AGENTS]
+        ports = find_ports([*http, *links, "upstream"])
+        self.listen = {name: f"127.0.0.1:{ports[f'{name} link']}" for name in AGENTS}
+        self.http = {name: f"127.0.0.1:{ports[name]}" for name in http}
+        self.upstream_url = f"http://127.0.0.1:{ports['upstream']}"
         self.desk.declare(self.make_tables())
         self.list_instances()
         self.start_entry()
@@ -104,7 +101,7 @@
             kind="engine",
             upstream=name,
             listen=f"tcp://{self.listen[name]}",
-            upstream_url=f"http://127.0.0.1:{find_port()}",
+            upstream_url=self.upstream_url,
             http=self.http[name],
         )
 
--- /dev/null
+++ b/tests/standins/signedserver.py
@@ -0,0 +1,96 @@
+"""A stand-in for the users' servers: plain answers, streams of events and orders."""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+import trio
+
+from tests.standins.server import (
+    Broken,
+    Faults,
+    Reply,
+    Request,
+    StandIn,
+    make_json,
+    run_standin,
+)
+
+
+class ServerFaults(Faults):
+    """How the server answers; times are seconds.
+
+    ``reject`` answers 503 without running the request. ``events`` is the length of a
+    stream, and ``break_after`` breaks it after so many. ``work_s`` is how long a run
+    takes, or the pause between two events.
+    """
+
+    id: str = "i-1"
+    reject: bool = False
+    lose: bool = False
+    events: int = 4
+    break_after: int = 0
+    work_s: float = 0.0
+    version: int = 1
+
+
+class SignedServer(StandIn):
+    """A server as an app; it counts the runs of each request."""
+
+    def __init__(self, faults: ServerFaults | None = None) -> None:
+        super().__init__(faults or ServerFaults())
+        self.runs: Counter[str] = Counter()
+        self.seen: list[dict[str, str]] = []
+        self.orders: list[dict[str, Any]] = []
+
+    def show(self) -> dict[str, Any]:
+        return super().show() | {
+            "runs": self.runs,
+            "seen": self.seen,
+            "orders": self.orders,
+        }
+
+    async def answer(self, request: Request) -> Reply:
+        if request.path == "/v1/report":
+            model = {"name": "m1", "version": self.faults.version}
+            return make_json({"models": [model], "sequence": len(self.orders)})
+        if request.path == "/v1/order":
+            return self._take_order(request)
+        self.seen.append({**request.headers, "path": request.path})
+        name = request.headers.get("x-request-id", "")
+        headers = {"x-request-id": name}
+        if request.headers.get("x-expect-instance") != self.faults.id:
+            return Reply(421, headers=headers)
+        if self.faults.reject:
+            return Reply(503, headers=headers | {"x-not-executed": "1"})
+        self.runs[name] += 1
+        if self.faults.lose:
+            raise Broken
+        headers["x-response-signature"] = f"signed-by-{self.faults.id}"
+        if "stream" in request.path:
+            headers["content-type"] = "text/event-stream"
+            first = int(request.headers.get("last-event-id", "0")) + 1
+            return Reply(200, headers=headers, chunks=self._make_events(first))
+        await trio.sleep(self.faults.work_s)
+        return Reply(200, b"answer to " + request.body, headers)
+
+    def _take_order(self, request: Request) -> Reply:
+        order = msgspec.json.decode(request.body)
+        if request.headers.get("x-expect-instance") != self.faults.id:
+            return Reply(421)
+        self.orders.append(order)
+        self.faults.version = order["version"]
+        return Reply(202)
+
+    async def _make_events(self, first: int) -> AsyncIterator[bytes]:
+        for number in range(first, self.faults.events + 1):
+            if self.faults.break_after and number > self.faults.break_after:
+                yield b"id: %d\nda" % number
+                raise Broken
+            await trio.sleep(self.faults.work_s)
+            yield b"id: %d\ndata: piece\n\n" % number
+
+
+if __name__ == "__main__":
+    run_standin(SignedServer)
