Save the parts of returning prompts in the stores and fetch them from there

Ruled out: load imbalance (busiest 1.14 of the mean), refusals (none). Change: each shared part has a home store by rendezvous hashing; it is saved there when it is first read and fetched once the store has said that it is whole. Nothing is freed, so no fetch can meet a part that is being freed; a full store takes no more.

--- a/masticdrum/core/directory.py
+++ b/masticdrum/core/directory.py
@@ -15,13 +15,16 @@
 class DirectoryIndex:
     """A directory with the lookups that each request needs."""
 
-    __slots__ = ("directory", "models", "services", "_routes", "_workspaces")
+    __slots__ = ("directory", "models", "services", "stores", "_routes", "_workspaces")
 
     def __init__(self, directory: Directory) -> None:
         self.directory = directory
         self.services: dict[str, ForwardService] = {
             service.name: service for service in directory.services
         }
+        self.stores = [
+            service for service in directory.services if service.store is not None
+        ]
         self._routes: dict[str, dict[str, ForwardRoute]] = {}
         for route in directory.routes:
             self._routes.setdefault(route.host, {})[route.prefix] = route
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -23,6 +23,7 @@
     ForwardGone,
     PassAnswer,
     PassEvents,
+    Prompt,
     Ran,
     Refuse,
     StartAttempt,
@@ -180,9 +181,12 @@
     upstream = choice.known.upstream
     left_s = exchange.deadline - now
     weights, scope = 0, ""
+    sources: tuple[str, ...] = ()
+    targets: tuple[str, ...] = ()
     if exchange.prompt is not None:
         weights = upstream.weights.get(exchange.prompt.model, 0)
         scope = _name_cache_scope(exchange, weights)
+        sources, targets = _find_places(state, exchange.prompt, scope, choice, now)
     workspace = exchange.workspace
     urgency = exchange.route.urgency
     if workspace is not None and workspace.urgency is not None:
@@ -197,16 +201,37 @@
         first_wait_s=_find_patience(exchange, left_s),
         expect_weights=weights,
         cache_scope=scope,
-        cache_source="" if choice.holder is None else choice.holder.upstream.address,
+        cache_sources=sources,
+        cache_targets=targets,
         urgency=min(LEAST_URGENT, urgency) if exchange.prompt else UNSHARED,
         last_event=exchange.last_event,
     )
 
 
+def _find_places(
+    state: ExchangeState, prompt: Prompt, scope: str, choice: Choice, now: float
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Find where a prompt's parts are fetched from and saved.
+
+    Stores go before the home engine: what they keep outlasts an engine's memory.
+    """
+    if not choice.known.upstream.weights.get(prompt.model):
+        return (), ()
+    index = state.beliefs.index
+    stores = [] if index is None else index.stores
+    places = state.parts.plan(stores, prompt, scope, now)
+    if any(places.sources) or choice.holder is None:
+        return places.sources, places.targets
+    return (choice.holder.upstream.address,), places.targets
+
+
 def _name_cache_scope(exchange: Exchange, weights: int) -> str:
     """Name what kept cache may be shared with: one version, and one wall."""
     require(exchange.prompt is not None, "only prompts have a cache")
     model = "" if exchange.prompt is None else exchange.prompt.model
+    if not weights:
+        # What an engine of unknown weights reads must be of use to nobody else.
+        return f"{model}.unknown.{exchange.request}"
     workspace = exchange.workspace
     if workspace is not None and workspace.isolated:
         return f"{model}.{weights}.{workspace.name}"
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -6,10 +6,11 @@
 
 from masticdrum.core.beliefs import BeliefBounds, Beliefs
 from masticdrum.core.coldpace import ColdBounds, ColdPace
+from masticdrum.core.keptparts import KeptParts, choose_heard
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.standing import Standing
 from masticdrum.core.timers import Timers
-from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
+from masticdrum.model.directory import ForwardRoute, ForwardService, ForwardWorkspace
 from masticdrum.model.exchange import Prompt
 
 TimerName = tuple[str, int]
@@ -114,6 +115,7 @@
         self.standings: dict[str, Standing] = {}
         self.windows: dict[str, RetryWindow] = {}
         self.pace = ColdPace(bounds.cold, self.random)
+        self.parts = KeptParts()
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.weights_at: dict[str, float] = {}
@@ -137,6 +139,14 @@
         """Count the entries that share limits with this one."""
         return self.beliefs.count_members(self.role)
 
+    def list_heard_stores(self) -> list[ForwardService]:
+        """List the stores of kept cache that this entry listens to."""
+        beliefs = self.beliefs
+        if beliefs.index is None or beliefs.members is None:
+            return []
+        fellows = [m.name for m in beliefs.members if m.role == self.role]
+        return choose_heard(beliefs.index.stores, self.name, fellows)
+
     def is_ready(self, now: float) -> bool:
         """Tell whether callers should be sent here."""
         beliefs = self.beliefs
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -11,6 +11,7 @@
     pass_events,
 )
 from masticdrum.core.exchangestate import ExchangeState
+from masticdrum.core.keptparts import PartsHeard, PartsUnheard
 from masticdrum.model.belief import BeliefEvent, WeightsNamed
 from masticdrum.model.exchange import (
     AttemptEnded,
@@ -35,6 +36,8 @@
     | AttemptEnded
     | StopAsked
     | Ticked
+    | PartsHeard
+    | PartsUnheard
     | BeliefEvent
 )
 
@@ -78,10 +81,22 @@
             return _begin_stop(state, event, now)
         case Ticked():
             return []
+        case PartsHeard() | PartsUnheard():
+            return _take_parts(state, event, now)
         case _:
             return _take_belief(state, event, now)
 
 
+def _take_parts(
+    state: ExchangeState, event: PartsHeard | PartsUnheard, now: float
+) -> list[ExchangeEffect]:
+    if isinstance(event, PartsHeard):
+        state.parts.hear(event, now)
+    else:
+        state.parts.lose(event)
+    return []
+
+
 def _take_belief(
     state: ExchangeState, event: BeliefEvent, now: float
 ) -> list[ExchangeEffect]:
--- a/masticdrum/model/directory.py
+++ b/masticdrum/model/directory.py
@@ -59,8 +59,21 @@
     models: tuple[str, ...] = ()
 
 
+class StoreShape(Struct, frozen=True):
+    """A store instance for kept cache.
+
+    ``room_tokens`` is how much it keeps, ``max_polls`` how many calls for its events
+    it bears at once.
+    """
+
+    address: str
+    data_centre: str
+    room_tokens: int
+    max_polls: int
+
+
 class ForwardService(Struct, frozen=True):
-    """A service's limits; ``engine`` is None for a plain service.
+    """A service's limits; ``engine`` is None for a plain service, as is ``store``.
 
     ``cold_per_s`` is how many requests a second a cold upstream bears, for ``cold_s``
     after its start; zero means that it needs no care.
@@ -71,6 +84,7 @@
     cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: EngineShape | None = None
+    store: StoreShape | None = None
 
 
 class ForwardWorkspace(Struct, frozen=True):
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -126,8 +126,9 @@
     """Sends an exchange's request to an upstream.
 
     ``left_s`` is how long the upstream may take. ``expect_weights`` and ``cache_scope``
-    are empty for plain services. ``cache_source`` is the address of
-    an engine that likely holds the beginning of the prompt, empty for none.
+    are empty for plain services. ``cache_sources`` and
+    ``cache_targets`` name for each part of the prompt the address that it is fetched
+    from and saved at, empty for none; one source stands for all parts.
     """
 
     handle: int
@@ -140,7 +141,8 @@
     fresh: bool = False
     expect_weights: int = 0
     cache_scope: str = ""
-    cache_source: str = ""
+    cache_sources: tuple[str, ...] = ()
+    cache_targets: tuple[str, ...] = ()
     urgency: int = 5
     last_event: int | None = None
 
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -12,6 +13,7 @@
 from masticdrum.model.belief import Member
 from masticdrum.model.settings import ForwardSettings
 from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
+from masticdrum.platform.cachestores import CacheListener
 from masticdrum.platform.followers import (
     DATA_CENTRES,
     DIRECTORY,
@@ -28,7 +30,7 @@
     check_option,
     unwrap_or_exit,
 )
-from masticdrum.programs.forwarder import ROLE, Submit, run_forwarder
+from masticdrum.programs.forwarder import ROLE, ChooseStores, Submit, run_forwarder
 from masticdrum.shell.journal import open_bounded_journal, write_event
 from masticdrum.shell.meters import Meters
 from masticdrum.shell.settings import load_settings
@@ -37,17 +39,19 @@
 
 
 def follow(
-    settings: ForwardSettings, submit: Submit, meters: Meters
+    settings: ForwardSettings, submit: Submit, meters: Meters, choose: ChooseStores
 ) -> list[Callable[[], Awaitable[None]]]:
     """Return what must run to follow the platform."""
-    store = Store(
-        settings.store, lambda how: meters.count(Count(Counter.PLATFORM_CALLS, how))
-    )
+
+    def count_call(how: str) -> None:
+        meters.count(Count(Counter.PLATFORM_CALLS, how))
+
+    store = Store(settings.store, count_call)
     member = Member(settings.name, ROLE, settings.data_centre)
     runs: list[Callable[[], Awaitable[None]]] = [lambda: announce(store, member)]
     for followed in FOLLOWED:
         runs.append(Follower(followed, store, submit, Random()).run)
-    return runs
+    return [*runs, CacheListener(submit, choose, count_call).run]
 
 
 @click.command()
@@ -72,7 +76,7 @@
         run_forwarder,
         loaded,
         PlatformForm(),
-        lambda submit, meters: follow(loaded, submit, meters),
+        partial(follow, loaded),
         reread,
     )
 
--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -82,8 +82,10 @@
         if attempt.cache_scope:
             passed.append((b"x-cache-salt", attempt.cache_scope.encode()))
             passed.append((b"x-priority-class", str(attempt.urgency).encode()))
-        if attempt.cache_source:
-            passed.append((b"x-kv-source", attempt.cache_source.encode()))
+        if any(attempt.cache_sources):
+            passed.append((b"x-kv-source", write_places(attempt.cache_sources)))
+        if any(attempt.cache_targets):
+            passed.append((b"x-kv-target", write_places(attempt.cache_targets)))
         if attempt.expect_weights:
             passed.append((b"x-expect-version", str(attempt.expect_weights).encode()))
         return passed
@@ -104,6 +106,11 @@
         )
 
 
+def write_places(places: tuple[str, ...]) -> bytes:
+    """Write an address for each part of a prompt; a dash stands for none."""
+    return ",".join(place or "-" for place in places).encode()
+
+
 def read_key(value: bytes) -> str:
     """Return the key of an ``Authorization`` header, or an empty string."""
     scheme, _, key = value.partition(b" ")
--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -16,6 +16,7 @@
     ForwardService,
     ForwardWorkspace,
     RouteKind,
+    StoreShape,
     Upstream,
 )
 
@@ -81,6 +82,10 @@
     coldStartS: float = 0  # noqa: N815
     coldPerS: float = 0  # noqa: N815
     engine: WireEngine | None = None
+    kvStoreAddr: str = ""  # noqa: N815
+    zone: str = ""
+    kvCapacityTokens: int = 0  # noqa: N815
+    maxConcurrency: int = 0  # noqa: N815
 
 
 class WireTenant(Struct):
@@ -178,8 +183,13 @@
     if wire.engine is not None:
         models = tuple(model.name for model in wire.engine.models)
         engine = EngineShape(wire.engine.slots, wire.engine.kvCapacityTokens, models)
+    store = None
+    if wire.kvStoreAddr:
+        store = StoreShape(
+            wire.kvStoreAddr, wire.zone, wire.kvCapacityTokens, wire.maxConcurrency
+        )
     return ForwardService(
-        wire.name, wire.maxConnections, wire.coldStartS, wire.coldPerS, engine
+        wire.name, wire.maxConnections, wire.coldStartS, wire.coldPerS, engine, store
     )
 
 
--- /dev/null
+++ b/tests/core/test_adviser.py
@@ -0,0 +1,115 @@
+"""An agent orders its own engine only, once, and under a permit."""
+
+import msgspec
+
+from masticdrum.core.adviser import AdviserState, EngineReported, reduce_adviser
+from masticdrum.core.permits import Lease, PermitTable
+from masticdrum.model.agent_events import GiveOrder, OrderAnswered
+from masticdrum.model.belief import UpstreamsListed, WeightsNamed
+from masticdrum.model.exchange import Ticked
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectGet,
+    ObjectPut,
+    ObjectStatus,
+)
+from tests.forwarding import MODEL, UPSTREAMS, make_upstream
+
+OWN = make_upstream("engines-9", "engines", address="10.9.0.1:80")
+
+
+class Agent:
+    """An agent with a store that answers at once."""
+
+    def __init__(self, life: str = "b", table: PermitTable | None = None) -> None:
+        self.state = AdviserState("side-1", life, OWN.address, 1)
+        self.now = 50.0
+        self.revision = 0 if table is None else 7
+        self.table = table or PermitTable()
+        self.orders: list[GiveOrder] = []
+        self.give(UpstreamsListed((*UPSTREAMS, OWN)))
+        self.give(EngineReported({MODEL: 1}))
+
+    def give(self, event: object) -> None:
+        queue = [event]
+        while queue:
+            for effect in reduce_adviser(self.state, queue.pop(0), self.now):
+                if isinstance(effect, GiveOrder):
+                    self.orders.append(effect)
+                if isinstance(effect, ObjectGet | ObjectPut):
+                    queue.append(self.answer(effect))
+
+    def answer(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
+        if isinstance(call, ObjectGet) and not self.revision:
+            return ObjectAnswer(call.call, ObjectStatus.MISSING)
+        if isinstance(call, ObjectPut):
+            if call.expected != self.revision:
+                return ObjectAnswer(call.call, ObjectStatus.CONFLICT)
+            self.revision += 1
+            self.table = msgspec.json.decode(call.body, type=PermitTable)
+        body = msgspec.json.encode(self.table)
+        return ObjectAnswer(call.call, ObjectStatus.OK, self.revision, body)
+
+    def wait(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.1
+            self.give(Ticked())
+
+
+def test_new_weights_are_ordered_once_and_the_permit_is_given_back() -> None:
+    agent = Agent()
+    agent.wait(1.0)
+    assert not agent.orders
+    agent.give(WeightsNamed(MODEL, 2))
+    (order,) = agent.orders
+    assert order.target == f"{MODEL}@2"
+    agent.wait(1.0)
+    assert len(agent.orders) == 1
+    agent.give(EngineReported({MODEL: 2}))
+    agent.give(OrderAnswered(order.order, done=True))
+    agent.wait(1.0)
+    assert len(agent.orders) == 1
+    assert not agent.table.leases
+
+
+def test_a_later_version_is_ordered_under_a_higher_fencing_number() -> None:
+    agent = Agent()
+    for version in (2, 3):
+        agent.give(WeightsNamed(MODEL, version))
+        agent.wait(6.0)
+        agent.give(EngineReported({MODEL: version}))
+        agent.give(OrderAnswered(agent.orders[-1].order, done=True))
+    first, second = agent.orders
+    assert second.fence > first.fence
+
+
+def test_a_lease_of_an_earlier_life_holds_nobody_up() -> None:
+    leases = {"side-1/a/3": Lease(4), "side-2/x/1": Lease(5), "side-3/y/1": Lease(6)}
+    agent = Agent(life="b", table=PermitTable(6, leases))
+    # Four engines, so that two may be under orders: the own old lease must not count.
+    del leases["side-3/y/1"]
+    agent.table = PermitTable(6, leases)
+    agent.give(WeightsNamed(MODEL, 2))
+    agent.wait(0.2)
+    (order,) = agent.orders
+    assert order.fence == 7
+    assert "side-1/a/3" not in agent.table.leases
+
+
+def test_leases_of_others_are_waited_for() -> None:
+    leases = {"side-2/x/1": Lease(5), "side-3/y/1": Lease(6)}
+    agent = Agent(table=PermitTable(6, leases))
+    agent.give(WeightsNamed(MODEL, 2))
+    agent.wait(3.0)
+    assert not agent.orders
+    agent.wait(4.0)
+    assert len(agent.orders) == 1, "leases that nobody renews are taken over"
+
+
+def test_a_leaving_engine_and_one_that_is_not_registered_get_no_order() -> None:
+    agent = Agent()
+    agent.give(UpstreamsListed(UPSTREAMS))
+    agent.give(WeightsNamed(MODEL, 2))
+    agent.wait(3.0)
+    assert not agent.orders
--- /dev/null
+++ b/tests/core/test_beliefs.py
@@ -0,0 +1,83 @@
+"""What a process believes while the platform comes and goes."""
+
+from masticdrum.core.beliefs import RETURN_S
+from masticdrum.core.standing import FAILURES_IN_A_ROW, Standing
+from masticdrum.model.belief import (
+    DataCentresOut,
+    Source,
+    SourceLost,
+    SourceRegained,
+    UpstreamChanged,
+    UpstreamGone,
+    UpstreamsListed,
+)
+from masticdrum.model.exchange import StartAttempt
+from tests.forwarding import UPSTREAMS, Entry, make_upstream, pick
+
+
+def test_upstreams_that_lapse_with_the_store_stay_until_they_can_be_back() -> None:
+    entry = Entry()
+    entry.give(SourceLost(Source.UPSTREAMS, "silent"))
+    entry.give(SourceRegained(Source.UPSTREAMS, 5.0))
+    entry.give(UpstreamsListed(()))
+    assert entry.state.beliefs.find_usable("desk", entry.now)
+    entry.now += RETURN_S + 0.1
+    assert not entry.state.beliefs.find_usable("desk", entry.now)
+
+
+def test_an_upstream_that_registers_again_is_used_on() -> None:
+    entry = Entry()
+    entry.give(SourceLost(Source.UPSTREAMS, "silent"))
+    entry.give(SourceRegained(Source.UPSTREAMS, 5.0))
+    entry.give(UpstreamGone("desk-1"))
+    entry.give(UpstreamChanged(UPSTREAMS[0]))
+    entry.now += RETURN_S + 0.1
+    usable = entry.state.beliefs.find_usable("desk", entry.now)
+    assert "desk-1" in [known.upstream.name for known in usable]
+
+
+def test_an_upstream_that_goes_while_the_store_is_sound_is_gone_at_once() -> None:
+    entry = Entry()
+    entry.give(UpstreamGone("desk-1"))
+    usable = entry.state.beliefs.find_usable("desk", entry.now)
+    assert "desk-1" not in [known.upstream.name for known in usable]
+
+
+def test_a_data_centre_that_returns_is_taken_for_cold() -> None:
+    entry = Entry()
+    entry.give(DataCentresOut(frozenset({"north"})))
+    assert not pick(entry.ask("stream"), StartAttempt)
+    entry.give(DataCentresOut(frozenset()))
+    sent = sum(len(pick(entry.ask("stream"), StartAttempt)) for _ in range(50))
+    assert sent <= 3
+
+
+def test_a_restart_under_the_same_name_is_cold_as_its_entry_says() -> None:
+    entry = Entry()
+    again = make_upstream("engines-1", "engines", born=2, cold_s=3.0)
+    entry.give(UpstreamChanged(again))
+    assert entry.state.beliefs.known["engines-1"].cold_until == entry.now + 3.0
+
+
+def test_a_failing_upstream_is_avoided_longer_with_each_relapse() -> None:
+    standing = Standing()
+    now, pauses = 0.0, []
+    for _ in range(4):
+        for _ in range(FAILURES_IN_A_ROW):
+            standing.note_failure(now)
+        pauses.append(standing.avoid_until - now)
+        now = standing.avoid_until
+        assert not standing.is_avoided(now)
+    assert pauses == sorted(pauses) and pauses[0] < pauses[-1]
+
+
+def test_a_rejection_is_no_failure_and_its_pause_ends_with_success() -> None:
+    standing = Standing()
+    standing.note_rejection(0.0)
+    first = standing.avoid_until
+    standing.note_rejection(first)
+    assert standing.avoid_until - first > first
+    standing.note_success()
+    standing.note_rejection(10.0)
+    assert standing.avoid_until == 10.0 + first
+    assert standing.failing == 0.0
--- /dev/null
+++ b/tests/core/test_keptparts.py
@@ -0,0 +1,111 @@
+"""Load of sessions that return after their engine has forgotten them."""
+
+from collections.abc import Callable
+
+import pytest
+
+from masticdrum.core.keptparts import (
+    HEARD_S,
+    SAVING_S,
+    KeptParts,
+    PartsHeard,
+    PartsUnheard,
+    choose_heard,
+    find_home,
+)
+from masticdrum.model.directory import ForwardService, StoreShape
+from masticdrum.model.exchange import Prompt, PromptPart
+
+SCOPE = "m1.1"
+
+
+def make_store(name: str, room: int = 1000, polls: int = 12) -> ForwardService:
+    shape = StoreShape(f"{name}:80", "north", room, polls)
+    return ForwardService(name, store=shape)
+
+
+STORES = [make_store("small", 100), make_store("large", 1000)]
+PROMPT = Prompt(
+    "m1", (PromptPart("all", 500), PromptPart("mine", 8000), PromptPart("own", 900))
+)
+
+
+def hear_all(kept: KeptParts, now: float, *whole: str, boot: int = 1) -> None:
+    for store in STORES:
+        parts = tuple((SCOPE, name) for name in whole)
+        kept.hear(PartsHeard(store.name, boot, parts), now)
+
+
+def test_a_session_is_saved_once_and_then_fetched() -> None:
+    kept = KeptParts()
+    hear_all(kept, 0.0)
+    first = kept.plan(STORES, PROMPT, SCOPE, 0.1)
+    assert not any(first.sources)
+    assert all(first.targets[:2])
+    assert first.targets[2] == ""
+    again = kept.plan(STORES, PROMPT, SCOPE, 0.2)
+    assert not any(again.targets), "saved twice"
+    hear_all(kept, 1.0, "all", "mine")
+    later = kept.plan(STORES, PROMPT, SCOPE, 1.1)
+    assert later.sources == first.targets
+    assert not any(later.targets)
+
+
+def test_a_part_behind_one_that_nobody_keeps_is_not_fetched() -> None:
+    kept = KeptParts()
+    hear_all(kept, 0.0, "mine")
+    assert not any(kept.plan(STORES, PROMPT, SCOPE, 0.1).sources)
+
+
+def test_another_scope_finds_nothing() -> None:
+    kept = KeptParts()
+    hear_all(kept, 0.0, "all", "mine")
+    assert not any(kept.plan(STORES, PROMPT, "m1.2", 0.1).sources)
+    assert not any(kept.plan(STORES, PROMPT, "m1.1.walled", 0.1).sources)
+
+
+@pytest.mark.parametrize(
+    "lose",
+    [
+        lambda kept: [kept.lose(PartsUnheard(store.name)) for store in STORES],
+        lambda kept: hear_all(kept, 0.2, boot=2),
+    ],
+    ids=["unheard", "started anew"],
+)
+def test_nothing_is_fetched_from_a_store_that_may_be_another(
+    lose: Callable[[KeptParts], object],
+) -> None:
+    kept = KeptParts()
+    hear_all(kept, 0.1, "all", "mine")
+    lose(kept)
+    assert not any(kept.plan(STORES, PROMPT, SCOPE, 0.3).sources)
+
+
+def test_a_store_that_is_silent_is_neither_fetched_from_nor_saved_to() -> None:
+    kept = KeptParts()
+    hear_all(kept, 0.0, "all", "mine")
+    places = kept.plan(STORES, PROMPT, SCOPE, HEARD_S + 0.1)
+    assert not any(places.sources) and not any(places.targets)
+
+
+def test_a_save_that_was_lost_is_asked_for_again() -> None:
+    kept = KeptParts()
+    hear_all(kept, 0.0)
+    kept.plan(STORES, PROMPT, SCOPE, 0.0)
+    hear_all(kept, SAVING_S)
+    assert all(kept.plan(STORES, PROMPT, SCOPE, SAVING_S + 0.1).targets[:2])
+
+
+def test_parts_spread_by_the_room_of_the_stores() -> None:
+    homes = [find_home(STORES, (SCOPE, f"part-{n}")) for n in range(2000)]
+    small = sum(home is STORES[0] for home in homes)
+    assert 120 <= small <= 250  # one part in eleven
+
+
+def test_a_store_has_no_more_listeners_than_it_bears() -> None:
+    fellows = [f"entry-{n}" for n in range(40)]
+    for store in STORES:
+        listening = [
+            own for own in fellows if store in choose_heard(STORES, own, fellows)
+        ]
+        assert len(listening) == 10
