--- /dev/null
+++ b/masticdrum/core/requesttrace.py
@@ -0,0 +1,96 @@
+"""Tells the story of one request from the log lines of several processes.
+
+The lines of the request come in the order of their time. Between the first and the last
+of them stand also those lines of the same processes that changed what they believed,
+since these decide about requests without naming any.
+"""
+
+from collections.abc import Iterable, Iterator
+from datetime import datetime
+
+import msgspec
+from msgspec import Struct
+
+from masticdrum.model.telemetry import LogNumber
+
+MARGIN_S = 2.0  # beliefs that changed so shortly before a request may explain it
+BELIEFS = frozenset(
+    {
+        LogNumber.DIRECTORY_INSTALLED,
+        LogNumber.DIRECTORY_IGNORED,
+        LogNumber.LEASE_LAPSED,
+        LogNumber.LEASE_REGAINED,
+        LogNumber.UPSTREAM_LEAVING,
+        LogNumber.UPSTREAM_GONE,
+        LogNumber.DATA_CENTRES_CHANGED,
+        LogNumber.WEIGHTS_NAMED,
+        LogNumber.SOURCE_LOST,
+        LogNumber.SOURCE_REGAINED,
+        LogNumber.READINESS_CHANGED,
+        LogNumber.CLOCK_JUMPED,
+        LogNumber.UPSTREAM_AVOIDED,
+        LogNumber.SHUTDOWN_BEGUN,
+        LogNumber.LINES_DROPPED,
+    }
+)
+COMMON = frozenset({"time", "level", "program", "instance", "event", "name", "request"})
+Facts = dict[str, object]
+
+
+class TracedLine(Struct, frozen=True):
+    """One line of a story; ``at_s`` counts from the request's first line."""
+
+    at_s: float
+    instance: str
+    name: str
+    facts: Facts
+
+
+class ReadLine(Struct):
+    """A log line, as far as every line has it."""
+
+    time: str
+    name: str = ""
+    event: int = 0
+    instance: str = ""
+    request: str = ""
+
+
+def trace_request(request: str, lines: Iterable[bytes]) -> list[TracedLine]:
+    """Return the story of a request; empty if no line names it.
+
+    Whatever stands before the first brace of a line is ignored, and so are lines that
+    are not of a process of ours.
+    """
+    read = sorted(read_lines(lines), key=lambda entry: entry[0])
+    named = [at for at, line, _ in read if line.request == request]
+    if not named:
+        return []
+    first, last = named[0], named[-1]
+    instances = {line.instance for _, line, _ in read if line.request == request}
+    return [
+        TracedLine(round(at - first, 6), line.instance, line.name, facts)
+        for at, line, facts in read
+        if line.request == request
+        or (
+            line.event in BELIEFS
+            and line.instance in instances
+            and first - MARGIN_S <= at <= last
+        )
+    ]
+
+
+def read_lines(lines: Iterable[bytes]) -> Iterator[tuple[float, ReadLine, Facts]]:
+    """Yield the time, the line and its facts of each line that can be read."""
+    for text in lines:
+        start = text.find(b"{")
+        if start < 0:
+            continue
+        try:
+            line = msgspec.json.decode(text[start:], type=ReadLine)
+            everything = msgspec.json.decode(text[start:], type=dict[str, object])
+            at = msgspec.convert(line.time, type=datetime)
+        except msgspec.MsgspecError:
+            continue
+        facts = {key: v for key, v in everything.items() if key not in COMMON}
+        yield at.timestamp(), line, facts
--- a/masticdrum/programs/ctl.py
+++ b/masticdrum/programs/ctl.py
@@ -14,13 +14,14 @@
     write_declarations,
 )
 from masticdrum.core.explanation import explain_request
+from masticdrum.core.requesttrace import trace_request
 from masticdrum.core.tablediff import list_changes
 from masticdrum.core.tableedit import set_out
 from masticdrum.core.tableview import TableView
 from masticdrum.model.faults import Fault
 from masticdrum.model.settings import CtlSettings
 from masticdrum.model.tables import Tables
-from masticdrum.programs.commands import unwrap_or_exit
+from masticdrum.programs.commands import exit_with, unwrap_or_exit
 from masticdrum.programs.ctloutput import ExitCode, Output
 from masticdrum.programs.ctlsession import Session, run_session
 from masticdrum.programs.ctltext import (
@@ -28,6 +29,7 @@
     describe_explanation,
     describe_status,
     describe_tables,
+    describe_trace,
 )
 from masticdrum.shell.fleet import read_hints
 from masticdrum.shell.settings import load_settings, read_file
@@ -190,6 +192,23 @@
     run_session(context.load(), context.output, command)
 
 
+@main.command()
+@click.argument("request")
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(path_type=Path, dir_okay=False)
+)
+@click.pass_obj
+def trace(context: Context, request: str, files: tuple[Path, ...]) -> None:
+    """Tell the story of a REQUEST from the log FILES of several processes."""
+    lines = [
+        line for path in files for line in unwrap_or_exit(read_file(path)).splitlines()
+    ]
+    story = trace_request(request, lines)
+    if not story:
+        exit_with(f"no line of {', '.join(map(str, files))} names request {request!r}")
+    context.output.show(describe_trace(story), story)
+
+
 @main.command()
 @click.argument("data_centre")
 @timeout_option
--- a/masticdrum/programs/ctltext.py
+++ b/masticdrum/programs/ctltext.py
@@ -1,6 +1,7 @@
 """How ``masticdrumctl`` lays out its answers for people."""
 
 from masticdrum.core.explanation import Explanation
+from masticdrum.core.requesttrace import TracedLine
 from masticdrum.core.tablediff import Change
 from masticdrum.model.tables import Tables
 from masticdrum.programs.ctloutput import format_rows
@@ -92,3 +93,17 @@
 def describe_room(load: float | None) -> str:
     """Says how much of an upstream's limit is in use."""
     return "load not known" if load is None else f"{load:.0%} in use"
+
+
+def describe_trace(story: list[TracedLine]) -> str:
+    """Lays out the story of a request for people."""
+    rows = [
+        (f"{line.at_s:+.3f}", line.instance, line.name, describe_facts(line.facts))
+        for line in story
+    ]
+    return format_rows(("seconds", "process", "event", "facts"), rows)
+
+
+def describe_facts(facts: dict[str, object]) -> str:
+    """Write the facts of a log line as words."""
+    return " ".join(f"{key}={value}" for key, value in facts.items())
