Let a request that is taken at the moment of leaving finish within the grace time

Ruled out: the reducer's grace (its end was 2.9 s away), the upstream (it was at work). Change: the server asks, once it stops, how much of the grace time is left.

--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -147,6 +147,10 @@
         fellows = [m.name for m in beliefs.members if m.role == self.role]
         return choose_heard(beliefs.index.stores, self.name, fellows)
 
+    def find_grace_left(self, now: float) -> float:
+        """Return how long a request that is still taken while leaving may go on."""
+        return 0.0 if self.stop_by is None else max(0.0, self.stop_by - now)
+
     def is_ready(self, now: float) -> bool:
         """Tell whether callers should be sent here."""
         beliefs = self.beliefs
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -231,7 +231,7 @@
             process.answer,
             [settings.http, settings.probes, settings.metrics],
             max_header_bytes=MAX_HEADER_BYTES + HEADER_SLACK_BYTES,
-            grace_s=1.0,
+            grace_s=lambda: process.state.find_grace_left(read_clock()),
             until=process.ended.wait,
             read_idle_s=lambda: process.read_limits().idle_s,
         )
--- a/masticdrum/shell/webserver.py
+++ b/masticdrum/shell/webserver.py
@@ -24,6 +24,17 @@
     write_timeout_s = WRITE_TIMEOUT_S
     read_idle_s: Callable[[], float] = staticmethod(lambda: KEEP_ALIVE_S)
 
+    read_grace_s: Callable[[], float] = staticmethod(lambda: WRITE_TIMEOUT_S)
+
+    @property
+    def graceful_timeout(self) -> float:
+        """How long open requests may go on once the server stops, as of now."""
+        return self.read_grace_s()
+
+    @graceful_timeout.setter
+    def graceful_timeout(self, value: float) -> None:
+        self.read_grace_s = lambda: value
+
     @property
     def keep_alive_timeout(self) -> float:
         """How long a connection may be idle, in seconds, as of now."""
@@ -47,14 +58,15 @@
     addresses: str | list[str],
     *,
     max_header_bytes: int,
-    grace_s: float,
+    grace_s: float | Callable[[], float],
     until: Callable[..., Awaitable[None]],
     write_timeout_s: float = WRITE_TIMEOUT_S,
     read_idle_s: Callable[[], float] | None = None,
 ) -> None:
     """Serve HTTP at one or several ``IP:PORT`` until ``until`` returns.
 
-    ``read_idle_s`` tells how long a connection may be idle, where that changes.
+    ``read_idle_s`` tells how long a connection may be idle, where that changes, and
+    ``grace_s`` how long open requests may go on then, asked once the server stops.
     """
     config = WebserverConfig()
     config.write_timeout_s = write_timeout_s
@@ -62,7 +74,7 @@
     config.h11_max_incomplete_size = max_header_bytes + HEADER_SLACK_BYTES
     if read_idle_s is not None:
         config.read_idle_s = read_idle_s
-    config.graceful_timeout = grace_s
+    config.read_grace_s = grace_s if callable(grace_s) else lambda: grace_s
     config.accesslog = None
     config.errorlog = None
 
--- a/tests/core/test_exchanges.py
+++ b/tests/core/test_exchanges.py
@@ -226,6 +226,20 @@
     assert pick(entry.end(start, AttemptEnd.ANSWERED, 200, sound=True), Leave)
 
 
+def test_a_request_taken_at_the_moment_of_leaving_has_the_rest_of_the_grace() -> None:
+    """Seen on hunt-d773-27 of shard-addis: cut a second after the entry left."""
+    entry = Entry()
+    entry.give(StopAsked(8.0))
+    entry.now += 4.0
+    assert pick(entry.give(Ticked()), Leave)
+    start = start_of(entry.ask("stream"))
+    entry.begin(start)
+    assert entry.state.find_grace_left(entry.now) == pytest.approx(3.0)
+    entry.now += 2.0
+    assert not pick(entry.give(Ticked()), BreakStream)
+    assert pick(entry.end(start, AttemptEnd.ANSWERED, 200, sound=True), EndStream)
+
+
 def test_a_cold_upstream_gets_its_share_only() -> None:
     cold = make_upstream("engines-1", "engines", cold_s=3.0)
     entry = Entry(upstreams=(cold,))
