--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -142,8 +142,9 @@
 def _leave_if_done(state: ExchangeState, now: float) -> list[ExchangeEffect]:
     if state.stop_from is None or state.stop_by is None or state.left:
         return []
-    if now < state.stop_from or (state.exchanges and now < state.stop_by):
+    if now < state.stop_from:
         return []
+    # Nothing new is taken from here on; what is open has the rest of the grace time.
     state.left = True
     facts = {"open": len(state.exchanges)}
     return [Log(LogNumber.SHUTDOWN_DONE, facts={**facts}), Leave()]
