--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -1,8 +1,8 @@
 """The reducer of an entry that forwards exchanges: events in, effects out."""
 
 from masticdrum.core.beliefs import take_belief
+from masticdrum.core.exchangeclose import DEADLINE
 from masticdrum.core.exchanges import (
-    DEADLINE,
     abandon_exchange,
     begin_exchange,
     begin_stream,
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -57,6 +57,7 @@
     OBJECT_UNREADABLE = 77
     SETTINGS_RELOADED = 78
     LINES_DROPPED = 79
+    SETTINGS_REFUSED = 80
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -68,7 +68,7 @@
     def reread() -> ForwardSettings | None:
         result = load_settings(settings, ForwardSettings)
         if isinstance(result, Failure):
-            write_event(Log(LogNumber.TABLES_REJECTED, detail=result.failure()))
+            write_event(Log(LogNumber.SETTINGS_REFUSED, detail=result.failure()))
             return None
         return result.unwrap()
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -151,7 +151,7 @@
     sound = path.read_text()
     path.write_text("{")
     fleet.running["entry"].send_signal(signal.SIGHUP)
-    fleet.wait_until(lambda: '"tables_rejected"' in fleet.read_logs(), "rejected")
+    fleet.wait_until(lambda: '"settings_refused"' in fleet.read_logs(), "refused")
     path.write_text(sound.replace('"name"', '"drain_s": 1.5, "name"'))
     fleet.running["entry"].send_signal(signal.SIGHUP)
     fleet.wait_until(lambda: '"settings_reloaded"' in fleet.read_logs(), "reloaded")
