Finish sending an answer before its task ends

Ruled out, by a trace of accepted and closed connections: new connections (none after the listener closed), requests read before the stop.

--- a/masticdrum/shell/asgi.py
+++ b/masticdrum/shell/asgi.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import msgspec
+import trio
 
 Scope = dict[str, Any]
 Message = dict[str, Any]
@@ -20,8 +21,14 @@
 
 
 async def send_chunk(send: Send, body: bytes, *, more: bool) -> None:
-    """Send a piece of the body."""
-    await send({"type": "http.response.body", "body": body, "more_body": more})
+    """Send a piece of the body.
+
+    The last piece is sent to its end whatever is cancelled meanwhile. The server tells
+    the application that its caller is gone before it has made the connection ready for
+    the next request; ending the task there would leave it without its idle timeout.
+    """
+    with trio.CancelScope(shield=not more):
+        await send({"type": "http.response.body", "body": body, "more_body": more})
 
 
 async def send_whole(
