Decide the course of an order for weights in the product, not in the adapter

The loop that repeats an order, believes a report or gives up stood in platform/engine.py, which is to translate only.

--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -8,6 +8,12 @@
 from msgspec import Struct, field
 
 from masticdrum.core.adviser import EngineReported, read_weights
+from masticdrum.core.ordercourse import (
+    EngineView,
+    OrderCourse,
+    OrderReply,
+    SendOrder,
+)
 from masticdrum.model.agent_events import GiveOrder, OrderAnswered
 from masticdrum.platform.objects import WireWeights
 from masticdrum.platform.store import StoreFailed, decode
@@ -15,10 +21,14 @@
 from masticdrum.shell.upstreamstream import LeanBackend
 
 CALL_S = 1.0  # the engine is on the same machine
-ORDER_S = 15.0  # a load behind runs that finish first, or an order carried out late
 POLL_S = 0.15  # reports are free from here; a load takes over a second
-ACCEPTED = (200, 202)
-REFUSED = (400, 412, 421)  # a repeat of the same order meets the same answer
+REPLIES = {
+    200: OrderReply.ACCEPTED,
+    202: OrderReply.ACCEPTED,
+    400: OrderReply.REFUSED,
+    412: OrderReply.REFUSED,
+    421: OrderReply.REFUSED,
+}
 
 
 class EngineReport(Struct):
@@ -28,9 +38,10 @@
     busy: bool = False
     sequence: int = 0
 
-    def list_weights(self) -> dict[str, int]:
-        """Return the version of each model that is loaded."""
-        return {model.name: model.version for model in self.models}
+    def describe(self) -> EngineView:
+        """Return what the report says, in the product's words."""
+        weights = {model.name: model.version for model in self.models}
+        return EngineView(weights, self.busy, self.sequence)
 
 
 class OrderBody(Struct):
@@ -70,58 +81,33 @@
             report = decode(body, EngineReport)
         except StoreFailed:
             return None
-        self._submit(EngineReported(report.list_weights()))
+        self._submit(EngineReported(report.describe().weights))
         return report
 
     async def order(self, order: GiveOrder, instance: str) -> None:
-        """Give an order until it is done, refused or out of time, and tell how.
-
-        An order without an answer may be carried out seconds later. It is given again
-        under the same fencing number and the same ``expect``, so that one of the two
-        takes effect at most.
-        """
+        """Carry an order to the engine until its course ends, and tell how."""
         model, version = read_weights(order.target)
-        give_up_at = read_clock() + ORDER_S
-        accepted = False
-        detail = "no answer"
-        while read_clock() < give_up_at:
+        course = OrderCourse(order, model, version, read_clock())
+        while True:
             report = await self.read_report()
-            if report is None:
-                await trio.sleep(POLL_S)
-                continue
-            loaded = report.list_weights().get(model, 0)
-            if loaded >= version and not report.busy:
-                self._submit(OrderAnswered(order.order, done=True))
-                return
-            if report.busy or accepted or read_clock() >= order.not_after:
-                accepted = accepted and report.busy
-                await trio.sleep(POLL_S)
-                continue
-            status = await self._give(order, model, version, report, instance)
-            if status in REFUSED:
-                self._submit(OrderAnswered(order.order, False, detail=f"{status}"))
+            view = None if report is None else report.describe()
+            step = course.decide(view, read_clock())
+            if isinstance(step, SendOrder):
+                step = course.take_reply(*await self._give(step, instance))
+            if isinstance(step, OrderAnswered):
+                self._submit(step)
                 return
-            accepted = status in ACCEPTED
-            detail = f"status {status}"
             await trio.sleep(POLL_S)
-        self._submit(OrderAnswered(order.order, done=False, detail=detail))
 
-    async def _give(
-        self,
-        order: GiveOrder,
-        model: str,
-        version: int,
-        report: EngineReport,
-        instance: str,
-    ) -> int:
+    async def _give(self, order: SendOrder, instance: str) -> tuple[OrderReply, str]:
         body = OrderBody(
             op="version",
-            model=model,
-            version=version,
+            model=order.model,
+            version=order.version,
             method="queue",
             holder=self._holder,
             fencingToken=order.fence,
-            expect=report.sequence,
+            expect=order.accepted,
         )
         headers = [
             ("Content-Type", "application/json"),
@@ -130,9 +116,9 @@
         try:
             encoded = msgspec.json.encode(body)
             status, _ = await self._call("POST", "/v1/order", headers, encoded)
-        except StoreFailed:
-            return 0
-        return status
+        except StoreFailed as error:
+            return OrderReply.NONE, str(error)
+        return REPLIES.get(status, OrderReply.LATER), f"status {status}"
 
     async def _call(
         self,
