Refuse prompts at once while engines are saturated

core/saturation.py expects a wait from this entry's own requests: those without a first event by the rate of first events. It begins only once requests have really waited, and refuses a share that grows from half a target to a whole one, with a Retry-After at which there will be room.

Errors and refusal lines name the wait that was expected.

--- a/masticdrum/core/attemptstart.py
+++ b/masticdrum/core/attemptstart.py
@@ -27,9 +27,6 @@
         scope = _name_cache_scope(exchange, weights)
         sources, targets = _find_places(state, exchange.prompt, scope, choice, now)
     workspace = exchange.workspace
-    urgency = exchange.route.urgency
-    if workspace is not None and workspace.urgency is not None:
-        urgency = workspace.urgency
     return StartAttempt(
         handle=exchange.handle,
         attempt=state.attempts,
@@ -42,7 +39,7 @@
         cache_scope=scope,
         cache_sources=sources,
         cache_targets=targets,
-        urgency=min(LEAST_URGENT, urgency) if exchange.prompt else UNSHARED,
+        urgency=min(LEAST_URGENT, exchange.urgency) if exchange.prompt else UNSHARED,
         last_event=exchange.last_event,
     )
 
--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -1,6 +1,7 @@
 """Ends an exchange: with an upstream's answer, or truthfully without one."""
 
 from masticdrum.core.exchangestate import Exchange, ExchangeState
+from masticdrum.core.saturation import EASY_WAIT
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.exchange import (
     AttemptEnded,
@@ -63,12 +64,17 @@
     kind, status = _find_answer(exchange, kind)
     wait_s = 0.0
     if status == 503:
-        wait_s = draw_wait(state, kind, max(0.0, exchange.deadline - now))
+        left_s = max(0.0, exchange.deadline - now)
+        wait_s = draw_wait(state, kind, left_s, _find_backlog(exchange))
     log = Log(
         LogNumber.EXCHANGE_REFUSED,
         request=exchange.request,
         detail=kind.value,
-        facts={"status": status, **_describe_tries(state, exchange, now)},
+        facts={
+            "status": status,
+            "retry_after_s": round(wait_s, 3),
+            **_describe_tries(state, exchange, now),
+        },
     )
     refuse = Refuse(exchange.handle, kind, status, wait_s)
     return [refuse, log, Count(Counter.REFUSALS, kind.value)]
@@ -94,6 +100,7 @@
         "rejections": exchange.rejections,
         "maybe_ran": exchange.maybe_ran,
         "usable": len(usable),
+        "expected_s": round(exchange.expected_s, 3),
         "after_s": round(now - exchange.arrived, 3),
         "version": state.beliefs.version,
         "lease_s": round(state.beliefs.lease_until - now, 3),
@@ -103,10 +110,23 @@
 def close(state: ExchangeState, exchange: Exchange) -> None:
     """Forget an exchange that has its final answer."""
     state.exchanges.pop(exchange.handle, None)
+    state.saturation.forget(exchange.service, exchange.handle)
     state.timers.clear((DEADLINE, exchange.handle))
 
 
-def draw_wait(state: ExchangeState, kind: ErrorKind, left_s: float) -> float:
-    """Return when a caller should come back, spread so that not all do at once."""
+def _find_backlog(exchange: Exchange) -> float:
+    """Return how many seconds the queue is longer than one that serves in time."""
+    return exchange.expected_s - EASY_WAIT * exchange.route.target_s
+
+
+def draw_wait(
+    state: ExchangeState, kind: ErrorKind, left_s: float, backlog_s: float = 0.0
+) -> float:
+    """Return when a caller should come back, spread so that not all do at once.
+
+    ``backlog_s`` is when there will be room, as far as that is known.
+    """
     most = min(ANSWERS[kind].retry_after_s, RETRY_AFTER_PART * left_s)
+    if backlog_s > 0:
+        most = min(most, 2 * backlog_s)
     return max(LEAST_RETRY_AFTER_S, most * state.random.uniform(0.5, 1.0))
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -67,7 +67,20 @@
     state.exchanges[exchange.handle] = exchange
     state.timers.set((DEADLINE, exchange.handle), exchange.deadline)
     state.find_window(exchange.service).note_request(now)
-    return [Count(Counter.EXCHANGES, route.kind.value), *_send(state, exchange, now)]
+    counted = Count(Counter.EXCHANGES, route.kind.value)
+    if exchange.prompt is not None:
+        if _is_saturated(state, exchange, now):
+            return [counted, *give_up(state, exchange, ErrorKind.SATURATED, now)]
+        urgency = exchange.urgency
+        state.saturation.begin(exchange.service, urgency, exchange.handle, now)
+    return [counted, *_send(state, exchange, now)]
+
+
+def _is_saturated(state: ExchangeState, exchange: Exchange, now: float) -> bool:
+    service, urgency = exchange.service, exchange.urgency
+    exchange.expected_s = state.saturation.estimate(service, urgency, now)
+    target_s = exchange.route.target_s
+    return state.saturation.is_refused(service, urgency, target_s, now)
 
 
 def _make_exchange(
@@ -186,6 +199,7 @@
     effects: list[ExchangeEffect] = [PassEvents(exchange.handle, event.events)]
     if not exchange.passed:
         exchange.passed = True
+        state.saturation.note_first(exchange.service, exchange.handle, now)
         first_s = now - exchange.arrived
         effects.append(
             Observe(Histogram.EXCHANGE_FIRST, first_s, exchange.route.kind.value)
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -8,6 +8,7 @@
 from masticdrum.core.coldpace import ColdBounds, ColdPace
 from masticdrum.core.keptparts import KeptParts, choose_heard
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
+from masticdrum.core.saturation import Saturation
 from masticdrum.core.standing import Standing
 from masticdrum.core.timers import Timers
 from masticdrum.model.directory import ForwardRoute, ForwardService, ForwardWorkspace
@@ -47,6 +48,7 @@
     ``work`` is what it weighs at its upstream: one for a plain request, tokens for a
     prompt. ``sends`` counts the attempts that may have run; ``maybe_ran`` tells whether
     there was one. ``last_event`` is the id of the last event that was passed on.
+    ``expected_s`` is how long its first event was expected to take when it came.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "attempt",
         "begun",
         "deadline",
+        "expected_s",
         "handle",
         "last_event",
         "maybe_ran",
@@ -94,9 +97,17 @@
         self.maybe_ran = False
         self.sends = 0
         self.rejections = 0
+        self.expected_s = 0.0
         self.last_event: int | None = None
         self.tried: set[str] = set()
 
+    @property
+    def urgency(self) -> int:
+        """The rank of the request, zero for the most urgent."""
+        if self.workspace is not None and self.workspace.urgency is not None:
+            return self.workspace.urgency
+        return self.route.urgency
+
 
 class ExchangeState:
     """Everything one forwarding entry knows; ``role`` names its fellows.
@@ -116,6 +127,7 @@
         self.windows: dict[str, RetryWindow] = {}
         self.pace = ColdPace(bounds.cold, self.random)
         self.parts = KeptParts()
+        self.saturation = Saturation(self.random)
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.weights_at: dict[str, float] = {}
--- a/masticdrum/model/errors.py
+++ b/masticdrum/model/errors.py
@@ -28,6 +28,7 @@
     KEY_EXPIRED = "key_expired"
     TOO_MANY_OPEN = "too_many_open"
     QUEUE_FULL = "queue_full"
+    SATURATED = "saturated"
     COLD_START = "cold_start"
     DATA_CENTRE_OUT = "data_centre_out"
     LEAVING = "leaving"
@@ -78,6 +79,7 @@
         429, "the workspace has too many open requests", 1.0
     ),
     ErrorKind.QUEUE_FULL: Answer(503, "the upstream's queue is full", 1.0, True),
+    ErrorKind.SATURATED: Answer(503, "the upstreams can't answer in time", 4.0),
     ErrorKind.COLD_START: Answer(503, "the upstream is warming up", 2.0, True),
     ErrorKind.DATA_CENTRE_OUT: Answer(503, "the data centre is out", 1.0, True),
     ErrorKind.LEAVING: Answer(503, "the upstream is leaving", 1.0, True),
--- /dev/null
+++ b/tests/core/test_saturation.py
@@ -0,0 +1,166 @@
+"""Load of callers who ask for more than the engines can read."""
+
+from heapq import heappop, heappush
+from random import Random
+
+import pytest
+
+from masticdrum.core.saturation import (
+    HOLD_S,
+    WINDOW_S,
+    Saturation,
+)
+from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt
+from tests.forwarding import Entry, pick, start_of
+
+SERVICE = "engines"
+RANK = 2
+TARGET_S = 0.8
+PATIENCE_S = 3.2  # callers leave after four targets without an event
+SERVE_S = 0.1
+
+
+class World:
+    """An engine that serves one request each ``SERVE_S``, and callers who leave."""
+
+    def __init__(self, entries: int, refusing: bool) -> None:
+        self.entries = [Saturation(Random(seed)) for seed in range(entries)]
+        self.refusing = refusing
+        self.events: list[tuple[float, str, int]] = []
+        self.queue: list[tuple[float, int]] = []
+        self.free_at = 0.0
+        self.in_time = 0
+
+    def take(self, now: float, what: str, handle: int) -> None:
+        entry = self.entries[handle % len(self.entries)]
+        if what == "asked":
+            refused = entry.is_refused(SERVICE, RANK, TARGET_S, now)
+            if self.refusing and refused:
+                return
+            entry.begin(SERVICE, RANK, handle, now)
+            heappush(self.queue, (now, handle))
+            heappush(self.events, (max(now, self.free_at), "serve", handle))
+            heappush(self.events, (now + PATIENCE_S, "left", handle))
+        elif what == "left":
+            entry.forget(SERVICE, handle)
+            self.queue = [waiting for waiting in self.queue if waiting[1] != handle]
+        elif self.queue and now >= self.free_at:
+            self.serve(now)
+
+    def serve(self, now: float) -> None:
+        asked, handle = heappop(self.queue)
+        self.free_at = now + SERVE_S
+        entry = self.entries[handle % len(self.entries)]
+        entry.note_first(SERVICE, handle, self.free_at)
+        self.in_time += self.free_at - asked <= TARGET_S
+        if self.queue:
+            heappush(self.events, (self.free_at, "serve", handle))
+
+
+def play(per_s: float, entries: int, refusing: bool, seconds: float = 30.0) -> float:
+    """Return the share of requests that are served in time."""
+    random = Random(7)
+    world = World(entries, refusing)
+    count = int(per_s * seconds)
+    arrivals = [(random.uniform(0.0, seconds), "asked", n) for n in range(count)]
+    world.events = sorted(arrivals)
+    while world.events:
+        world.take(*heappop(world.events))
+    return world.in_time / count
+
+
+@pytest.mark.parametrize("entries", [1, 3])
+def test_saturated_engines_serve_in_time_what_they_can_serve(entries: int) -> None:
+    """At twice the load half can be in time at best; a queue serves nearly none."""
+    assert play(20.0, entries, refusing=False) < 0.1
+    assert play(20.0, entries, refusing=True) > 0.3
+
+
+def test_a_small_excess_is_shed_and_no_more() -> None:
+    """Five of six can be in time at best."""
+    assert play(12.0, 3, refusing=False) < 0.1
+    assert play(12.0, 3, refusing=True) > 0.7
+
+
+def test_a_load_that_engines_bear_is_hardly_refused() -> None:
+    assert play(8.0, 3, refusing=True) > 0.97
+
+
+def queue_up(count: int, per_s: float, waited_s: float) -> Saturation:
+    """Make a service, at 10 s, with so many that wait and first events a second."""
+    known = Saturation(Random(1))
+    for handle in range(int(per_s * WINDOW_S)):
+        known.begin(SERVICE, RANK, handle, 9.0)
+        known.note_first(SERVICE, handle, 10.0)
+    for handle in range(1000, 1000 + count):
+        known.begin(SERVICE, RANK, handle, 10.0 - waited_s)
+    return known
+
+
+def draw(known: Saturation, now: float = 10.0, rank: int = RANK) -> float:
+    """Return the share of requests that is refused."""
+    tries = 1000
+    return sum(known.is_refused(SERVICE, rank, TARGET_S, now) for _ in range(tries)) / (
+        tries
+    )
+
+
+def test_the_wait_is_those_who_wait_by_the_rate_of_first_events() -> None:
+    known = queue_up(6, 4.0, 0.0)
+    assert known.estimate(SERVICE, RANK, 10.0) == pytest.approx(1.5)
+    assert known.estimate(SERVICE, RANK - 1, 10.0) == 0.0, "the urgent go before"
+    assert known.estimate("others", RANK, 10.0) == 0.0
+
+
+def test_a_burst_that_has_not_waited_is_served_whole() -> None:
+    assert draw(queue_up(200, 1.0, TARGET_S / 4)) == 0.0
+
+
+def test_a_single_request_that_waits_is_no_queue() -> None:
+    assert draw(queue_up(1, 0.0, 9.0)) == 0.0
+
+
+def test_refusing_begins_with_a_long_queue_and_ends_once_it_is_gone() -> None:
+    known = queue_up(6, 4.0, TARGET_S)
+    assert draw(known) == 1.0
+    assert draw(known, rank=RANK - 1) == 0.0, "the urgent are not refused"
+    for handle in (1000, 1001, 1002):
+        known.note_first(SERVICE, handle, 10.0)
+    assert 0.2 < draw(known) < 0.8
+    for handle in (1003, 1004, 1005):
+        known.note_first(SERVICE, handle, 10.0)
+    assert draw(known) == 0.0
+    for handle in range(2000, 2020):
+        known.begin(SERVICE, RANK, handle, 10.0 + HOLD_S)
+    assert draw(known, 10.0 + HOLD_S) == 0.0, "it begins anew only with evidence"
+
+
+def saturate(entry: Entry) -> None:
+    """Let an entry see requests wait for longer than their target."""
+    for _ in range(8):
+        entry.ask("stream", deadline_s=9.0)
+    entry.now += 0.2
+    entry.vouch()
+
+
+def test_a_saturated_service_refuses_prompts_truthfully_and_nothing_else() -> None:
+    entry = Entry()
+    saturate(entry)
+    effects = entry.ask("stream", deadline_s=9.0)
+    (refuse,) = pick(effects, Refuse)
+    assert (refuse.status, refuse.kind.value) == (503, "saturated")
+    assert 0 < refuse.retry_after_s <= 9.0 / 3
+    assert not pick(effects, StartAttempt)
+    assert pick(entry.ask("idempotent"), StartAttempt)
+
+
+def test_what_ends_leaves_no_queue_behind() -> None:
+    entry = Entry()
+    saturate(entry)
+    for handle in list(entry.state.exchanges)[:4]:
+        entry.leave(handle)
+    for start in [s for s in pick(entry.effects, StartAttempt)][4:]:
+        entry.begin(start)
+        entry.stream(start, 1)
+        entry.end(start, AttemptEnd.ANSWERED, 200, sound=True)
+    assert start_of(entry.ask("stream"))
