Break each mechanism of forwarded requests on purpose, and see a test miss it

Sixteen mutants. Written down because one wasn't caught: every test read which ends prove "not run" from the table itself, so that a wrong table passed. A test names them now.

--- a/tests/core/test_exchanges.py
+++ b/tests/core/test_exchanges.py
@@ -45,6 +45,18 @@
 UNPROVEN = [end for end in FAILING if END_RULES[end].ran is not Ran.NO]
 
 
+def test_only_an_upstreams_word_or_an_unsent_request_proves_that_it_did_not_run() -> (
+    None
+):
+    proven = {end for end, rule in END_RULES.items() if rule.ran is Ran.NO}
+    assert proven == {
+        AttemptEnd.REJECTED,
+        AttemptEnd.MISDIRECTED,
+        AttemptEnd.UNREACHABLE,
+        AttemptEnd.UNSENT,
+    }
+
+
 def test_an_answer_goes_back_unchanged() -> None:
     entry = Entry()
     start = start_of(entry.ask("idempotent"))
--- /dev/null
+++ b/tests/core/test_forwardmutants.py
@@ -0,0 +1,95 @@
+"""Each mechanism of forwarded requests is missed by a test once it is broken."""
+
+from collections.abc import Callable
+
+import pytest
+
+from tests.core import (
+    forwardmutants,
+    test_exchanges,
+    test_keptparts,
+    test_ordercourse,
+    test_saturation,
+)
+
+Check = Callable[[], None]
+CAUGHT: list[tuple[Callable[[pytest.MonkeyPatch], None], Check]] = [
+    (
+        forwardmutants.repeat_whatever_ran,
+        test_exchanges.test_no_order_of_events_breaks_a_promise,
+    ),
+    (
+        forwardmutants.call_unknown_not_run,
+        test_exchanges.test_only_an_upstreams_word_or_an_unsent_request_proves_that_it_did_not_run,
+    ),
+    (
+        forwardmutants.trust_any_configuration,
+        test_exchanges.test_a_retry_after_the_lease_lapsed_is_not_sent,
+    ),
+    (
+        forwardmutants.install_older_configurations,
+        test_exchanges.test_an_older_configuration_is_never_installed,
+    ),
+    (
+        forwardmutants.use_leaving_upstreams,
+        test_exchanges.test_nothing_new_goes_to_leaving_gone_or_evacuated_upstreams,
+    ),
+    (
+        forwardmutants.keep_gone_upstreams,
+        test_exchanges.test_nothing_new_goes_to_leaving_gone_or_evacuated_upstreams,
+    ),
+    (
+        forwardmutants.flood_cold_upstreams,
+        test_exchanges.test_a_cold_upstream_gets_its_share_only,
+    ),
+    (
+        forwardmutants.repeat_without_bound,
+        test_exchanges.test_retries_stay_within_their_window,
+    ),
+    (
+        forwardmutants.share_over_walls,
+        test_exchanges.test_kept_cache_is_shared_by_weights_and_never_over_a_wall,
+    ),
+    (
+        forwardmutants.fetch_for_superseded_weights,
+        test_exchanges.test_no_cache_is_fetched_from_an_engine_for_weights_that_are_superseded,
+    ),
+    (
+        forwardmutants.forget_when_parts_were_whole,
+        test_keptparts.test_superseded_weights_fetch_what_was_whole_before_and_save_nothing,
+    ),
+    (
+        forwardmutants.fetch_from_silent_stores,
+        test_keptparts.test_a_store_that_is_silent_is_neither_fetched_from_nor_saved_to,
+    ),
+    (
+        forwardmutants.order_after_the_lease,
+        test_ordercourse.test_nothing_goes_out_to_a_busy_engine_or_after_the_lease,
+    ),
+    (
+        forwardmutants.repeat_accepted_orders,
+        test_ordercourse.test_a_report_from_before_an_accepted_order_sends_nothing,
+    ),
+    (
+        forwardmutants.refuse_without_evidence,
+        test_saturation.test_a_burst_that_has_not_waited_is_served_whole,
+    ),
+    (
+        forwardmutants.refuse_nothing,
+        test_saturation.test_a_small_excess_is_shed_and_no_more,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("mutate", "check"), CAUGHT, ids=[mutate.__name__ for mutate, _ in CAUGHT]
+)
+def test_mutants_of_forwarding_are_caught(
+    mutate: Callable[[pytest.MonkeyPatch], None],
+    check: Check,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    check()
+    mutate(monkeypatch)
+    with pytest.raises((AssertionError, ValueError)):
+        check()
