Let entries take turns at polling the stores of kept cache

A store bears 12 calls at once, so that only the first ten of 38 entries heard what it keeps; the other 28 fetched nothing. Ruled out: stores that are full (the same stores serve the ten).

Where entries outnumber a store's calls they now poll with the shortest wait that isn't dear and pause between, so that 0.7 of the calls are open in the mean; up to 50 entries hear a store within 1.2 s. A store that has no room for a call is asked again soon and keeps what it was known to keep.

--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -6,12 +6,12 @@
 
 from masticdrum.core.beliefs import BeliefBounds, Beliefs
 from masticdrum.core.coldpace import ColdBounds, ColdPace
-from masticdrum.core.keptparts import KeptParts, choose_heard
+from masticdrum.core.keptparts import KeptParts, StorePolls, choose_polls
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.saturation import Saturation
 from masticdrum.core.standing import Standing
 from masticdrum.core.timers import Timers
-from masticdrum.model.directory import ForwardRoute, ForwardService, ForwardWorkspace
+from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.exchange import Prompt
 
 TimerName = tuple[str, int]
@@ -151,13 +151,13 @@
         """Count the entries that share limits with this one."""
         return self.beliefs.count_members(self.role)
 
-    def list_heard_stores(self) -> list[ForwardService]:
-        """List the stores of kept cache that this entry listens to."""
+    def list_polls(self) -> list[StorePolls]:
+        """List the stores of kept cache that this entry listens to, and how."""
         beliefs = self.beliefs
         if beliefs.index is None or beliefs.members is None:
             return []
         fellows = [m.name for m in beliefs.members if m.role == self.role]
-        return choose_heard(beliefs.index.stores, self.name, fellows)
+        return choose_polls(beliefs.index.stores, self.name, fellows)
 
     def find_grace_left(self, now: float) -> float:
         """Return how long a request that is still taken while leaving may go on."""
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -30,7 +30,7 @@
     check_option,
     unwrap_or_exit,
 )
-from masticdrum.programs.forwarder import ROLE, ChooseStores, Submit, run_forwarder
+from masticdrum.programs.forwarder import ROLE, ChoosePolls, Submit, run_forwarder
 from masticdrum.shell.journal import open_bounded_journal, write_event
 from masticdrum.shell.meters import Meters
 from masticdrum.shell.settings import load_settings
@@ -39,7 +39,7 @@
 
 
 def follow(
-    settings: ForwardSettings, submit: Submit, meters: Meters, choose: ChooseStores
+    settings: ForwardSettings, submit: Submit, meters: Meters, choose: ChoosePolls
 ) -> list[Callable[[], Awaitable[None]]]:
     """Return what must run to follow the platform."""
 
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -13,10 +13,10 @@
 from masticdrum.core.coldpace import ColdBounds
 from masticdrum.core.exchangestate import ExchangeState, ForwardBounds
 from masticdrum.core.forwarder import ForwardEvent, reduce_forwarder
-from masticdrum.core.keptparts import PartsHeard, PartsUnheard
+from masticdrum.core.keptparts import PartsHeard, PartsUnheard, StorePolls
 from masticdrum.core.retrywindow import RetryBounds
 from masticdrum.model.belief import BeliefEvent
-from masticdrum.model.directory import CallerLimits, ForwardService
+from masticdrum.model.directory import CallerLimits
 from masticdrum.model.exchange import (
     BeginStream,
     BreakStream,
@@ -54,8 +54,8 @@
 MAX_HEADER_BYTES = 16 * 1024
 WEIGHTS_MARGIN_S = 4.0  # a request's wait at its engine before it begins, at the most
 Submit = Callable[[BeliefEvent | PartsHeard | PartsUnheard], None]
-ChooseStores = Callable[[], list[ForwardService]]
-Follow = Callable[[Submit, Meters, ChooseStores], list[Callable[[], Awaitable[None]]]]
+ChoosePolls = Callable[[], list[StorePolls]]
+Follow = Callable[[Submit, Meters, ChoosePolls], list[Callable[[], Awaitable[None]]]]
 
 
 class ForwarderProcess:
@@ -224,7 +224,7 @@
         nursery.start_soon(process.loop.run_timers)
         nursery.start_soon(process.tick)
         for run in follow(
-            process.loop.submit, process.meters, process.state.list_heard_stores
+            process.loop.submit, process.meters, process.state.list_polls
         ):
             nursery.start_soon(run)
         await run_webserver(
