--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -79,8 +79,9 @@
 def _is_saturated(state: ExchangeState, exchange: Exchange, now: float) -> bool:
     service, urgency = exchange.service, exchange.urgency
     exchange.expected_s = state.saturation.estimate(service, urgency, now)
-    target_s = exchange.route.target_s
-    return state.saturation.is_refused(service, urgency, target_s, now)
+    return state.saturation.is_refused(
+        service, urgency, exchange.expected_s, exchange.route.target_s, now
+    )
 
 
 def _make_exchange(
--- a/masticdrum/core/saturation.py
+++ b/masticdrum/core/saturation.py
@@ -17,7 +17,7 @@
 wait, so that the wait settles within the target.
 """
 
-from collections import deque
+from collections import Counter, deque
 from random import Random
 
 from msgspec import Struct
@@ -47,31 +47,53 @@
 class Queue:
     """One service's requests without a first event, and its first events."""
 
-    __slots__ = ("firsts", "pending", "saturated_until")
+    __slots__ = ("_firsts", "_firsts_by_rank", "_ranks", "_since", "saturated_until")
 
     def __init__(self) -> None:
-        self.pending: dict[int, Pending] = {}
-        self.firsts: deque[First] = deque()
+        self._since: dict[int, Pending] = {}
+        self._ranks: Counter[int] = Counter()
+        self._firsts: deque[First] = deque()
+        self._firsts_by_rank: Counter[int] = Counter()
         self.saturated_until: dict[int, float] = {}
 
+    def add(self, handle: int, pending: Pending) -> None:
+        """Add a request that waits from now on."""
+        self._since[handle] = pending
+        self._ranks[pending.urgency] += 1
+
+    def remove(self, handle: int) -> Pending | None:
+        """Remove a request that waits no more; returns it if it did."""
+        pending = self._since.pop(handle, None)
+        if pending is not None:
+            self._ranks[pending.urgency] -= 1
+        return pending
+
+    def note_first(self, first: First) -> None:
+        """Count a first event."""
+        self._firsts.append(first)
+        self._firsts_by_rank[first.urgency] += 1
+
     def estimate(self, urgency: int, now: float) -> float:
         """Estimate how long a request of this rank waits, in seconds."""
-        while self.firsts and self.firsts[0].at < now - WINDOW_S:
-            self.firsts.popleft()
-        ahead = sum(waiting.urgency <= urgency for waiting in self.pending.values())
+        while self._firsts and self._firsts[0].at < now - WINDOW_S:
+            self._firsts_by_rank[self._firsts.popleft().urgency] -= 1
+        ahead = _count_until(self._ranks, urgency)
         if ahead < EVIDENCE:
             return 0.0
-        firsts = sum(first.urgency <= urgency for first in self.firsts)
-        return ahead * WINDOW_S / max(1, firsts)
+        return ahead * WINDOW_S / max(1, _count_until(self._firsts_by_rank, urgency))
 
     def find_waited(self, urgency: int, now: float) -> float:
         """Return how long at least ``EVIDENCE`` requests have waited, in seconds."""
-        waited = [
-            now - waiting.since
-            for waiting in self.pending.values()
-            if waiting.urgency <= urgency
-        ]
-        return 0.0 if len(waited) < EVIDENCE else sorted(waited)[-EVIDENCE]
+        missing = EVIDENCE
+        for pending in self._since.values():  # the longest wait comes first
+            missing -= pending.urgency <= urgency
+            if missing == 0:
+                return now - pending.since
+        return 0.0
+
+
+def _count_until(by_rank: Counter[int], urgency: int) -> int:
+    return sum(count for rank, count in by_rank.items() if rank <= urgency)
 
 
 class Saturation:
@@ -86,18 +108,20 @@
     def begin(self, service: str, urgency: int, handle: int, now: float) -> None:
         """Count a request that is sent to wait for its first event."""
         queue = self._queues.setdefault(service, Queue())
-        queue.pending[handle] = Pending(now, urgency)
+        queue.add(handle, Pending(now, urgency))
 
     def note_first(self, service: str, handle: int, now: float) -> None:
         """Take in that a request got its first event."""
-        pending = self.forget(service, handle)
-        if pending is not None:
-            self._queues[service].firsts.append(First(now, pending.urgency))
+        queue = self._queues.get(service)
+        pending = None if queue is None else queue.remove(handle)
+        if queue is not None and pending is not None:
+            queue.note_first(First(now, pending.urgency))
 
-    def forget(self, service: str, handle: int) -> Pending | None:
-        """Forget a request that waits no more; returns it if it did."""
+    def forget(self, service: str, handle: int) -> None:
+        """Forget a request that waits no more."""
         queue = self._queues.get(service)
-        return None if queue is None else queue.pending.pop(handle, None)
+        if queue is not None:
+            queue.remove(handle)
 
     def estimate(self, service: str, urgency: int, now: float) -> float:
         """Estimate how long a request would wait for its first event, in seconds."""
@@ -105,15 +129,19 @@
         return 0.0 if queue is None else queue.estimate(urgency, now)
 
     def is_refused(
-        self, service: str, urgency: int, target_s: float, now: float
+        self,
+        service: str,
+        urgency: int,
+        expected_s: float,
+        target_s: float,
+        now: float,
     ) -> bool:
         """Draw whether a request is refused that wants its first event in a target."""
         queue = self._queues.get(service)
         if queue is None or target_s <= 0:
             return False
-        wait = queue.estimate(urgency, now) / target_s
-        waited = queue.find_waited(urgency, now) / target_s
-        if wait >= FULL_WAIT and waited >= WAITED:
+        wait = expected_s / target_s
+        if wait >= FULL_WAIT and queue.find_waited(urgency, now) >= WAITED * target_s:
             queue.saturated_until[urgency] = now + HOLD_S
         if now >= queue.saturated_until.get(urgency, 0.0):
             return False
--- a/tests/core/test_saturation.py
+++ b/tests/core/test_saturation.py
@@ -20,6 +20,11 @@
 SERVE_S = 0.1
 
 
+def is_refused(known: Saturation, now: float, rank: int = RANK) -> bool:
+    expected_s = known.estimate(SERVICE, rank, now)
+    return known.is_refused(SERVICE, rank, expected_s, TARGET_S, now)
+
+
 class World:
     """An engine that serves one request each ``SERVE_S``, and callers who leave."""
 
@@ -34,8 +39,7 @@
     def take(self, now: float, what: str, handle: int) -> None:
         entry = self.entries[handle % len(self.entries)]
         if what == "asked":
-            refused = entry.is_refused(SERVICE, RANK, TARGET_S, now)
-            if self.refusing and refused:
+            if self.refusing and is_refused(entry, now):
                 return
             entry.begin(SERVICE, RANK, handle, now)
             heappush(self.queue, (now, handle))
@@ -99,10 +103,7 @@
 
 def draw(known: Saturation, now: float = 10.0, rank: int = RANK) -> float:
     """Return the share of requests that is refused."""
-    tries = 1000
-    return sum(known.is_refused(SERVICE, rank, TARGET_S, now) for _ in range(tries)) / (
-        tries
-    )
+    return sum(is_refused(known, now, rank) for _ in range(1000)) / 1000
 
 
 def test_the_wait_is_those_who_wait_by_the_rate_of_first_events() -> None:
