Log when an agent's engine can't be read, and when it is read again

A report that failed was dropped without a word, so that an agent which gave no order looked idle. The new test of the engine's client failed first: nothing was told.

--- a/masticdrum/model/belief.py
+++ b/masticdrum/model/belief.py
@@ -12,13 +12,14 @@
 
 
 class Source(StrEnum):
-    """The kinds of things that are followed at the platform."""
+    """What is followed at the platform, and the engine beside an agent."""
 
     DIRECTORY = "directory"
     UPSTREAMS = "upstreams"
     DATA_CENTRES = "data_centres"
     WEIGHTS = "weights"
     MEMBERS = "members"
+    ENGINE = "engine"
 
 
 class DirectoryRead(Struct, frozen=True):
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -15,10 +15,12 @@
     SendOrder,
 )
 from masticdrum.model.agent_events import GiveOrder, OrderAnswered, RunsAtLoad
+from masticdrum.model.belief import Source, SourceLost, SourceRegained
 from masticdrum.model.settings import AdviserSettings
 from masticdrum.platform.objects import WireWeights
 from masticdrum.platform.store import StoreFailed, decode
 from masticdrum.shell.clock import read_clock
+from masticdrum.shell.reachability import Reachability
 from masticdrum.shell.upstreamstream import LeanBackend
 
 CALL_S = 1.0  # the engine is on the same machine
@@ -33,6 +35,9 @@
 }
 
 
+Submit = Callable[[EngineReported | OrderAnswered | SourceLost | SourceRegained], None]
+
+
 class EngineReport(Struct):
     """What the engine says of itself; ``sequence`` counts the orders it accepted."""
 
@@ -63,10 +68,11 @@
 
     def __init__(
         self,
-        submit: Callable[[EngineReported | OrderAnswered], None],
+        submit: Submit,
         settings: AdviserSettings,
     ) -> None:
         self._submit = submit
+        self._reach = Reachability(Source.ENGINE, submit)
         self._url = f"http://{settings.upstream}"
         self._holder = settings.name
         self._runs = settings.runs_at_load
@@ -79,10 +85,12 @@
         try:
             status, body = await self._call("GET", "/v1/report", [], None)
             if status != 200:
-                return None
+                raise StoreFailed(f"status {status}")
             report = decode(body, EngineReport)
-        except StoreFailed:
+        except StoreFailed as error:
+            self._reach.note_lost(str(error))
             return None
+        self._reach.note_read()
         self._submit(EngineReported(report.describe().weights))
         return report
 
--- a/masticdrum/platform/members.py
+++ b/masticdrum/platform/members.py
@@ -1,4 +1,4 @@
-"""Announces a process in the store and sweeps those that are gone."""
+"""Announces a process in the store."""
 
 import msgspec
 import trio
--- /dev/null
+++ b/tests/platform/test_engine.py
@@ -0,0 +1,51 @@
+"""An agent's client of its engine, without an engine at first."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from masticdrum.core.adviser import EngineReported
+from masticdrum.model.belief import Source, SourceLost, SourceRegained
+from masticdrum.model.settings import AdviserSettings
+from masticdrum.platform.engine import Engine
+
+REPORT = json.dumps({"models": [{"name": "m1", "version": 3}]}).encode()
+
+
+@asynccontextmanager
+async def serve_report(listener: trio.SocketListener) -> AsyncIterator[None]:
+    """Answer each connection's first request with the report."""
+
+    async def answer(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(REPORT)}\r\n\r\n"
+        await stream.send_all(head.encode() + REPORT)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, answer, [listener])
+        yield
+        nursery.cancel_scope.cancel()
+
+
+def test_an_engine_that_is_lost_and_read_again_is_told_of_once_each() -> None:
+    told: list[object] = []
+
+    async def run() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        await listener.aclose()
+        settings = AdviserSettings("side-1", "north", f"127.0.0.1:{port}", "", "")
+        engine = Engine(told.append, settings)
+        assert await engine.read_report() is None
+        assert await engine.read_report() is None
+        (listener,) = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        async with serve_report(listener):
+            assert await engine.read_report() is not None
+
+    trio.run(run)
+    lost, regained, reported = told
+    assert isinstance(lost, SourceLost) and lost.source is Source.ENGINE
+    assert isinstance(regained, SourceRegained)
+    assert reported == EngineReported({"m1": 3})
