--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -6,10 +6,11 @@
 
 from masticdrum.core.beliefs import BeliefBounds, Beliefs
 from masticdrum.core.coldpace import ColdBounds, ColdPace
-from masticdrum.core.keptparts import KeptParts, StorePolls, choose_polls
+from masticdrum.core.keptparts import KeptParts
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.saturation import Saturation
 from masticdrum.core.standing import Standing
+from masticdrum.core.storepolls import StorePolls, choose_polls
 from masticdrum.core.timers import Timers
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.exchange import Prompt
--- a/masticdrum/core/keptparts.py
+++ b/masticdrum/core/keptparts.py
@@ -25,12 +25,6 @@
 
 HEARD_S = 1.6  # one wait of a poll and its way; a store that restarts is silent longer
 SAVING_S = 3.0  # until a save that was asked for counts as lost
-SPARE_POLLS = 2  # of a store's calls at once, for entries that are not seen yet
-LONG_WAIT_S = 0.8  # of a poll, where each listener may always have one open
-SHORT_WAIT_S = 0.2  # of a poll, where listeners take turns; shorter ones are dear
-LEAST_PAUSE_S = 0.1  # between two polls, however fast a busy store answers
-TURNS_PART = 0.7  # of a store's calls at once, so that turns that meet find room
-LONGEST_TURN_S = 1.2  # from poll to poll, so that a late one still comes in HEARD_S
 LEAST_TOKENS = 64  # a smaller part is read sooner than it is fetched
 Part = tuple[str, str]  # the scope that may share it, and its name
 
@@ -168,49 +162,3 @@
 
 def _find_room(store: ForwardService) -> float:
     return 0.0 if store.store is None else float(store.store.room_tokens)
-
-
-class StorePolls(Struct, frozen=True):
-    """How an entry listens to one store; ``address`` is its ``IP:PORT``."""
-
-    store: str
-    address: str
-    wait_s: float
-    pause_s: float
-
-
-def choose_polls(
-    stores: Iterable[ForwardService], own: str, fellows: list[str]
-) -> list[StorePolls]:
-    """Choose the stores that an entry listens to, and how often it polls each.
-
-    A store bears few calls at once. Where each entry may always have one open, it has;
-    where they are more, they take turns. Where a turn would come too seldom, only those
-    entries that rank first for a store listen to it.
-    """
-    chosen = []
-    for service in stores:
-        store = service.store
-        if store is None:
-            continue
-        most = int(LONGEST_TURN_S * TURNS_PART * store.max_polls / SHORT_WAIT_S)
-        if _find_rank(service.name, own, fellows) >= most:
-            continue
-        listeners = min(most, max(1, len(fellows)))
-        wait_s, pause_s = LONG_WAIT_S, LEAST_PAUSE_S
-        if listeners > store.max_polls - SPARE_POLLS:
-            wait_s = SHORT_WAIT_S
-            turn_s = listeners * wait_s / (TURNS_PART * store.max_polls)
-            pause_s = max(LEAST_PAUSE_S, turn_s - wait_s)
-        chosen.append(StorePolls(service.name, store.address, wait_s, pause_s))
-    return chosen
-
-
-def _find_rank(store: str, own: str, fellows: list[str]) -> int:
-    key = xxh3_64_intdigest(store.encode())
-    mine = score_member(key, own.encode(), 1.0)
-    return sum(
-        score_member(key, fellow.encode(), 1.0) > mine
-        for fellow in fellows
-        if fellow != own
-    )
--- a/masticdrum/platform/cachestores.py
+++ b/masticdrum/platform/cachestores.py
@@ -7,7 +7,8 @@
 import trio
 from msgspec import Struct
 
-from masticdrum.core.keptparts import PartsHeard, PartsUnheard, StorePolls
+from masticdrum.core.keptparts import PartsHeard, PartsUnheard
+from masticdrum.core.storepolls import StorePolls
 from masticdrum.platform.store import StoreFailed, decode
 from masticdrum.shell.upstreamstream import LeanBackend
 
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -13,8 +13,9 @@
 from masticdrum.core.coldpace import ColdBounds
 from masticdrum.core.exchangestate import ExchangeState, ForwardBounds
 from masticdrum.core.forwarder import ForwardEvent, reduce_forwarder
-from masticdrum.core.keptparts import PartsHeard, PartsUnheard, StorePolls
+from masticdrum.core.keptparts import PartsHeard, PartsUnheard
 from masticdrum.core.retrywindow import RetryBounds
+from masticdrum.core.storepolls import StorePolls
 from masticdrum.model.belief import BeliefEvent
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.exchange import (
--- /dev/null
+++ b/tests/platform/test_cachestores.py
@@ -0,0 +1,88 @@
+"""Listening to a store of kept cache that is busy, starts anew or is gone."""
+
+import json
+from collections.abc import Callable
+
+import trio
+
+from masticdrum.core.keptparts import PartsHeard, PartsUnheard
+from masticdrum.core.storepolls import StorePolls
+from masticdrum.platform.cachestores import CacheListener
+
+Told = list[PartsHeard | PartsUnheard]
+
+
+def describe_events(boot: int, after: int, *parts: str) -> bytes:
+    events = [[after + n, "+", "s1", part, 100, "m1"] for n, part in enumerate(parts)]
+    following = after + len(parts)
+    body = {"bootEpoch": boot, "next": following, "lost": False, "events": events}
+    return json.dumps(body).encode()
+
+
+def listen(replies: list[tuple[int, bytes]]) -> tuple[Told, list[str]]:
+    """Listen until a store has given its replies; returns what was told and asked."""
+    told: Told = []
+    asked: list[str] = []
+
+    async def answer(stream: trio.SocketStream) -> None:
+        while replies:
+            request = await stream.receive_some()
+            if not request:
+                return
+            asked.append(request.decode())
+            status, body = replies.pop(0)
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+            await stream.send_all(head.encode() + body)
+
+    async def run() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        polls = [StorePolls("store", f"127.0.0.1:{port}", 0.2, 0.01)]
+        stores = CacheListener(told.append, lambda: polls, lambda how: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, answer, [listener])
+            nursery.start_soon(stores.run)
+            await wait_until(lambda: not replies)
+            await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    return told, asked
+
+
+async def wait_until(holds: Callable[[], bool]) -> None:
+    with trio.fail_after(10.0):
+        while not holds():
+            await trio.sleep(0.01)
+
+
+def test_a_busy_store_keeps_what_it_was_known_to_keep() -> None:
+    told, asked = listen(
+        [
+            (200, describe_events(1, 1, "a")),
+            (429, b""),
+            (200, describe_events(1, 2, "b")),
+        ]
+    )
+    assert [type(event) for event in told[:2]] == [PartsHeard, PartsHeard]
+    assert told[1] == PartsHeard("store", 1, (("s1", "b"),))
+    assert "since=2" in asked[1] and "since=2" in asked[2]
+    assert all("wait-ms: 200" in request.lower() for request in asked)
+
+
+def test_a_store_that_started_anew_is_asked_from_its_beginning() -> None:
+    told, asked = listen(
+        [
+            (200, describe_events(1, 1, "a")),
+            (200, describe_events(2, 5, "x")),
+            (200, describe_events(2, 0, "b")),
+        ]
+    )
+    assert told[1] == PartsUnheard("store")
+    assert told[2] == PartsHeard("store", 2, (("s1", "b"),))
+    assert "since=0" in asked[2]
+
+
+def test_a_store_that_fails_is_not_heard_any_more() -> None:
+    told, _ = listen([(200, describe_events(1, 1, "a")), (500, b"")])
+    assert told[1] == PartsUnheard("store")
