Play ways to refuse under saturation with one command

make experiment plays the product's module beside the ways that lost, in virtual time, and prints the table of docs/POLICY.md; its simulation is the tests' too.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: env format lint types unit test demo run bench capacity soak
+.PHONY: env format lint types unit test demo run bench capacity experiment soak
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -41,6 +41,9 @@
 capacity: env
 	$(BIN)/python -m bench.capacity
 
+experiment: env
+	$(BIN)/python -m bench.saturation
+
 SEED ?= 1
 EVENTS ?= 1000000
 soak: env
--- a/tests/core/test_saturation.py
+++ b/tests/core/test_saturation.py
@@ -1,10 +1,10 @@
 """Load of callers who ask for more than the engines can read."""
 
-from heapq import heappop, heappush
 from random import Random
 
 import pytest
 
+from bench.saturation import RANK, SERVICE, TARGET_S, Chosen, QueueOnly, play
 from masticdrum.core.saturation import (
     HOLD_S,
     WINDOW_S,
@@ -13,81 +13,27 @@
 from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt
 from tests.forwarding import Entry, pick, start_of
 
-SERVICE = "engines"
-RANK = 2
-TARGET_S = 0.8
-PATIENCE_S = 3.2  # callers leave after four targets without an event
-SERVE_S = 0.1
-
 
 def is_refused(known: Saturation, now: float, rank: int = RANK) -> bool:
     expected_s = known.estimate(SERVICE, rank, now)
     return known.is_refused(SERVICE, rank, expected_s, TARGET_S, now)
 
 
-class World:
-    """An engine that serves one request each ``SERVE_S``, and callers who leave."""
-
-    def __init__(self, entries: int, refusing: bool) -> None:
-        self.entries = [Saturation(Random(seed)) for seed in range(entries)]
-        self.refusing = refusing
-        self.events: list[tuple[float, str, int]] = []
-        self.queue: list[tuple[float, int]] = []
-        self.free_at = 0.0
-        self.in_time = 0
-
-    def take(self, now: float, what: str, handle: int) -> None:
-        entry = self.entries[handle % len(self.entries)]
-        if what == "asked":
-            if self.refusing and is_refused(entry, now):
-                return
-            entry.begin(SERVICE, RANK, handle, now)
-            heappush(self.queue, (now, handle))
-            heappush(self.events, (max(now, self.free_at), "serve", handle))
-            heappush(self.events, (now + PATIENCE_S, "left", handle))
-        elif what == "left":
-            entry.forget(SERVICE, handle)
-            self.queue = [waiting for waiting in self.queue if waiting[1] != handle]
-        elif self.queue and now >= self.free_at:
-            self.serve(now)
-
-    def serve(self, now: float) -> None:
-        asked, handle = heappop(self.queue)
-        self.free_at = now + SERVE_S
-        entry = self.entries[handle % len(self.entries)]
-        entry.note_first(SERVICE, handle, self.free_at)
-        self.in_time += self.free_at - asked <= TARGET_S
-        if self.queue:
-            heappush(self.events, (self.free_at, "serve", handle))
-
-
-def play(per_s: float, entries: int, refusing: bool, seconds: float = 30.0) -> float:
-    """Return the share of requests that are served in time."""
-    random = Random(7)
-    world = World(entries, refusing)
-    count = int(per_s * seconds)
-    arrivals = [(random.uniform(0.0, seconds), "asked", n) for n in range(count)]
-    world.events = sorted(arrivals)
-    while world.events:
-        world.take(*heappop(world.events))
-    return world.in_time / count
-
-
 @pytest.mark.parametrize("entries", [1, 3])
 def test_saturated_engines_serve_in_time_what_they_can_serve(entries: int) -> None:
     """At twice the load half can be in time at best; a queue serves nearly none."""
-    assert play(20.0, entries, refusing=False) < 0.1
-    assert play(20.0, entries, refusing=True) > 0.3
+    assert play(QueueOnly, 20.0, entries) < 0.1
+    assert play(Chosen, 20.0, entries) > 0.3
 
 
 def test_a_small_excess_is_shed_and_no_more() -> None:
     """Five of six can be in time at best."""
-    assert play(12.0, 3, refusing=False) < 0.1
-    assert play(12.0, 3, refusing=True) > 0.7
+    assert play(QueueOnly, 12.0, 3) < 0.1
+    assert play(Chosen, 12.0, 3) > 0.7
 
 
 def test_a_load_that_engines_bear_is_hardly_refused() -> None:
-    assert play(8.0, 3, refusing=True) > 0.97
+    assert play(Chosen, 8.0, 3) > 0.97
 
 
 def queue_up(count: int, per_s: float, waited_s: float) -> Saturation:
