--- a/tests/core/test_saturation.py
+++ b/tests/core/test_saturation.py
@@ -3,9 +3,12 @@
 from random import Random
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bench.saturation import RANK, SERVICE, TARGET_S, Chosen, QueueOnly, play
 from masticdrum.core.saturation import (
+    EVIDENCE,
     HOLD_S,
     WINDOW_S,
     Saturation,
@@ -82,6 +85,44 @@
     assert draw(known, 10.0 + HOLD_S) == 0.0, "it begins anew only with evidence"
 
 
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["begin", "first", "forget"]),
+        st.integers(0, 9),
+        st.integers(0, 2),
+        st.floats(0.0, 2.0),
+    ),
+    max_size=80,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(STEPS)
+def test_the_expected_wait_is_what_counting_each_request_gives(
+    steps: list[tuple[str, int, int, float]],
+) -> None:
+    known = Saturation(Random(1))
+    pending: dict[int, int] = {}
+    firsts: list[tuple[float, int]] = []
+    now = 0.0
+    for move, handle, rank, passed_s in steps:
+        now += passed_s
+        if move == "begin" and handle not in pending:
+            known.begin(SERVICE, rank, handle, now)
+            pending[handle] = rank
+        elif move == "first":
+            known.note_first(SERVICE, handle, now)
+            if handle in pending:
+                firsts.append((now, pending.pop(handle)))
+        elif move == "forget":
+            known.forget(SERVICE, handle)
+            pending.pop(handle, None)
+        ahead = sum(other <= rank for other in pending.values())
+        recent = sum(now - at <= WINDOW_S and r <= rank for at, r in firsts)
+        wanted = ahead * WINDOW_S / max(1, recent) if ahead >= EVIDENCE else 0.0
+        assert known.estimate(SERVICE, rank, now) == pytest.approx(wanted)
+
+
 def saturate(entry: Entry) -> None:
     """Let an entry see requests wait for longer than their target."""
     for _ in range(8):
