End a closed ZeroMQ socket's task quietly

Cause: a task that a frame woke takes its turn after the socket was closed; the cancellation comes only at the next wait, and trio registers the descriptor before it looks at that. Once ZeroMQ's thread has closed the descriptor, that fails. Ruled out: the test's own order of closing, which is what a process does.

The task now looks whether its socket is closed. Both new tests failed first, with OSError 9 and with a ZeroMQ error for a task that had not run yet.

--- a/masticdrum/shell/sockets.py
+++ b/masticdrum/shell/sockets.py
@@ -76,10 +76,16 @@
 
     async def run(self) -> None:
         """Receive until closed."""
+        if self._socket.closed:
+            return
         descriptor = self._socket.FD
         with self._scope:
             while True:
                 self.drain()
+                # Closed by a frame, or between the wake and this turn of the task: the
+                # descriptor is gone, and waiting for it fails before it is cancelled.
+                if self._socket.closed:
+                    return
                 await trio.lowlevel.wait_readable(descriptor)
 
     def settle(self) -> None:
--- /dev/null
+++ b/tests/shell/test_sockets.py
@@ -0,0 +1,40 @@
+"""A ZeroMQ socket that is closed at an awkward moment ends quietly."""
+
+import trio
+import zmq
+
+from masticdrum.shell.sockets import Socket, make_context
+
+WAIT_S = 10.0
+
+
+def test_a_socket_that_is_closed_as_a_frame_wakes_its_task_ends_quietly() -> None:
+    """Seen once in CI beside a busy machine: a bad descriptor was waited for."""
+
+    async def run() -> None:
+        context = make_context()
+
+        def close(frames: list[bytes]) -> None:
+            server.close()
+            context.term()  # returns once ZeroMQ has closed the descriptor
+
+        server = Socket(context, zmq.ROUTER, close)
+        client = Socket(make_context(), zmq.DEALER, lambda frames: None)
+        client.connect(server.bind("tcp://127.0.0.1:*"), "client")
+        client.send([b"hello"])
+        with trio.fail_after(WAIT_S):
+            await server.run()
+        client.close()
+
+    trio.run(run)
+
+
+def test_a_socket_that_is_closed_before_its_task_runs_ends_quietly() -> None:
+    async def run() -> None:
+        server = Socket(make_context(), zmq.ROUTER, lambda frames: None)
+        server.bind("tcp://127.0.0.1:*")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run)
+            server.close()
+
+    trio.run(run)
