Forward each event as it arrives again, and read an idle engine's report less

Agents: the profile of an idle agent is the read of its engine's report four times a second. It is read once a second while the engine has the wanted weights and the agent neither holds nor asks for a permit, and as before as soon as newer weights are named. The reducer says which (has_work).

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -75,6 +75,13 @@
         """Return None: the process submits ticks instead."""
         return None
 
+    def has_work(self) -> bool:
+        """Return whether the engine needs orders, or its weights aren't known yet."""
+        wanted, _ = find_outdated_weights(self)
+        if not self.weights or wanted or self.orders.order:
+            return True
+        return not self.orders.permits.is_idle
+
     def find_own_engine(self) -> KnownUpstream | None:
         """Return the newest engine registered at ``upstream``, if there is one."""
         registered = [
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -138,6 +138,12 @@
         """The time, in seconds, from which no order may be sent."""
         return self._expires_at
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no permit is held or wanted and no call to the platform is open."""
+        wanted = self.desired is DesiredState.HOLD
+        return not wanted and not self._token and not self._pending
+
     def request(self) -> None:
         """Request a permit, or keep the one that is held."""
         self.desired = DesiredState.HOLD
--- a/masticdrum/core/settingscheck.py
+++ b/masticdrum/core/settingscheck.py
@@ -23,8 +23,7 @@
     | EngineControllerSettings
 )
 SOCKET_ADDRESSES = frozenset({"http", "probes", "metrics", "store"})
-# Settings that may be zero, which turns something off, with their highest values.
-LONGEST_S = {"join_events_s": 0.05}
+
 ADDRESS_SCHEMES = {
     "listen": "tcp",
     "object_api": "http",
@@ -45,21 +44,12 @@
         full_path = f"{path}{field.name}"
         if isinstance(value, Struct):
             yield from check_values(f"{full_path}.", value)
-        if isinstance(value, int | float):
-            yield from check_number(full_path, field.name, value)
+        if isinstance(value, int | float) and value <= 0:
+            yield Fault(full_path, f"{value} is not above 0")
         if isinstance(value, str):
             yield from check_text(full_path, field.name, value)
 
 
-def check_number(path: str, name: str, value: float) -> Iterator[Fault]:
-    """Yield a fault if a number is out of its range."""
-    if name in LONGEST_S:
-        if not 0 <= value <= LONGEST_S[name]:
-            yield Fault(path, f"{value} is not from 0 to {LONGEST_S[name]}")
-    elif value <= 0:
-        yield Fault(path, f"{value} is not above 0")
-
-
 def check_text(path: str, name: str, text: str) -> Iterator[Fault]:
     """Yield a fault if a text is empty or a malformed address."""
     if not text:
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -109,9 +109,7 @@
     weights after newer ones were named. Over all entries together, retries to a service
     are bounded by ``retry_ratio`` of its requests in ``retry_window_s`` and
     ``retry_extra``, requests to a cold upstream by its own rate times ``cold_factor``
-    and ``cold_slack``. ``join_events_s`` is the longest time for which a busy entry may
-    hold back an event, to forward it together with the next ones; zero turns that off.
-    ``grace_s`` bounds a shutdown.
+    and ``cold_slack``. ``grace_s`` bounds a shutdown.
     """
 
     name: str
@@ -128,7 +126,6 @@
     retry_extra: float = 20.0
     cold_factor: float = 1.0
     cold_slack: float = 1.0
-    join_events_s: float = 0.02
     grace_s: float = 8.0
 
 
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -27,8 +27,10 @@
 from masticdrum.shell.telemetry import carry_out_telemetry
 
 ROLE = "agent"
-# Reading the engine's report costs nothing from the engine's own machine.
+# Reading the engine's report costs nothing from the engine's own machine, but it
+# takes processor time there.
 REPORT_EVERY_S = 0.25
+IDLE_REPORT_EVERY_S = 1.0  # while the engine has the wanted weights
 INCARNATION_BYTES = 6
 STOP_S = 1.0  # for open probes after a stop
 Submit = Callable[[EngineControllerEvent], None]
@@ -76,6 +78,7 @@
         self._nursery = nursery
         self.meters = Metrics()
         self.ended = trio.Event()
+        self._rest = trio.CancelScope()
         self.state = EngineControllerState(
             settings.name,
             secrets.token_hex(INCARNATION_BYTES),
@@ -100,7 +103,11 @@
         while True:
             await self.engine.read_report()
             self.loop.submit(Ticked())
-            await trio.sleep(REPORT_EVERY_S)
+            if self.state.has_work():
+                await trio.sleep(REPORT_EVERY_S)
+                continue
+            with trio.move_on_after(IDLE_REPORT_EVERY_S) as self._rest:
+                await trio.sleep_forever()
 
     def _reduce(
         self, event: EngineControllerEvent, now: float
@@ -108,6 +115,8 @@
         effects: Sequence[EngineControllerEffect] = reduce_engine_controller(
             self.state, event, now
         )
+        if self.state.has_work():
+            self._rest.cancel()
         return list(effects)
 
     def _carry_out(self, effect: EngineControllerEffect) -> None:
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -11,7 +11,6 @@
 
 from masticdrum.core.clusterstate import ClusterBounds
 from masticdrum.core.coldstartpacing import ColdStartBounds
-from masticdrum.core.eventjoining import EventJoining
 from masticdrum.core.exchangestate import ExchangeState, ForwardBounds
 from masticdrum.core.forwarder import ForwardEvent, reduce_forwarder
 from masticdrum.core.retrywindow import RetryBounds
@@ -79,7 +78,6 @@
             lambda: None,
             read_clock,
         )
-        self.joining = EventJoining(settings.join_events_s)
         self.forwarding = ForwardApplication(
             nursery,
             self.loop.submit,
@@ -88,7 +86,6 @@
             lambda: self.state.stop_accepting_at is not None,
             self.read_limits,
             self.was_stalled,
-            self.joining,
         )
         probes = ProbeHandler(Probes(self.meters, self._is_ready, self._describe))
         self.server = CallerServer(
@@ -137,7 +134,6 @@
                 self._stalled_until = now + STALL_RECOVERY_S
                 facts = {"late_s": round(late_s, 3)}
                 write_event(Log(LogNumber.CLOCK_JUMPED, facts={**facts}))
-            self.joining.update(now - self._last_tick_at)
             self._last_tick_at = now
             self.loop.submit(Ticked())
             self._log_readiness(now)
--- a/masticdrum/shell/forwardapplication.py
+++ b/masticdrum/shell/forwardapplication.py
@@ -10,7 +10,6 @@
 from msgspec import Struct, field
 from returns.result import Failure
 
-from masticdrum.core.eventjoining import EventJoining
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.exchange import (
@@ -69,13 +68,12 @@
         is_stopping: Callable[[], bool],
         read_limits: Callable[[], CallerLimits],
         was_stalled: Callable[[], bool],
-        joining: EventJoining,
     ) -> None:
         self.was_stalled = was_stalled
         self.read_limits = read_limits
         self._submit = submit
         self._codec = codec
-        self.upstreams = UpstreamClient(nursery, submit, codec, self, joining)
+        self.upstreams = UpstreamClient(nursery, submit, codec, self)
         self._metrics = metrics
         self._is_stopping = is_stopping
         self._open_requests: dict[int, OpenRequest] = {}
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -11,7 +11,6 @@
 import trio
 from msgspec import Struct
 
-from masticdrum.core.eventjoining import EventJoining
 from masticdrum.model.exchange import (
     AttemptEnd,
     AttemptEnded,
@@ -100,10 +99,8 @@
         submit: Callable[[AttemptEvent], None],
         codec: HeaderCodec,
         sink: AnswerSink,
-        joining: EventJoining,
     ) -> None:
         self._sink = sink
-        self._joining = joining
         self._nursery = nursery
         self._submit = submit
         self._codec = codec
@@ -216,7 +213,8 @@
                 forwarder.forward(part.data, hold=part.is_last)
                 if part.is_last:
                     break
-                await self._pause(effect.handle, part.pieces)
+                if self._sink.is_blocked(effect.handle):
+                    await self._sink.wait_until_sent(effect.handle)
                 part = await connection.receive_body()
         except EventTooLong as error:
             connection.close()
@@ -230,14 +228,6 @@
             return forwarder.make_ended(AttemptEnd.TRUNCATED, detail=detail)
         return forwarder.make_ended(AttemptEnd.ANSWERED, verified=True)
 
-    async def _pause(self, handle: int, pieces: int) -> None:
-        """Wait while the caller is slow, or so that later events are read together."""
-        if self._sink.is_blocked(handle):
-            await self._sink.wait_until_sent(handle)
-        pause_s = self._joining.record(pieces)
-        if pause_s > 0:
-            await trio.sleep(pause_s)
-
     async def _read_whole(
         self,
         effect: StartAttempt,
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -30,13 +30,9 @@
 
 
 class BodyPart(Struct, frozen=True):
-    """A part of an answer's body, of as many pieces as the upstream sent.
-
-    ``is_last`` means that the body is complete.
-    """
+    """A part of an answer's body; ``is_last`` means that the body is complete."""
 
     data: bytes
-    pieces: int
     is_last: bool
 
 
@@ -106,7 +102,7 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return BodyPart(b"".join(parts), len(parts), True)
+                return BodyPart(b"".join(parts), is_last=True)
             elif event is h11.NEED_DATA:
                 return make_part(parts) if parts else None
             else:
@@ -172,7 +168,7 @@
 def make_part(pieces: list[bytes]) -> BodyPart:
     """Return the part of a body that consists of ``pieces``; more will follow."""
     data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
-    return BodyPart(data, len(pieces), False)
+    return BodyPart(data, is_last=False)
 
 
 def _join(head: bytes | None, rest: bytes | None) -> bytes:
--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -79,6 +79,27 @@
     assert not agent.table.leases
 
 
+def test_an_agent_has_work_from_new_weights_until_its_permit_is_given_back() -> None:
+    """The process reads the engine's report less often while there is no work."""
+    agent = Agent()
+    assert not agent.state.has_work()
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    assert agent.state.has_work()
+    agent.wait(1.0)
+    agent.handle_event(EngineReported({MODEL: 2}))
+    assert agent.state.has_work()
+    agent.handle_event(OrderAnswered(agent.orders[0].order, done=True))
+    agent.wait(0.3)
+    assert not agent.table.leases
+    assert not agent.state.has_work()
+
+
+def test_an_agent_has_work_until_it_knows_what_its_engine_serves() -> None:
+    agent = Agent()
+    agent.handle_event(EngineReported({}))
+    assert agent.state.has_work()
+
+
 def test_a_later_version_is_ordered_under_a_higher_fencing_number() -> None:
     agent = Agent()
     for version in (2, 3):
--- a/tests/shell/test_forwarding.py
+++ b/tests/shell/test_forwarding.py
@@ -3,7 +3,6 @@
 import pytest
 import trio
 
-from masticdrum.core.eventjoining import EventJoining
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import (
@@ -32,7 +31,6 @@
             lambda: False,
             CallerLimits,
             lambda: stalled,
-            EventJoining(0.02),
         )
 
     def submit(self, event: object) -> None:
--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -7,7 +7,6 @@
 import trio
 import trio.testing
 
-from masticdrum.core.eventjoining import EventJoining
 from masticdrum.model.exchange import (
     AttemptEnd,
     AttemptEnded,
@@ -95,9 +94,7 @@
     submit: Callable[[object], None],
     sink: FakeSink | None = None,
 ) -> UpstreamClient:
-    return UpstreamClient(
-        nursery, submit, PlatformHeaderCodec(), sink or FakeSink(), EventJoining(0.02)
-    )
+    return UpstreamClient(nursery, submit, PlatformHeaderCodec(), sink or FakeSink())
 
 
 def run_attempts(
