Test streams cut at any byte and callers of HTTP/1.0; a failed try on events

Tried and taken back: h11 is asked for no further event when only the end of a chunk is left, and chunks to callers are framed without passing through it. Expected some 30 us of an event.

The tests that were written for it stay.

--- a/tests/shell/test_callerconnection.py
+++ b/tests/shell/test_callerconnection.py
@@ -210,6 +210,21 @@
     assert not handler.abandoned.is_set()
 
 
+def test_an_old_caller_gets_a_stream_that_ends_with_its_connection() -> None:
+    handler = FakeHandler()
+
+    async def script(caller: FakeCaller, connection: CallerConnection) -> None:
+        await caller.send(SMALL.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        await handler.arrived.wait()
+        connection.send_head(200, [])
+        connection.send_body(b"one")
+        connection.send_body(b"two")
+        connection.finish()
+        assert (await caller.receive_all()).endswith(b"\r\n\r\nonetwo")
+
+    run_connection(handler, script)
+
+
 def test_an_answer_to_a_head_request_has_no_body(handler: FakeHandler) -> None:
     async def script(caller: FakeCaller, connection: CallerConnection) -> None:
         await caller.send(REQUEST.replace(b"POST", b"HEAD") + b"\r\n")
--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -302,6 +302,25 @@
     assert find_end(events).last_event == 3
 
 
+def test_chunks_may_be_split_at_any_byte() -> None:
+    body = b"".join(make_chunk(b"id: %d\ndata: x\n\n" % n) for n in (1, 2, 3))
+    whole = body + b"0\r\n\r\n"
+    for cut in range(1, len(whole)):
+        sink = FakeSink()
+        pieces = [STREAM + whole[:cut], whole[cut:]]
+        events = run_attempts(TricklingUpstream(pieces, wait_s=0.002), sink=sink)
+        first = [event for event in events if isinstance(event, StreamEventsReceived)]
+        forwarded = b"".join([*(event.events for event in first), *sink.forwarded])
+        assert forwarded == b"".join(b"id: %d\ndata: x\n\n" % n for n in (1, 2, 3))
+        end = find_end(events)
+        assert (end.end, end.last_event) == (AttemptEnd.ANSWERED, 3)
+
+
+def test_an_answer_with_a_length_ends_there_whatever_follows() -> None:
+    answer = OK + b"\r\n"
+    assert find_end(run_attempts(FakeUpstream(answer))).end is AttemptEnd.ANSWERED
+
+
 class EndlessUpstream(FakeUpstream):
     """An upstream that, after a start, repeats bytes until the caller closes."""
 
