Number the log events of callers' connections, and end what can't be answered

The server's own failures were logged as free text. An answer that h11 refuses to write ends the request's work at its upstream too; a test holds that.

--- a/masticdrum/shell/callerserver.py
+++ b/masticdrum/shell/callerserver.py
@@ -1,14 +1,15 @@
 """Accepts callers' connections until it is stopped, and serves each in a task."""
 
 import errno
-import logging
 import socket
 from collections.abc import Awaitable, Callable
+from traceback import format_exception
 
 import trio
 
+from masticdrum.model.telemetry import Log, LogNumber
 from masticdrum.shell.callerconnection import CallerConnection, RequestHandler
-from masticdrum.shell.jsonlogging import LOGGER
+from masticdrum.shell.jsonlogging import write_event
 from masticdrum.shell.tcpconnection import TcpConnection
 
 BACKLOG = 1024  # connections that the kernel completes before they are accepted
@@ -16,6 +17,7 @@
 # No descriptors are left; they return as connections close.
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 EXHAUSTED_WAIT_S = 0.1
+TRACED_CALLS = -4  # the innermost calls of an unexpected error that are logged
 WRITE_TIMEOUT_MS = (
     10_000  # until the kernel gives up a caller that acknowledges nothing
 )
@@ -78,7 +80,7 @@
             except OSError as error:
                 if error.errno not in EXHAUSTED:
                     raise
-                logging.getLogger(LOGGER).error("no connection accepted: %s", error)
+                write_event(Log(LogNumber.ACCEPT_FAILED, detail=repr(error)))
                 return False
             raw_socket.setblocking(False)
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -90,8 +92,9 @@
     async def _serve_connection(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
-        except Exception:
-            logging.getLogger(LOGGER).exception("a connection failed")
+        except Exception as error:
+            place = "".join(format_exception(error, limit=TRACED_CALLS))
+            write_event(Log(LogNumber.CONNECTION_FAILED, detail=place))
         finally:
             self._connections.discard(connection)
 
--- a/masticdrum/shell/forwardapplication.py
+++ b/masticdrum/shell/forwardapplication.py
@@ -1,6 +1,5 @@
 """Turns callers' requests into events for the reducer, and its effects into answers."""
 
-import logging
 from collections.abc import Callable
 from itertools import count
 
@@ -31,7 +30,7 @@
     Refusal,
 )
 from masticdrum.shell.headercodec import CallerHeaders, HeaderCodec, drop_hop_headers
-from masticdrum.shell.jsonlogging import LOGGER, write_event
+from masticdrum.shell.jsonlogging import write_event
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.upstreamclient import (
     AttemptEvent,
@@ -151,10 +150,13 @@
             return
         try:
             self._write(effect, open_request)
-        except h11.LocalProtocolError:
-            logging.getLogger(LOGGER).exception("an answer can't be written")
+        except h11.LocalProtocolError as error:
+            request = open_request.request.request
+            log = Log(LogNumber.ANSWER_UNWRITABLE, request=request, detail=str(error))
+            write_event(log)
             self._close(effect.handle)
             open_request.connection.abort()
+            self._submit(ForwardDisconnected(effect.handle))
 
     def _write(self, effect: CallerEffect, open_request: OpenRequest) -> None:
         connection = open_request.connection
--- a/tests/shell/test_forwarding.py
+++ b/tests/shell/test_forwarding.py
@@ -6,6 +6,7 @@
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import (
+    BeginStream,
     ForwardDisconnected,
     ForwardRequested,
     Refuse,
@@ -14,6 +15,7 @@
 from masticdrum.shell.callerconnection import CallerConnection
 from masticdrum.shell.forwardapplication import ForwardApplication
 from masticdrum.shell.metrics import Metrics
+from masticdrum.shell.upstreamclient import UpstreamAnswer
 from tests.shell.callers import REQUEST, SMALL, FakeCaller, run_connection
 
 
@@ -104,6 +106,23 @@
     assert disconnected == ForwardDisconnected(requested.handle)
 
 
+def test_an_answer_that_cannot_be_written_ends_its_request() -> None:
+    forwarding = Forwarding(refuse=False)
+
+    async def script(caller: FakeCaller, connection: CallerConnection) -> None:
+        await caller.send(SMALL)
+        await trio.sleep(0.02)
+        (requested,) = forwarding.events
+        answer = UpstreamAnswer(200, [(b"x-a", b"line\nbreak")])
+        forwarding.application.store_answer(requested.handle, 1, answer)
+        forwarding.application.deliver(BeginStream(requested.handle, 1))
+        assert await caller.receive_all() == b""
+
+    run_connection(forwarding.application, script)
+    requested, disconnected = forwarding.events
+    assert disconnected == ForwardDisconnected(requested.handle)
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
