--- a/masticdrum/shell/callerconnection.py
+++ b/masticdrum/shell/callerconnection.py
@@ -174,7 +174,7 @@
         received: bytes | None = None
         with trio.CancelScope() as self._waiting:
             self._waiting.deadline = self._compute_deadline()
-            if self._phase is Phase.OPEN and self._count_pipelined():
+            if self._phase is Phase.OPEN and self._has_read_ahead():
                 await trio.sleep_forever()
             received = await self._tcp.receive()
         if received is None:
@@ -288,7 +288,7 @@
             return NEVER
         return trio.current_time() + max(0.0, self._deadline - read_clock())
 
-    def _count_pipelined(self) -> bool:
+    def _has_read_ahead(self) -> bool:
         """Return whether enough of further requests has been read for now."""
         return len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES
 
--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -286,9 +286,10 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         await stream.receive_some()
-        for piece in self.pieces:
-            await stream.send_all(piece)
-            await trio.sleep(self.wait_s)
+        with suppress(trio.BrokenResourceError):
+            for piece in self.pieces:
+                await stream.send_all(piece)
+                await trio.sleep(self.wait_s)
 
 
 def test_events_that_arrive_later_bypass_the_reducer() -> None:
@@ -302,6 +303,36 @@
     assert find_end(events).last_event == 3
 
 
+def test_nothing_of_a_stopped_attempt_is_forwarded() -> None:
+    sink = FakeSink()
+    events: list = []
+    pieces = [STREAM + make_chunk(EVENT), make_chunk(b"id: 2\ndata: b\n\n")]
+    upstream = TricklingUpstream([*pieces, b"0\r\n\r\n"], wait_s=0.01)
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
+            port = listeners[0].socket.getsockname()[1]
+
+            def submit(event: object) -> None:
+                events.append(event)
+                if isinstance(event, StreamEventsReceived):
+                    client.stop(StopAttempt(1, 1))
+
+            client = make_client(nursery, submit, sink)
+            client.start(make_start(f"127.0.0.1:{port}", 1, 2.0), REQUEST)
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    assert [type(event).__name__ for event in events] == [
+        "StreamBegun",
+        "StreamEventsReceived",
+    ]
+    assert sink.forwarded == []
+
+
 def test_chunks_may_be_split_at_any_byte() -> None:
     body = b"".join(make_chunk(b"id: %d\ndata: x\n\n" % n) for n in (1, 2, 3))
     whole = body + b"0\r\n\r\n"
