Let many entries take turns at a cold upstream

Each entry sends one each members/rate seconds and keeps a turn that it does not use, so that the sum over many entries has no bound.

Change: entries beyond the limit's number take turns of a second by the time of day and the order of their names, shifted by the upstream's name; so few at once that three turns together stay within the limit, whatever the demand, and while clocks differ by up to a second. Fewer entries are spaced as before.

Measured: tests without network at 1 to 300 entries, two demands, with and without saved-up turns, clocks apart by up to 0.8 s: never over 20, and at least a quarter of the limit is used under demand; a mutant is caught.

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -44,9 +44,8 @@
     service = state.cluster_state.find_service(upstream)
     if service is None or service.cold_per_s <= 0:
         return True
-    peers = state.count_peer_entries()
-    at = state.pacer.compute_next_send(upstream.name, service.cold_per_s, peers, now)
-    return at <= now
+    place = state.find_place(now)
+    return state.pacer.may_send(upstream.name, service.cold_per_s, place, now)
 
 
 def _is_ejected(state: ExchangeState, known: KnownUpstream, now: float) -> bool:
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -156,8 +156,8 @@
     upstream = known.upstream
     service = state.cluster_state.find_service(upstream)
     if is_cold(known, now) and service is not None and service.cold_per_s > 0:
-        peers = state.count_peer_entries()
-        state.pacer.record_send(upstream.name, service.cold_per_s, peers, now)
+        place = state.find_place(now)
+        state.pacer.record_send(upstream.name, service.cold_per_s, place, now)
     state.attempts += 1
     exchange.attempt = Attempt(state.attempts, upstream.name, now)
     exchange.tried.add(upstream.name)
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -5,13 +5,14 @@
 from msgspec import Struct
 
 from masticdrum.core.clusterstate import ClusterBounds, ClusterState
-from masticdrum.core.coldstartpacing import ColdStartBounds, ColdStartPacer
+from masticdrum.core.coldstartpacing import ColdStartBounds, ColdStartPacer, Place
 from masticdrum.core.outlierdetection import OutlierDetector
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.saturation import Saturation
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.storepolls import StorePolls, choose_polls
 from masticdrum.core.timers import Timers
+from masticdrum.model.cluster_events import Member
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.exchange import Prompt
 
@@ -115,7 +116,8 @@
     """Everything that one forwarding entry knows.
 
     ``role`` is the role by which it finds its peer entries. ``open`` is the work that
-    this entry has open at each upstream.
+    this entry has open at each upstream. ``clock_offset`` is what has to be added to
+    its clock for the time of day, in seconds.
     """
 
     def __init__(self, name: str, role: str, bounds: ForwardBounds, seed: int) -> None:
@@ -133,6 +135,10 @@
         self.saturation = Saturation(self.random)
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
+        self.clock_offset = 0.0
+        self._ranked_members: tuple[Member, ...] | None = None
+        self._rank = 0
+        self._member_count = 1
         self.weights_at: dict[str, float] = {}
         self.leased = False
         self.stop_accepting_at: float | None = None
@@ -154,6 +160,20 @@
         """Count the entries that share limits, including this one."""
         return self.cluster_state.count_members(self.role)
 
+    def find_place(self, now: float) -> Place:
+        """Return this entry's place among those that share limits.
+
+        One that is not listed yet comes last.
+        """
+        members = self.cluster_state.members
+        if members is not self._ranked_members:
+            self._ranked_members = members
+            names = {m.name for m in members or () if m.role == self.role}
+            listed = self.name in names
+            self._rank = sum(n < self.name for n in names) if listed else len(names)
+            self._member_count = len(names) if listed else len(names) + 1
+        return Place(self._rank, self._member_count, now + self.clock_offset)
+
     def list_polls(self) -> list[StorePolls]:
         """List the KV cache stores that this entry polls, and how often."""
         cluster_state = self.cluster_state
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -5,6 +5,7 @@
 """
 
 import secrets
+import time
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -95,6 +96,7 @@
                 settings.metrics: probes,
             }
         )
+        self.state.clock_offset = time.time() - read_clock()
         self._was_ready = False
         self._last_tick_at = read_clock()
         self._stalled_until = 0.0
@@ -135,6 +137,7 @@
                 facts = {"late_s": round(late_s, 3)}
                 write_event(Log(LogNumber.CLOCK_JUMPED, facts={**facts}))
             self._last_tick_at = now
+            self.state.clock_offset = time.time() - now
             self.loop.submit(Ticked())
             self._log_readiness(now)
             if now - swept_at >= SWEEP_INTERVAL_S:
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -61,7 +61,12 @@
 
 def flood_cold_upstreams(patch: Patch) -> None:
     """Send to cold upstreams without spacing the requests."""
-    patch.setattr(ColdStartPacer, "compute_next_send", lambda *given: 0.0)
+    patch.setattr(ColdStartPacer, "may_send", lambda *given: True)
+
+
+def send_whoevers_turn_it_is(patch: Patch) -> None:
+    """Let each of many entries send in each turn."""
+    patch.setattr(ColdStartPacer, "_has_turn", lambda *given: True)
 
 
 def retry_without_bound(patch: Patch) -> None:
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -6,6 +6,7 @@
 
 from tests.core import (
     forwardmutants,
+    test_coldstartpacing,
     test_exchanges,
     test_keptparts,
     test_ordercourse,
@@ -43,6 +44,10 @@
         forwardmutants.flood_cold_upstreams,
         test_exchanges.test_a_cold_upstream_gets_its_share_only,
     ),
+    (
+        forwardmutants.send_whoevers_turn_it_is,
+        test_coldstartpacing.check_large_fleet,
+    ),
     (
         forwardmutants.retry_without_bound,
         test_exchanges.test_retries_stay_within_their_window,
