--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -229,7 +229,7 @@
     else:
         exchange.rejections += 1
     effects = _record_outcome(
-        state, attempt.upstream, rule.counts_as_failure, event.end, now
+        state, attempt.upstream, rule.counts_as_failure, event, now
     )
     _update_weights(state, exchange, attempt, event)
     effects += _log_end(exchange, attempt, event, rule.ran, now)
@@ -261,15 +261,21 @@
     state: ExchangeState,
     name: str,
     counts_as_failure: bool,
-    end: AttemptEnd,
+    event: AttemptEnded,
     now: float,
 ) -> list[ExchangeEffect]:
+    end = event.end
+    # A misdirected request whose answer names no weights met another upstream at the
+    # address; the list will drop the one that it was meant for.
+    was_rejected = end is AttemptEnd.REJECTED or (
+        end is AttemptEnd.MISDIRECTED and event.weights == 0
+    )
     detector = state.outlier_detectors.get(name)
     if detector is None:
-        if not counts_as_failure and end is not AttemptEnd.REJECTED:
+        if not counts_as_failure and not was_rejected:
             return []
         detector = state.outlier_detectors[name] = OutlierDetector()
-    if end is AttemptEnd.REJECTED:
+    if was_rejected:
         detector.record_rejection(now)
         return []
     if not counts_as_failure:
--- a/masticdrum/core/outlierdetection.py
+++ b/masticdrum/core/outlierdetection.py
@@ -55,7 +55,7 @@
         return True
 
     def record_rejection(self, now: float) -> None:
-        """Record that the upstream had no room, which is no sign of a fault."""
+        """Record that the upstream took no request, which is no sign of a fault."""
         if now < self.ejected_until:
             return
         self.ejected_until = now + self.rejection_pause_s
--- a/tests/core/test_exchanges.py
+++ b/tests/core/test_exchanges.py
@@ -293,6 +293,20 @@
     assert 10 <= sent / 2.0 <= 12 * 1.5 + 5
 
 
+@pytest.mark.parametrize(("weights", "paused"), [(0, True), (2, False)])
+def test_an_upstream_that_is_another_by_now_is_not_chosen_again(
+    weights: int, paused: bool
+) -> None:
+    """Until the list drops it, unless its answer only names newer weights."""
+    names = ("engines-1", "engines-2", "engines-3")
+    entry = Entry(upstreams=tuple(make_upstream(name, "engines") for name in names))
+    first = get_start(entry.send_request("stream"))
+    second = get_start(entry.end(first, AttemptEnd.MISDIRECTED, 421, weights=weights))
+    entry.end(second, AttemptEnd.ANSWERED, 200, verified=True)
+    later = get_start(entry.send_request("stream"))
+    assert (later.upstream != first.upstream) is paused
+
+
 def test_retries_stay_within_their_window() -> None:
     entry = Entry()
     repeats = 0
