--- a/masticdrum/shell/upstreamstream.py
+++ b/masticdrum/shell/upstreamstream.py
@@ -1,4 +1,4 @@
-"""A TCP stream to an upstream that records whether bytes of a request were sent.
+"""The TCP streams of httpcore's connections to the platform and to an engine.
 
 Writes are buffered until the next read, so that a request's head and body are sent at
 once. The kernel closes a connection whose peer accepts no data or answers no keepalive
@@ -26,11 +26,7 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._pending = bytearray()
-        self.has_sent = False
-
-    def mark_idle(self) -> None:
-        """Reset ``has_sent`` before the connection is used for another request."""
-        self.has_sent = False
+        self._has_sent = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send buffered bytes, then receive."""
@@ -51,7 +47,7 @@
         A reset, unlike an orderly close, makes an upstream that was stalled discard
         what it has not read yet.
         """
-        if self.has_sent:
+        if self._has_sent:
             with suppress(OSError, trio.ClosedResourceError):
                 self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         await self._stream.aclose()
@@ -74,7 +70,7 @@
     async def _send_pending(self) -> None:
         data = bytes(self._pending)
         self._pending.clear()
-        self.has_sent = True
+        self._has_sent = True
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
