Space a few entries so that no second holds more than a cold upstream bears

By arithmetic 7 entries could reach 21 of 20 in a second and 11 to 14 entries 22 to 28, if they send at the same moments. A test of 1 to 20 entries that all have saved-up requests failed for just these. The interval is now at least such that the whole number of sends that fits each entry's share is kept; other numbers of entries are spaced as before.

--- a/masticdrum/core/coldstartpacing.py
+++ b/masticdrum/core/coldstartpacing.py
@@ -1,8 +1,9 @@
 """Spaces the requests to a cold upstream, so that all entries together don't flood it.
 
-A few entries send one request each every ``members / rate`` seconds, the first one at a
-random point of that interval, so that entries that learn of a cold upstream at the same
-moment don't all send at once.
+A few entries send one request each every ``members / rate`` seconds, or less often
+where that many of each could meet in one second. The first one goes at a random point
+of that interval, so that entries that learn of a cold upstream at the same moment don't
+all send at once.
 
 Many entries could all have a request due at the same moment, more than the upstream can
 take in a second. They take turns: in each second by the time of day, some of them may
@@ -92,7 +93,10 @@
         return per_s * self._bounds.factor + self._bounds.slack
 
     def _compute_interval(self, limit: float, members: int) -> float:
-        return max(1, members) / (SAFE_FRACTION * limit)
+        """Return a spacing at which no second can hold more than the limit."""
+        members = max(1, members)
+        each = max(1, int(limit / members))
+        return max(members / (SAFE_FRACTION * limit), TURN_S / each)
 
 
 def compute_turn(place: Place) -> int:
--- a/tests/core/test_coldstartpacing.py
+++ b/tests/core/test_coldstartpacing.py
@@ -78,16 +78,26 @@
     check_large_fleet()
 
 
-@pytest.mark.parametrize("entries", [1, 3, 10, 20, 21, 38, 49, 68, 300])
+@pytest.mark.parametrize(
+    "entries", [1, 3, 6, 7, 8, 10, 11, 13, 15, 16, 20, 21, 38, 49, 68, 300]
+)
 @pytest.mark.parametrize("demand_per_s", [1.0, 30.0])
 def test_any_number_of_entries_keeps_the_limit(
     entries: int, demand_per_s: float
 ) -> None:
-    for seed in range(2):
+    for seed in range(6):
         sent = send_all(entries, seed, demand_per_s)
         assert find_busiest_second(sent) <= LIMIT
 
 
+@pytest.mark.parametrize("entries", range(1, 21))
+def test_few_entries_that_send_at_the_same_moments_keep_the_limit(
+    entries: int,
+) -> None:
+    sent = send_all(entries, 1, demand_per_s=100.0, quiet_s=6.0)
+    assert find_busiest_second(sent) <= LIMIT
+
+
 @pytest.mark.parametrize("entries", [21, 68, 300])
 def test_a_cold_upstream_of_many_entries_still_gets_work(entries: int) -> None:
     sent = send_all(entries, 1, demand_per_s=20.0)
