--- a/masticdrum/core/saturation.py
+++ b/masticdrum/core/saturation.py
@@ -22,9 +22,9 @@
 
 from msgspec import Struct
 
-WINDOW_S = 5.0  # for the rate; with shorter ones the share oscillates in simulation
+WINDOW_S = 5.0  # for the rate; the refused share oscillates with shorter ones
 MIN_WAITING = 2  # requests; a single slow one does not show that there is a queue
-PROVEN_WAIT = 0.5  # targets; in simulation 1.0 costs 0.1 of those in time
+PROVEN_WAIT = 0.5  # targets; at a whole one the refusals come too late
 MIN_SHED_WAIT = 0.5  # targets; above it the refused share grows
 MAX_SHED_WAIT = 1.0  # targets; a stream that begins later is worth a fifth
 HOLD_S = 10.0  # twice the window; with shorter ones the queue grows again each time
