--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -38,6 +38,7 @@
 from masticdrum.model.telemetry import (
     Count,
     Counter,
+    Facts,
     Histogram,
     Log,
     LogNumber,
@@ -185,7 +186,10 @@
 ) -> list[ExchangeEffect]:
     """Forward the head of a stream, unless an earlier attempt's was forwarded."""
     exchange = _find_exchange(state, event.handle, event.attempt)
-    if exchange is None or exchange.stream_begun:
+    if exchange is None or exchange.attempt is None:
+        return []
+    exchange.attempt.begun_at = now
+    if exchange.stream_begun:
         return []
     exchange.stream_begun = True
     exchange.maybe_ran = True
@@ -332,11 +336,22 @@
             "ran": ran.value,
             "status": event.status,
             "after_s": round(now - attempt.started_at, 3),
+            **_describe_prompt(exchange, attempt, now),
         },
     )
     return [counted, log]
 
 
+def _describe_prompt(exchange: Exchange, attempt: Attempt, now: float) -> Facts:
+    """Describe what distinguishes a request that ran at an upstream's crash."""
+    facts: Facts = {}
+    if exchange.prompt is not None:
+        facts["parts"] = [part.name for part in exchange.prompt.parts]
+    if attempt.begun_at is not None:
+        facts["begun_s"] = round(now - attempt.begun_at, 3)
+    return facts
+
+
 def _may_retry(
     state: ExchangeState, exchange: Exchange, ran: Execution, now: float
 ) -> bool:
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -34,14 +34,18 @@
 
 
 class Attempt:
-    """One attempt of an exchange at an upstream."""
+    """One attempt of an exchange at an upstream.
 
-    __slots__ = ("started_at", "number", "upstream")
+    ``begun_at`` is when the upstream began a stream as its answer, or None.
+    """
+
+    __slots__ = ("begun_at", "number", "started_at", "upstream")
 
     def __init__(self, number: int, upstream: str, started_at: float) -> None:
         self.number = number
         self.upstream = upstream
         self.started_at = started_at
+        self.begun_at: float | None = None
 
 
 class Exchange:
