--- /dev/null
+++ b/tests/crashworld.py
@@ -0,0 +1,150 @@
+"""Entries before engines that a part of a prompt crashes, in virtual time.
+
+Each engine begins to answer a prompt 0.2 s after it was sent and is done 0.6 s later.
+A prompt with the crashing part ends the engine 0.07 s after it began, and with it all
+that runs there; 3 s later another engine takes its place.
+"""
+
+from random import Random
+
+from msgspec import Struct
+
+from masticdrum.model.cluster_events import UpstreamChanged, UpstreamGone
+from masticdrum.model.exchange import (
+    AttemptEnd,
+    ExchangeEffect,
+    Prompt,
+    PromptPart,
+    Refuse,
+    StartAttempt,
+    Ticked,
+)
+from tests.forwarding import MODEL, Entry, make_upstream, pick
+
+STEP_S = 0.05
+TICK_S = 0.1
+BEGIN_S = 0.2
+RUN_S = 0.6
+CRASH_S = 0.07
+RESTART_S = 3.0
+FIRST_PART = "instructions"
+CRASHING_PART = "crashing"
+
+
+class Run(Struct):
+    """One attempt at an engine; ``crashes`` if its prompt has the crashing part."""
+
+    entry: Entry
+    start: StartAttempt
+    sent_at: float
+    crashes: bool
+    begun: bool = False
+
+
+class Sent(Struct, frozen=True):
+    """A request and when it was first sent or refused, in seconds."""
+
+    at: float
+    crashing: bool
+    subject: str
+    refused: bool
+
+
+class CrashWorld:
+    """``entries`` entries before ``engines`` engines, all of them sound at first."""
+
+    def __init__(self, seed: int, entries: int = 10, engines: int = 6) -> None:
+        self.random = Random(seed)
+        self.now = 100.0
+        self.names = [f"engines-{number}" for number in range(engines)]
+        self.runs: list[Run] = []
+        self.crashes: list[float] = []
+        self.crashing_sends: list[float] = []
+        self.requests: list[Sent] = []
+        self.restarts: list[float] = []
+        self.crashing: set[tuple[Entry, int]] = set()
+        upstreams = tuple(self.make_engine(name) for name in self.names)
+        self.entries = [
+            Entry(seed * 100 + number, upstreams, f"entry-{number}")
+            for number in range(entries)
+        ]
+        self.engines_made = engines
+
+    def make_engine(self, name: str):
+        return make_upstream(name, "engines", born=int(self.now * 1000))
+
+    def request(
+        self, parts: tuple[str, ...], entry: Entry | None = None, route: str = "stream"
+    ) -> list[ExchangeEffect]:
+        """Send a prompt with these parts, and one of its own, to any entry."""
+        entry = entry or self.random.choice(self.entries)
+        own = f"own-{len(self.requests)}"
+        prompt = Prompt(MODEL, tuple(PromptPart(p, 500) for p in (*parts, own)))
+        crashing = CRASHING_PART in parts
+        if crashing:
+            self.crashing.add((entry, entry.handles + 1))
+        effects = entry.send_request(route, prompt=prompt, request=own)
+        refused = bool(pick(effects, Refuse))
+        self.requests.append(Sent(self.now, crashing, parts[1], refused))
+        self.take(entry, effects)
+        return effects
+
+    def take(self, entry: Entry, effects: list[ExchangeEffect]) -> None:
+        """Carry out what an entry decided."""
+        for start in pick(effects, StartAttempt):
+            crashes = (entry, start.handle) in self.crashing
+            if crashes:
+                self.crashing_sends.append(self.now)
+            if start.upstream in self.names:
+                self.runs.append(Run(entry, start, self.now, crashes))
+            else:
+                self.take(entry, entry.end(start, AttemptEnd.UNREACHABLE))
+
+    def step(self) -> None:
+        """Let 0.05 s pass."""
+        self.now += STEP_S
+        for entry in self.entries:
+            entry.now = self.now
+        if round(self.now / STEP_S) % round(TICK_S / STEP_S) == 0:
+            for entry in self.entries:
+                entry.confirm()
+                self.take(entry, entry.handle_event(Ticked()))
+        for at in [at for at in self.restarts if at <= self.now]:
+            self.restarts.remove(at)
+            self.start_engine()
+        for run in list(self.runs):
+            if run in self.runs:
+                self.advance(run)
+
+    def advance(self, run: Run) -> None:
+        """Begin, crash or end one attempt if it is time."""
+        age_s = self.now - run.sent_at
+        if not run.begun and age_s >= BEGIN_S:
+            run.begun = True
+            self.take(run.entry, run.entry.begin(run.start))
+            self.take(run.entry, run.entry.stream(run.start, 1))
+        if run.crashes and age_s >= BEGIN_S + CRASH_S:
+            self.crash(run.start.upstream)
+        elif age_s >= BEGIN_S + RUN_S:
+            self.runs.remove(run)
+            ended = AttemptEnd.ANSWERED
+            self.take(run.entry, run.entry.end(run.start, ended, 200, verified=True))
+
+    def crash(self, name: str) -> None:
+        """End an engine and all attempts at it; its registration lapses later."""
+        self.crashes.append(self.now)
+        self.names.remove(name)
+        self.restarts.append(self.now + RESTART_S)
+        for run in [run for run in self.runs if run.start.upstream == name]:
+            self.runs.remove(run)
+            self.take(run.entry, run.entry.end(run.start, AttemptEnd.LOST, 200))
+        for entry in self.entries:
+            entry.handle_event(UpstreamGone(name))
+
+    def start_engine(self) -> None:
+        """Register a new engine at all entries."""
+        name = f"engines-{self.engines_made}"
+        self.engines_made += 1
+        self.names.append(name)
+        for entry in self.entries:
+            entry.handle_event(UpstreamChanged(self.make_engine(name)))
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -119,15 +119,20 @@
 class Entry:
     """One entry with its cluster state, at a time that the test sets."""
 
-    def __init__(self, seed: int = 1, upstreams: tuple[Upstream, ...] = UPSTREAMS):
-        self.state = ExchangeState("entry-1", "entry", BOUNDS, seed)
+    def __init__(
+        self,
+        seed: int = 1,
+        upstreams: tuple[Upstream, ...] = UPSTREAMS,
+        name: str = "entry-1",
+    ):
+        self.state = ExchangeState(name, "entry", BOUNDS, seed)
         self.now = 100.0
         self.handles = 0
         self.effects: list[ExchangeEffect] = []
         self.handle_event(DirectoryRead(make_directory(), self.now))
         self.handle_event(UpstreamsListed(upstreams))
         self.handle_event(DataCentresDrained(frozenset()))
-        self.handle_event(MembersListed((Member("entry-1", "entry", "north"),)))
+        self.handle_event(MembersListed((Member(name, "entry", "north"),)))
 
     def handle_event(self, event: ForwardEvent) -> list[ExchangeEffect]:
         effects = reduce_forwarder(self.state, event, self.now)
