Send waiting watches again once the store answers after an outage

Cause: a store that was silent forgets the calls that waited meanwhile, and a watch may wait long. Only its own time-out ended it.

Change: the first answer after a call that timed out ends all watches that wait, and they are sent again from the same revision, without a new list.

Why it works: the watch of the configuration times out within 3 s of any silence and is retried each second or two, so that one call notices the return.

Test: tests/platform/test_store.py fails without the change (the watch is not ended within 2 s of the store's return).

--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -40,6 +40,10 @@
     """A call got no answer that states the store's contents."""
 
 
+class WatchInterrupted(Exception):
+    """A watch was ended since the store has answered again after an outage."""
+
+
 class HistoryGone(Exception):
     """The store no longer has the changes since a watch's revision."""
 
@@ -67,7 +71,11 @@
 
 
 class Store:
-    """The client of the platform's store; ``address`` is ``IP:PORT``."""
+    """The client of the platform's store; ``address`` is ``IP:PORT``.
+
+    A store that was silent may never answer the watches that waited meanwhile. So the
+    first answer after a timeout ends them, and they are sent again.
+    """
 
     def __init__(self, address: str, count_call: Callable[[str], None]) -> None:
         self._base = f"http://{address}/v1/objects/"
@@ -75,6 +83,8 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, network_backend=UpstreamBackend()
         )
+        self._was_silent = False
+        self._watches: set[trio.CancelScope] = set()
 
     async def list_page(self, kind: str, after: str, *, stale: bool = False) -> Page:
         """Read a page of the objects of a kind; stale ones may be seconds old."""
@@ -89,10 +99,20 @@
     async def watch(
         self, kind: str, since: int, wait_s: float, *, stale: bool = False
     ) -> Changes:
-        """Wait for changes of a kind after a revision."""
+        """Wait for changes of a kind after a revision.
+
+        Raises ``HistoryGone``, ``StoreFailed`` or ``WatchInterrupted``.
+        """
         query = {"watch": str(since), "waitMs": str(int(wait_s * MS_PER_S))}
         query |= STALE_QUERY if stale else {}
-        status, body = await self._call("GET", kind, query, wait_s=wait_s)
+        with trio.CancelScope() as scope:
+            self._watches.add(scope)
+            try:
+                status, body = await self._call("GET", kind, query, wait_s=wait_s)
+            finally:
+                self._watches.discard(scope)
+        if scope.cancelled_caught:
+            raise WatchInterrupted
         if status == HISTORY_GONE_STATUS:
             raise HistoryGone
         if status != 200:
@@ -156,9 +176,17 @@
             OSError,
             trio.TooSlowError,
         ) as error:
+            self._was_silent |= isinstance(error, trio.TooSlowError)
             raise StoreFailed(f"{method} {path}: {error!r}") from error
+        if self._was_silent:
+            self._was_silent = False
+            self._interrupt_watches()
         return response.status, response.content
 
+    def _interrupt_watches(self) -> None:
+        for scope in self._watches:
+            scope.cancel()
+
 
 def decode(body: bytes, kind: type[T]) -> T:
     """Decode an answer; raises ``StoreFailed``."""
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -1,6 +1,7 @@
 """Lists and watches the kinds of the store, and submits their objects as events."""
 
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from random import Random
 
 import msgspec
@@ -28,7 +29,13 @@
     read_named_weights,
     read_upstream,
 )
-from masticdrum.platform.store import KIND_PREFIX, HistoryGone, Store, StoreFailed
+from masticdrum.platform.store import (
+    KIND_PREFIX,
+    HistoryGone,
+    Store,
+    StoreFailed,
+    WatchInterrupted,
+)
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.jsonlogging import write_event
 from masticdrum.shell.reachability import Reachability
@@ -88,7 +95,8 @@
             try:
                 await self._list()
                 while True:
-                    await self._watch()
+                    with suppress(WatchInterrupted):
+                        await self._watch()
             except HistoryGone:
                 continue
             except StoreFailed as error:
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,51 @@
+"""Calls to the platform's store while it fails and returns."""
+
+from typing import Any
+
+import httpcore
+import pytest
+import trio
+from trio.testing import MockClock
+
+from masticdrum.platform.store import Store, StoreFailed, WatchInterrupted
+
+OUTAGE_S = 4.0
+EMPTY_PAGE = b'{"items": [], "asOf": 7}'
+
+
+class SilentPool:
+    """Answers calls that begin after the outage, and never any other."""
+
+    async def request(self, method: str, url: str, **more: Any) -> httpcore.Response:
+        if trio.current_time() < OUTAGE_S or "watch=" in url:
+            await trio.sleep_forever()
+        response = httpcore.Response(200, content=EMPTY_PAGE)
+        await response.aread()
+        return response
+
+
+# Guards against changes that a process learns only when its longest watch times out,
+# tens of seconds after an outage in which the store was silent.
+def test_watches_that_a_silent_store_forgot_are_sent_again_after_it() -> None:
+    ended_at: list[float] = []
+
+    async def watch(store: Store) -> None:
+        with pytest.raises(WatchInterrupted):
+            await store.watch("crashes", 5, 20.0)
+        ended_at.append(trio.current_time())
+
+    async def run() -> None:
+        store = Store("127.0.0.1:1", lambda how: None)
+        pool: Any = SilentPool()
+        store._pool = pool
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, store)
+            while not ended_at:
+                try:
+                    await store.list_page("config", "")
+                except StoreFailed:
+                    continue
+                await trio.sleep(0.01)
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert OUTAGE_S <= ended_at[0] <= OUTAGE_S + 2.0
