Refuse what has in common with lost requests what crashes upstreams

Cause: nothing related one crash to the next. An entry counted failures by upstream only, knew nothing of what other entries had lost, and resent each lost request to a second engine. A record by request would not have helped: no two are alike, they share one part of their prompts.

Entries claim which requests they lost at a crash, publish that in one object each, and refuse what has all parts that requests lost at three crashes have in common, or repeats a whole request; complete answers, and upstreams that prove to live, clear. Reports outlast restarts, and an entry is ready only after it has read them.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -27,6 +27,7 @@
     UpstreamsListed,
     WeightsNamed,
 )
+from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.directory import Directory, ForwardService, Upstream
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
@@ -205,7 +206,7 @@
             return _apply_members(cluster_state, event)
         case SourceLost() | SourceRegained():
             return _apply_reachability(cluster_state, event, now)
-        case DirectoryConfirmed():
+        case DirectoryConfirmed() | CrashReportsListed() | CrashReportChanged():
             return []
 
 
--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -49,11 +49,16 @@
 
 
 def fail_exchange(
-    state: ExchangeState, exchange: Exchange, kind: ErrorKind, now: float
+    state: ExchangeState,
+    exchange: Exchange,
+    kind: ErrorKind,
+    now: float,
+    wait_s: float = 0.0,
 ) -> list[ExchangeEffect]:
     """End an exchange without an upstream's answer.
 
-    The status never claims that a request did not run if it may have.
+    The status never claims that a request did not run if it may have. ``wait_s`` is
+    when it may be repeated if it did not run, zero if that isn't known.
     """
     close_exchange(state, exchange)
     if exchange.stream_begun:
@@ -65,8 +70,7 @@
         )
         return [AbortStream(exchange.handle), log, Count(Counter.REFUSALS, kind.value)]
     kind, status = _choose_error(exchange, kind)
-    wait_s = 0.0
-    if status == 503:
+    if status == 503 and wait_s == 0:
         left_s = max(0.0, exchange.deadline - now)
         wait_s = draw_retry_after(state, kind, left_s, _compute_backlog(exchange))
     log = Log(
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -8,6 +8,7 @@
 from masticdrum.core.attemptends import END_RULES
 from masticdrum.core.attemptstart import describe_attempt
 from masticdrum.core.candidatelist import is_cold, list_candidates
+from masticdrum.core.crashes import list_keys, record_end
 from masticdrum.core.exchangeclose import (
     DEADLINE,
     close_exchange,
@@ -70,6 +71,10 @@
     state.timers.set((DEADLINE, exchange.handle), exchange.deadline)
     state.get_retry_window(exchange.service).record_request(now)
     counted = Count(Counter.EXCHANGES, route.kind.value)
+    quarantine_s = state.suspicion.compute_quarantine(exchange.keys, now)
+    if quarantine_s > 0:
+        kind = ErrorKind.CRASH_SUSPECT
+        return [counted, *fail_exchange(state, exchange, kind, now, quarantine_s)]
     if exchange.prompt is not None:
         if _must_shed(state, exchange, now):
             return [counted, *fail_exchange(state, exchange, ErrorKind.SATURATED, now)]
@@ -109,6 +114,7 @@
     exchange.prompt = event.prompt
     exchange.work = estimate_work(event.prompt)
     exchange.last_event = event.last_event
+    exchange.keys = list_keys(event)
     return exchange
 
 
@@ -160,7 +166,7 @@
         place = state.find_place(now)
         state.pacer.record_send(upstream.name, service.cold_per_s, place, now)
     state.attempts += 1
-    exchange.attempt = Attempt(state.attempts, upstream.name, now)
+    exchange.attempt = Attempt(state.attempts, upstream.name, upstream.born, now)
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
@@ -189,6 +195,7 @@
     if exchange is None or exchange.attempt is None:
         return []
     exchange.attempt.begun_at = now
+    state.heard_at[exchange.attempt.upstream] = now
     if exchange.stream_begun:
         return []
     exchange.stream_begun = True
@@ -237,6 +244,7 @@
     )
     _update_weights(state, exchange, attempt, event)
     effects += _log_end(exchange, attempt, event, rule.ran, now)
+    effects += record_end(state, exchange, attempt, event, now)
     if event.end is AttemptEnd.ANSWERED:
         return effects + deliver_answer(state, exchange, event, now)
     if _may_retry(state, exchange, rule.ran, now):
@@ -365,6 +373,8 @@
         return False
     if not list_candidates(state, exchange, now):
         return False
+    if state.suspicion.compute_quarantine(exchange.keys, now) > 0:
+        return False
     window = state.get_retry_window(exchange.service)
     return window.try_acquire(state.count_peer_entries(), now)
 
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -6,6 +6,7 @@
 
 from masticdrum.core.clusterstate import ClusterBounds, ClusterState
 from masticdrum.core.coldstartpacing import ColdStartBounds, ColdStartPacer, Place
+from masticdrum.core.crashsuspicion import CrashSuspicion
 from masticdrum.core.outlierdetection import OutlierDetector
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.saturation import Saturation
@@ -23,7 +24,7 @@
     """All limits on what an entry may do; times are in seconds.
 
     ``weights_s`` is how long requests may start on older weights after newer ones were
-    named.
+    named. An upstream that has crashed stays registered for ``unregister_s`` at most.
     """
 
     cluster_state: ClusterBounds
@@ -31,19 +32,24 @@
     cold: ColdStartBounds
     weights_s: float
     stop_linger_s: float
+    unregister_s: float
 
 
 class Attempt:
     """One attempt of an exchange at an upstream.
 
-    ``begun_at`` is when the upstream began a stream as its answer, or None.
+    ``born`` is the upstream's incarnation. ``begun_at`` is when it began a stream as
+    its answer, or None.
     """
 
-    __slots__ = ("begun_at", "number", "started_at", "upstream")
+    __slots__ = ("begun_at", "born", "number", "started_at", "upstream")
 
-    def __init__(self, number: int, upstream: str, started_at: float) -> None:
+    def __init__(
+        self, number: int, upstream: str, born: int, started_at: float
+    ) -> None:
         self.number = number
         self.upstream = upstream
+        self.born = born
         self.started_at = started_at
         self.begun_at: float | None = None
 
@@ -55,7 +61,7 @@
     for a prompt. ``sends`` counts the attempts that may have run; ``maybe_ran`` states
     whether there was one. ``last_event`` is the id of the last event that was
     forwarded. ``expected_s`` is how long its first event was expected to take when the
-    request arrived.
+    request arrived. ``keys`` is what other requests may have in common with it.
     """
 
     __slots__ = (
@@ -65,6 +71,7 @@
         "events_forwarded",
         "expected_s",
         "handle",
+        "keys",
         "last_event",
         "maybe_ran",
         "prompt",
@@ -97,6 +104,7 @@
         self.arrived = arrived
         self.deadline = deadline
         self.prompt: Prompt | None = None
+        self.keys: tuple[str, ...] = ()
         self.work = 1
         self.attempt: Attempt | None = None
         self.stream_begun = False
@@ -120,8 +128,9 @@
     """Everything that one forwarding entry knows.
 
     ``role`` is the role by which it finds its peer entries. ``open`` is the work that
-    this entry has open at each upstream. ``clock_offset`` is what has to be added to
-    its clock for the time of day, in seconds.
+    this entry has open at each upstream, ``heard_at`` when it last began or ended an
+    answer. ``clock_offset`` is what has to be added to its clock for the time of day,
+    in seconds.
     """
 
     def __init__(self, name: str, role: str, bounds: ForwardBounds, seed: int) -> None:
@@ -132,11 +141,13 @@
         self.cluster_state = ClusterState(bounds.cluster_state)
         self.exchanges: dict[int, Exchange] = {}
         self.open: dict[str, int] = {}
+        self.heard_at: dict[str, float] = {}
         self.outlier_detectors: dict[str, OutlierDetector] = {}
         self.retry_windows: dict[str, RetryWindow] = {}
         self.pacer = ColdStartPacer(bounds.cold, self.random)
         self.prefixes = StoredPrefixes()
         self.saturation = Saturation(self.random)
+        self.suspicion = CrashSuspicion(name, self.random)
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.clock_offset = 0.0
@@ -198,6 +209,7 @@
             and cluster_state.index is not None
             and cluster_state.members is not None
             and cluster_state.drained is not None
+            and self.suspicion.is_listed
             and bool(cluster_state.known)
             and cluster_state.is_leased(now)
         )
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -1,6 +1,7 @@
 """The reducer of an entry that forwards exchanges: events in, effects out."""
 
 from masticdrum.core.clusterstate import apply_cluster_event
+from masticdrum.core.crashes import apply_crash_event, review_crashes
 from masticdrum.core.exchangeclose import DEADLINE
 from masticdrum.core.exchanges import (
     abandon_exchange,
@@ -13,6 +14,7 @@
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.model.cluster_events import ClusterEvent, WeightsNamed
+from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.exchange import (
     AttemptEnded,
     ExchangeEffect,
@@ -80,7 +82,9 @@
         case StopRequested():
             return _begin_stop(state, event, now)
         case Ticked():
-            return []
+            return review_crashes(state, now)
+        case CrashReportsListed() | CrashReportChanged():
+            return [*apply_crash_event(state, event, now)]
         case PrefixesReported() | PrefixStoreLost():
             return _handle_prefix_event(state, event, now)
         case _:
@@ -109,13 +113,12 @@
 
 
 def _forget_removed_upstreams(state: ExchangeState) -> None:
-    """Drop the outlier detectors of upstreams that are gone."""
-    for name in [
-        name
-        for name in state.outlier_detectors
-        if name not in state.cluster_state.known
-    ]:
+    """Drop what is kept of upstreams that are gone."""
+    known = state.cluster_state.known
+    for name in [name for name in state.outlier_detectors if name not in known]:
         del state.outlier_detectors[name]
+    for name in [name for name in state.heard_at if name not in known]:
+        del state.heard_at[name]
 
 
 def _report_lease_change(state: ExchangeState, now: float) -> list[ExchangeEffect]:
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.directory import Directory, Upstream
 
 
@@ -20,6 +21,7 @@
     DATA_CENTRES = "data_centres"
     WEIGHTS = "weights"
     MEMBERS = "members"
+    CRASHES = "crashes"
     ENGINE = "engine"
 
 
@@ -115,4 +117,6 @@
     | MembersListed
     | SourceLost
     | SourceRegained
+    | CrashReportsListed
+    | CrashReportChanged
 )
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from masticdrum.model.crashes import PublishCrashReport
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.telemetry import Count, Log, Observe
 
@@ -60,7 +61,7 @@
 
     ``deadline_s`` is how long the caller waits, counted from ``arrived``, or None if
     it states no limit. ``last_event`` is the id of the event after which a stream is
-    to be resumed.
+    to be resumed. ``fingerprint`` is the same for repeats by the same caller.
     """
 
     handle: int
@@ -72,6 +73,7 @@
     deadline_s: float | None = None
     prompt: Prompt | None = None
     last_event: int | None = None
+    fingerprint: int = 0
 
 
 class ForwardDisconnected(Struct, frozen=True):
@@ -216,6 +218,7 @@
     | EndStream
     | AbortStream
     | Refuse
+    | PublishCrashReport
     | ExitProcess
     | Log
     | Count
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -109,7 +109,8 @@
     weights after newer ones were named. Over all entries together, retries to a service
     are bounded by ``retry_ratio`` of its requests in ``retry_window_s`` and
     ``retry_extra``, requests to a cold upstream by its own rate times ``cold_factor``
-    and ``cold_slack``. ``grace_s`` bounds a shutdown.
+    and ``cold_slack``. ``grace_s`` bounds a shutdown. An upstream renews its
+    registration every ``heartbeat_s``.
     """
 
     name: str
@@ -127,6 +128,7 @@
     cold_factor: float = 1.0
     cold_slack: float = 1.0
     grace_s: float = 8.0
+    heartbeat_s: float = 1.2
 
 
 class EngineControllerSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -61,6 +61,8 @@
     SETTINGS_RELOADED = 78
     LINES_DROPPED = 79
     SETTINGS_REFUSED = 80
+    CRASH_SUSPECTED = 81
+    SUSPICION_CHANGED = 82
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -11,14 +11,17 @@
 from returns.result import Failure
 
 from masticdrum.model.cluster_events import Member
+from masticdrum.model.crashes import CrashReport
 from masticdrum.model.settings import ForwardSettings
 from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
 from masticdrum.platform.cachestores import CacheEventPoller
+from masticdrum.platform.crashreports import CrashReportWriter
 from masticdrum.platform.headers import PlatformHeaderCodec
 from masticdrum.platform.members import announce
 from masticdrum.platform.settings import platform_settings
 from masticdrum.platform.store import Store
 from masticdrum.platform.watchers import (
+    CRASHES,
     DATA_CENTRES,
     DIRECTORY,
     MEMBERS,
@@ -32,14 +35,19 @@
 )
 from masticdrum.programs.forwarder import ROLE, ChoosePolls, Submit, run_forwarder
 from masticdrum.shell.jsonlogging import configure_bounded_logging, write_event
+from masticdrum.shell.latest import Latest
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.settings import load_settings
 
-WATCHED = (DIRECTORY, UPSTREAMS, DATA_CENTRES, WEIGHTS, MEMBERS)
+WATCHED = (DIRECTORY, UPSTREAMS, DATA_CENTRES, WEIGHTS, MEMBERS, CRASHES)
 
 
 def follow(
-    settings: ForwardSettings, submit: Submit, meters: Metrics, choose: ChoosePolls
+    settings: ForwardSettings,
+    submit: Submit,
+    meters: Metrics,
+    choose: ChoosePolls,
+    crash_reports: Latest[CrashReport],
 ) -> list[Callable[[], Awaitable[None]]]:
     """Return the functions that keep the entry's view of the platform current."""
 
@@ -51,6 +59,7 @@
     runs: list[Callable[[], Awaitable[None]]] = [lambda: announce(store, member)]
     for watched in WATCHED:
         runs.append(KindWatcher(watched, store, submit, Random()).run)
+    runs.append(CrashReportWriter(store, settings.name, crash_reports, Random()).run)
     return [*runs, CacheEventPoller(submit, choose, count_call).run]
 
 
--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -7,6 +7,7 @@
 from msgspec import UNSET, Raw, Struct, UnsetType, field
 
 from masticdrum.model.cluster_events import Member
+from masticdrum.model.crashes import CrashReport
 from masticdrum.model.directory import (
     Backend,
     CallerLimits,
@@ -221,3 +222,8 @@
 def read_member(spec: bytes) -> Member:
     """Decode the registration of one of our own processes."""
     return msgspec.json.decode(spec, type=Member)
+
+
+def read_crash_report(spec: bytes) -> CrashReport:
+    """Decode the crash report of one of our own entries."""
+    return msgspec.json.decode(spec, type=CrashReport)
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -20,10 +20,16 @@
     UpstreamsListed,
     WeightsNamed,
 )
+from masticdrum.model.crashes import (
+    CrashReport,
+    CrashReportChanged,
+    CrashReportsListed,
+)
 from masticdrum.model.directory import Upstream
 from masticdrum.model.telemetry import Log, LogNumber
 from masticdrum.platform.objects import (
     StoredObject,
+    read_crash_report,
     read_directory,
     read_member,
     read_named_weights,
@@ -71,6 +77,8 @@
 WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 8.0)
 # Processes that start together all announce themselves within a second.
 MEMBERS = WatchedKind(Source.MEMBERS, f"{KIND_PREFIX}members", 10.0, gap_s=0.5)
+# The entries that lost requests at a crash report it within a few tenths of a second.
+CRASHES = WatchedKind(Source.CRASHES, f"{KIND_PREFIX}crashes", 10.0, gap_s=0.4)
 
 
 class KindWatcher:
@@ -150,6 +158,9 @@
             self._objects[name] = stored
         if self._watched.source is Source.UPSTREAMS:
             self._report_upstream(stored, deleted)
+        if self._watched.source is Source.CRASHES and not deleted:
+            for report in self._read_crash_reports([stored]):
+                self._submit(CrashReportChanged(report))
 
     def _decode_objects(self, items: Iterable[Raw]) -> list[StoredObject]:
         read: list[StoredObject] = []
@@ -161,12 +172,25 @@
         return read
 
     def _report_list(self, requested_at: float) -> None:
+        if self._watched.source is Source.CRASHES:
+            reports = self._read_crash_reports(self._objects.values())
+            self._submit(CrashReportsListed(tuple(reports)))
+            return
         if self._watched.source is not Source.UPSTREAMS:
             self._report_changes(requested_at)
             return
         read = [self._read_upstream(stored) for stored in self._objects.values()]
         self._submit(UpstreamsListed(tuple(u for u in read if u is not None)))
 
+    def _read_crash_reports(self, objects: Iterable[StoredObject]) -> list[CrashReport]:
+        reports = []
+        for stored in objects:
+            try:
+                reports.append(read_crash_report(stored.spec))
+            except msgspec.MsgspecError as error:
+                self._log_unreadable(stored.metadata.name, error)
+        return reports
+
     def _report_upstream(self, stored: StoredObject, deleted: bool) -> None:
         upstream = None if deleted else self._read_upstream(stored)
         if upstream is None:
@@ -194,7 +218,7 @@
                     self._report_weights(stored)
             case Source.MEMBERS:
                 self._report_members()
-            case Source.UPSTREAMS:
+            case _:
                 pass
 
     def _report_directory(self, requested_at: float) -> None:
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -18,6 +18,7 @@
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.core.storepolls import StorePolls
 from masticdrum.model.cluster_events import ClusterEvent
+from masticdrum.model.crashes import CrashReport, PublishCrashReport
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.exchange import (
     AbortStream,
@@ -40,6 +41,7 @@
 from masticdrum.shell.forwardapplication import ForwardApplication
 from masticdrum.shell.headercodec import HeaderCodec
 from masticdrum.shell.jsonlogging import write_event
+from masticdrum.shell.latest import Latest
 from masticdrum.shell.loop import Loop
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.probes import ProbeHandler, Probes
@@ -53,10 +55,14 @@
 # A load balancer that probes each second removes an entry after two failed probes.
 STOP_LINGER_S = 3.0
 WEIGHTS_MARGIN_S = 4.0  # longest wait of a request at its engine before it starts
+# Heartbeats after which an upstream that has crashed is registered no more: three
+# without one, and time for the news.
+UNREGISTER_HEARTBEATS = 5
 Submit = Callable[[ClusterEvent | PrefixesReported | PrefixStoreLost], None]
 ChoosePolls = Callable[[], list[StorePolls]]
 MakePlatformTasks = Callable[
-    [Submit, Metrics, ChoosePolls], list[Callable[[], Awaitable[None]]]
+    [Submit, Metrics, ChoosePolls, Latest[CrashReport]],
+    list[Callable[[], Awaitable[None]]],
 ]
 
 
@@ -69,6 +75,7 @@
         self.settings = settings
         self.meters = Metrics()
         self.ended = trio.Event()
+        self.crash_report: Latest[CrashReport] = Latest()
         bounds = make_bounds(settings)
         self.state = ExchangeState(settings.name, ROLE, bounds, secrets.randbits(64))
         self.loop: Loop[ForwardEvent, ExchangeEffect] = Loop(
@@ -159,6 +166,8 @@
                 self.forwarding.upstreams.stop(effect)
             case Log() | Count() | Observe():
                 carry_out_telemetry(self.meters, effect)
+            case PublishCrashReport():
+                self.crash_report.set(effect.report)
             case ExitProcess():
                 self.ended.set()
 
@@ -202,6 +211,7 @@
         cold=ColdStartBounds(settings.cold_factor, settings.cold_slack),
         weights_s=max(0.0, settings.weights_s - WEIGHTS_MARGIN_S),
         stop_linger_s=STOP_LINGER_S,
+        unregister_s=UNREGISTER_HEARTBEATS * settings.heartbeat_s,
     )
 
 
@@ -226,7 +236,10 @@
         nursery.start_soon(process.loop.run_timers)
         nursery.start_soon(process.tick)
         for run in make_platform_tasks(
-            process.loop.submit, process.meters, process.state.list_polls
+            process.loop.submit,
+            process.meters,
+            process.state.list_polls,
+            process.crash_report,
         ):
             nursery.start_soon(run)
         await process.server.serve(
--- a/masticdrum/shell/forwardapplication.py
+++ b/masticdrum/shell/forwardapplication.py
@@ -8,6 +8,7 @@
 import trio
 from msgspec import Struct, field
 from returns.result import Failure
+from xxhash import xxh3_64
 
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ANSWERS, ErrorKind
@@ -286,4 +287,14 @@
         deadline_s=caller_headers.deadline_s,
         prompt=caller_headers.prompt,
         last_event=caller_headers.last_event,
+        fingerprint=compute_fingerprint(request, caller_headers.key),
     )
+
+
+def compute_fingerprint(request: IncomingRequest, key: str) -> int:
+    """Return a hash that repeats of a request by the same caller share."""
+    digest = xxh3_64()
+    for value in (request.method, request.target, key.encode(), request.body):
+        digest.update(len(value).to_bytes(8, "big"))
+        digest.update(value)
+    return digest.intdigest()
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -9,6 +9,7 @@
 from masticdrum.core.attemptends import END_RULES
 from masticdrum.core.clusterstate import ClusterState
 from masticdrum.core.coldstartpacing import ColdStartPacer
+from masticdrum.core.crashsuspicion import CrashSuspicion
 from masticdrum.core.orderexecution import OrderExecution
 from masticdrum.core.retrywindow import RetryWindow
 from masticdrum.core.saturation import Queue, Saturation
@@ -145,3 +146,25 @@
 def refuse_nothing(patch: Patch) -> None:
     """Let each request wait, however long the queue is."""
     patch.setattr(Saturation, "is_refused", lambda *given: False)
+
+
+def ignore_what_others_saw_crash(patch: Patch) -> None:
+    """Count only the crashes at which this entry lost requests itself."""
+    apply = CrashSuspicion.apply_reports
+
+    def apply_nothing(
+        suspicion: CrashSuspicion, reports: Any, now: float, *, is_list: bool
+    ) -> Any:
+        return apply(suspicion, (), now, is_list=is_list)
+
+    patch.setattr(CrashSuspicion, "apply_reports", apply_nothing)
+
+
+def refuse_any_implicated_part(patch: Patch) -> None:
+    """Refuse any implicated part, also one that was beside the crashing one."""
+
+    def compute(suspicion: Any, keys: tuple[str, ...], now: float) -> float:
+        return 60.0 * any(key in suspicion._implicated for key in keys)
+
+    patch.setattr(CrashSuspicion, "compute_quarantine", compute)
+    patch.setattr(CrashSuspicion, "record_answer", lambda *_: [])
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -1,12 +1,14 @@
 """Breaking a mechanism of forwarded requests makes a test fail."""
 
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 
 from tests.core import (
     forwardmutants,
     test_coldstartpacing,
+    test_crashsuspicion,
     test_exchanges,
     test_keptparts,
     test_ordercourse,
@@ -88,6 +90,17 @@
         forwardmutants.refuse_without_evidence,
         test_saturation.test_a_burst_that_has_not_waited_is_served_whole,
     ),
+    (
+        forwardmutants.ignore_what_others_saw_crash,
+        test_crashsuspicion.test_an_entry_that_starts_later_refuses_what_others_saw_crash,
+    ),
+    (
+        forwardmutants.refuse_any_implicated_part,
+        partial(
+            test_crashsuspicion.test_sound_prompts_that_share_the_other_parts_are_still_sent,
+            shared_subject=True,
+        ),
+    ),
     (
         forwardmutants.refuse_nothing,
         test_saturation.test_a_small_excess_is_shed_and_no_more,
--- a/tests/crashworld.py
+++ b/tests/crashworld.py
@@ -2,7 +2,8 @@
 
 Each engine begins to answer a prompt 0.2 s after it was sent and is done 0.6 s later.
 A prompt with the crashing part ends the engine 0.07 s after it began, and with it all
-that runs there; 3 s later another engine takes its place.
+that runs there; 3 s later another engine takes its place. What an entry publishes is
+known to all others half a second later.
 """
 
 from random import Random
@@ -10,6 +11,11 @@
 from msgspec import Struct
 
 from masticdrum.model.cluster_events import UpstreamChanged, UpstreamGone
+from masticdrum.model.crashes import (
+    CrashReport,
+    CrashReportChanged,
+    PublishCrashReport,
+)
 from masticdrum.model.exchange import (
     AttemptEnd,
     ExchangeEffect,
@@ -27,6 +33,7 @@
 RUN_S = 0.6
 CRASH_S = 0.07
 RESTART_S = 3.0
+SPREAD_S = 0.5  # until what one entry writes is known to all
 FIRST_PART = "instructions"
 CRASHING_PART = "crashing"
 
@@ -62,6 +69,8 @@
         self.crashing_sends: list[float] = []
         self.requests: list[Sent] = []
         self.restarts: list[float] = []
+        self.reports: list[tuple[float, CrashReport]] = []
+        self.stored: dict[str, CrashReport] = {}
         self.crashing: set[tuple[Entry, int]] = set()
         upstreams = tuple(self.make_engine(name) for name in self.names)
         self.entries = [
@@ -83,7 +92,9 @@
         crashing = CRASHING_PART in parts
         if crashing:
             self.crashing.add((entry, entry.handles + 1))
-        effects = entry.send_request(route, prompt=prompt, request=own)
+        effects = entry.send_request(
+            route, prompt=prompt, request=own, fingerprint=len(self.requests) + 1
+        )
         refused = bool(pick(effects, Refuse))
         self.requests.append(Sent(self.now, crashing, parts[1], refused))
         self.take(entry, effects)
@@ -91,6 +102,8 @@
 
     def take(self, entry: Entry, effects: list[ExchangeEffect]) -> None:
         """Carry out what an entry decided."""
+        for publication in pick(effects, PublishCrashReport):
+            self.reports.append((self.now + SPREAD_S, publication.report))
         for start in pick(effects, StartAttempt):
             crashes = (entry, start.handle) in self.crashing
             if crashes:
@@ -109,6 +122,11 @@
             for entry in self.entries:
                 entry.confirm()
                 self.take(entry, entry.handle_event(Ticked()))
+        for at, report in [r for r in self.reports if r[0] <= self.now]:
+            self.reports.remove((at, report))
+            self.stored[report.publisher] = report
+            for entry in self.entries:
+                self.take(entry, entry.handle_event(CrashReportChanged(report)))
         for at in [at for at in self.restarts if at <= self.now]:
             self.restarts.remove(at)
             self.start_engine()
@@ -116,6 +134,11 @@
             if run in self.runs:
                 self.advance(run)
 
+    def finish(self, seconds: float) -> None:
+        """Let time pass without new requests."""
+        for _ in range(round(seconds / STEP_S)):
+            self.step()
+
     def advance(self, run: Run) -> None:
         """Begin, crash or end one attempt if it is time."""
         age_s = self.now - run.sent_at
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -13,6 +13,7 @@
     MembersListed,
     UpstreamsListed,
 )
+from masticdrum.model.crashes import CrashReportsListed
 from masticdrum.model.directory import (
     Backend,
     Directory,
@@ -45,6 +46,7 @@
     cold=ColdStartBounds(factor=1.5, slack=5.0),
     weights_s=10.0,
     stop_linger_s=3.0,
+    unregister_s=6.0,
 )
 
 
@@ -132,6 +134,7 @@
         self.handle_event(DirectoryRead(make_directory(), self.now))
         self.handle_event(UpstreamsListed(upstreams))
         self.handle_event(DataCentresDrained(frozenset()))
+        self.handle_event(CrashReportsListed(()))
         self.handle_event(MembersListed((Member(name, "entry", "north"),)))
 
     def handle_event(self, event: ForwardEvent) -> list[ExchangeEffect]:
