--- a/masticdrum/core/attemptends.py
+++ b/masticdrum/core/attemptends.py
@@ -23,6 +23,10 @@
     counts_as_failure: bool = False
 
 
+# Ends that are an answer of the upstream that the request was sent to.
+ANSWER_ENDS = frozenset(
+    {AttemptEnd.ANSWERED, AttemptEnd.FAULT_ANSWERED, AttemptEnd.REJECTED}
+)
 END_RULES: dict[AttemptEnd, EndRule] = {
     AttemptEnd.ANSWERED: EndRule(Execution.YES, ErrorKind.UPSTREAM_FAILED),
     AttemptEnd.FAULT_ANSWERED: EndRule(Execution.YES, ErrorKind.UPSTREAM_FAILED, True),
--- a/masticdrum/core/crashes.py
+++ b/masticdrum/core/crashes.py
@@ -1,5 +1,6 @@
 """Tells what a forwarded request's end says about crashes of its upstream."""
 
+from masticdrum.core.attemptends import ANSWER_ENDS
 from masticdrum.core.exchangestate import Attempt, Exchange, ExchangeState
 from masticdrum.model.cluster_events import Source
 from masticdrum.model.crashes import (
@@ -20,10 +21,6 @@
 
 # Ends of an attempt whose upstream may have crashed.
 CRASH_ENDS = frozenset({AttemptEnd.LOST, AttemptEnd.TRUNCATED})
-# Ends that show that an upstream lives.
-ANSWER_ENDS = frozenset(
-    {AttemptEnd.ANSWERED, AttemptEnd.FAULT_ANSWERED, AttemptEnd.REJECTED}
-)
 
 MAX_PARTS = 32
 
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -5,7 +5,7 @@
 proof.
 """
 
-from masticdrum.core.attemptends import END_RULES
+from masticdrum.core.attemptends import ANSWER_ENDS, END_RULES
 from masticdrum.core.attemptstart import describe_attempt
 from masticdrum.core.candidatelist import is_cold, list_candidates
 from masticdrum.core.crashes import list_keys, record_end
@@ -194,13 +194,17 @@
     exchange = _find_exchange(state, event.handle, event.attempt)
     if exchange is None or exchange.attempt is None:
         return []
-    exchange.attempt.begun_at = now
-    state.heard_at[exchange.attempt.upstream] = now
+    attempt = exchange.attempt
+    attempt.begun_at = now
+    state.heard_at[attempt.upstream] = now
+    logs = state.limits.record_answer(
+        attempt.upstream, attempt.born, event.limit_per_s, exchange.request
+    )
     if exchange.stream_begun:
-        return []
+        return [*logs]
     exchange.stream_begun = True
     exchange.maybe_ran = True
-    return [BeginStream(exchange.handle, event.attempt)]
+    return [BeginStream(exchange.handle, event.attempt), *logs]
 
 
 def forward_events(
@@ -245,6 +249,10 @@
     _update_weights(state, exchange, attempt, event)
     effects += _log_end(exchange, attempt, event, rule.ran, now)
     effects += record_end(state, exchange, attempt, event, now)
+    if event.end in ANSWER_ENDS and attempt.begun_at is None:
+        effects += state.limits.record_answer(
+            attempt.upstream, attempt.born, event.limit_per_s, exchange.request
+        )
     if event.end is AttemptEnd.ANSWERED:
         return effects + deliver_answer(state, exchange, event, now)
     if _may_retry(state, exchange, rule.ran, now):
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -8,6 +8,7 @@
 from masticdrum.core.coldstartpacing import ColdStartBounds, ColdStartPacer, Place
 from masticdrum.core.crashsuspicion import CrashSuspicion
 from masticdrum.core.outlierdetection import OutlierDetector
+from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.saturation import Saturation
 from masticdrum.core.storedprefixes import StoredPrefixes
@@ -148,6 +149,7 @@
         self.prefixes = StoredPrefixes()
         self.saturation = Saturation(self.random)
         self.suspicion = CrashSuspicion(name, self.random)
+        self.limits = RequestLimits()
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.clock_offset = 0.0
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -119,6 +119,9 @@
         del state.outlier_detectors[name]
     for name in [name for name in state.heard_at if name not in known]:
         del state.heard_at[name]
+    for name in state.limits.list_upstreams():
+        if name not in known:
+            state.limits.forget(name)
 
 
 def _report_lease_change(state: ExchangeState, now: float) -> list[ExchangeEffect]:
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -83,10 +83,15 @@
 
 
 class StreamBegun(Struct, frozen=True):
-    """An upstream has started a stream of events."""
+    """An upstream has started a stream of events.
+
+    ``limit_per_s`` is how many requests a second it takes from all entries together,
+    None without a limit.
+    """
 
     handle: int
     attempt: int
+    limit_per_s: float | None = None
 
 
 class StreamEventsReceived(Struct, frozen=True):
@@ -109,6 +114,7 @@
     answers bear the upstream's signature and may be forwarded. ``weights`` is the
     version of the weights that the upstream reports, zero if it reports none.
     ``last_event`` is the id of the last event of a stream that was forwarded.
+    ``limit_per_s`` is as in ``StreamBegun``, for answers that are no streams.
     """
 
     handle: int
@@ -119,6 +125,7 @@
     weights: int = 0
     detail: str = ""
     last_event: int | None = None
+    limit_per_s: float | None = None
 
 
 class StopRequested(Struct, frozen=True):
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -63,6 +63,7 @@
     SETTINGS_REFUSED = 80
     CRASH_SUSPECTED = 81
     SUSPICION_CHANGED = 82
+    UPSTREAM_LIMITED = 83
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -1,6 +1,6 @@
 """Decodes the platform's headers into this project's types, and encodes them."""
 
-from math import ceil
+from math import ceil, isfinite
 
 from returns.result import Failure, Result, Success
 
@@ -19,6 +19,7 @@
 NOT_RUN = b"x-not-executed"
 WEIGHTS = b"x-weight-versions"
 KEEP_ALIVE = b"keep-alive"
+LIMIT = b"server-limit"
 STRIPPED_PREFIXES = (b"x-kv-", b"x-expect-")
 STRIPPED_HEADERS = frozenset(
     {
@@ -105,6 +106,7 @@
             events=kind.startswith(b"text/event-stream"),
             weights=int(weights) if weights.isdigit() else 0,
             idle_s=read_idle_timeout(values.get(KEEP_ALIVE, b"")),
+            limit_per_s=read_limit(values.get(LIMIT)),
         )
 
 
@@ -138,6 +140,17 @@
     )
 
 
+def read_limit(value: bytes | None) -> float | None:
+    """Return the requests a second that an upstream takes, None if it names none."""
+    if value is None:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        return None
+    return limit if isfinite(limit) and limit >= 0 else None
+
+
 def read_idle_timeout(value: bytes) -> float | None:
     """Return the idle timeout in a ``Keep-Alive`` header, in seconds."""
     for word in value.split(b","):
--- a/masticdrum/shell/headercodec.py
+++ b/masticdrum/shell/headercodec.py
@@ -25,7 +25,8 @@
     ``not_run`` means that the upstream states that it did not run the request,
     ``signed`` that the answer has a signature, ``plain`` that it has no content
     encoding, and ``events`` that it is an event stream. ``idle_s`` is the upstream's
-    idle timeout for the connection; None if it isn't stated.
+    idle timeout for the connection; None if it isn't stated. ``limit_per_s`` is how
+    many requests a second it takes from all entries together, None without a limit.
     """
 
     request: str
@@ -35,6 +36,7 @@
     events: bool
     weights: int = 0
     idle_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -10,6 +10,7 @@
 import h11
 import trio
 from msgspec import Struct
+from msgspec.structs import replace
 
 from masticdrum.model.exchange import (
     AttemptEnd,
@@ -183,9 +184,12 @@
             and upstream_headers.signed
             and upstream_headers.plain
         ):
-            ended = await self._read_events(effect, connection, answer, scope)
+            limit = upstream_headers.limit_per_s
+            ended = await self._read_events(effect, connection, answer, scope, limit)
         else:
             ended = await self._read_whole(effect, connection, answer, upstream_headers)
+            if upstream_headers.limit_per_s is not None:
+                ended = replace(ended, limit_per_s=upstream_headers.limit_per_s)
         return ended, upstream_headers.idle_s
 
     def _make_headers(self, effect: StartAttempt, request: CallerRequest) -> Headers:
@@ -200,10 +204,11 @@
         connection: UpstreamConnection,
         answer: UpstreamAnswer,
         scope: trio.CancelScope,
+        limit_per_s: float | None,
     ) -> AttemptEnded:
         self._sink.store_answer(effect.handle, effect.attempt, answer)
         forwarder = StreamForwarder(effect, self._submit, self._sink)
-        forwarder.begin()
+        forwarder.begin(limit_per_s)
         try:
             part = connection.take_body()
             if part is None:
@@ -312,13 +317,14 @@
         """Whether the stream so far ends with a complete event."""
         return self._splitter.is_whole
 
-    def begin(self) -> None:
+    def begin(self, limit_per_s: float | None) -> None:
         """Report the start of the stream; its head is sent with what follows at once.
 
         The caller of this method releases what is held.
         """
-        self._sink.hold(self._effect.handle)
-        self._submit(StreamBegun(self._effect.handle, self._effect.attempt))
+        effect = self._effect
+        self._sink.hold(effect.handle)
+        self._submit(StreamBegun(effect.handle, effect.attempt, limit_per_s))
 
     def forward(self, data: bytes, *, hold: bool) -> None:
         """Forward the events that ``data`` completes; raises ``EventTooLong``.
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -171,8 +171,10 @@
             AttemptEnded(start.handle, start.attempt, how, status, **more)
         )
 
-    def begin(self, start: StartAttempt) -> list[ExchangeEffect]:
-        return self.handle_event(StreamBegun(start.handle, start.attempt))
+    def begin(
+        self, start: StartAttempt, limit_per_s: float | None = None
+    ) -> list[ExchangeEffect]:
+        return self.handle_event(StreamBegun(start.handle, start.attempt, limit_per_s))
 
     def stream(self, start: StartAttempt, number: int) -> list[ExchangeEffect]:
         events = f"id: {number}\ndata: x\n\n".encode()
