Keep to the limits on requests that upstreams in need name

Cause: the header was passed on to callers and read by nobody. The class of fault: a limit that holds for all entries together, of which each knows only what it sends.

An entry that was told keeps to its share, spaced or, where all could have a request due at once, by turns; until an answer without a limit, or a restart. A prompt that would be shed as saturated takes such a share first, since the queue there is short.

Why it works: four seconds hold at most four times the limit and what each entry has saved up, which is bounded; with turns no more than the limit of each second.

Tests: tests/core/test_requestlimits.py, with 1 to 68 entries and limits of 0 to 20.

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -1,6 +1,7 @@
 """Lists the upstreams that may get a forwarded request now."""
 
 from masticdrum.core.clusterstate import KnownUpstream
+from masticdrum.core.coldstartpacing import Place
 from masticdrum.core.exchangestate import Exchange, ExchangeState
 
 
@@ -16,6 +17,13 @@
     usable = state.cluster_state.list_usable_upstreams(exchange.service, now)
     if now < state.cluster_state.any_cold_until or not state.pacer.is_empty:
         usable = [known for known in usable if _has_cold_capacity(state, known, now)]
+    if exchange.spare_only:
+        usable = [k for k in usable if state.limits.has_limit(k.upstream.name)]
+    if not state.limits.is_empty:
+        place = state.find_place(now)
+        usable = [
+            known for known in usable if _is_within_limit(state, known, place, now)
+        ]
     if exchange.prompt is not None:
         usable = _filter_by_weights(state, usable, exchange.prompt.model, now)
     remaining = usable
@@ -48,6 +56,13 @@
     return state.pacer.may_send(upstream.name, service.cold_per_s, place, now)
 
 
+def _is_within_limit(
+    state: ExchangeState, known: KnownUpstream, place: Place, now: float
+) -> bool:
+    upstream = known.upstream
+    return state.limits.may_send(upstream.name, upstream.born, place, now)
+
+
 def _is_ejected(state: ExchangeState, known: KnownUpstream, now: float) -> bool:
     detector = state.outlier_detectors.get(known.upstream.name)
     return detector is not None and detector.is_ejected(now)
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -77,7 +77,10 @@
         return [counted, *fail_exchange(state, exchange, kind, now, quarantine_s)]
     if exchange.prompt is not None:
         if _must_shed(state, exchange, now):
-            return [counted, *fail_exchange(state, exchange, ErrorKind.SATURATED, now)]
+            exchange.spare_only = True
+            if not list_candidates(state, exchange, now):
+                kind = ErrorKind.SATURATED
+                return [counted, *fail_exchange(state, exchange, kind, now)]
         urgency = exchange.urgency
         state.saturation.begin(exchange.service, urgency, exchange.handle, now)
     return [counted, *_send(state, exchange, now)]
@@ -159,12 +162,15 @@
     )
     if choice is None:
         return fail_exchange(state, exchange, ErrorKind.NO_UPSTREAM, now)
+    exchange.spare_only = False
     known = choice.known
     upstream = known.upstream
     service = state.cluster_state.find_service(upstream)
     if is_cold(known, now) and service is not None and service.cold_per_s > 0:
         place = state.find_place(now)
         state.pacer.record_send(upstream.name, service.cold_per_s, place, now)
+    if not state.limits.is_empty:
+        state.limits.record_send(upstream.name, state.find_place(now), now)
     state.attempts += 1
     exchange.attempt = Attempt(state.attempts, upstream.name, upstream.born, now)
     exchange.tried.add(upstream.name)
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -63,6 +63,8 @@
     whether there was one. ``last_event`` is the id of the last event that was
     forwarded. ``expected_s`` is how long its first event was expected to take when the
     request arrived. ``keys`` is what other requests may have in common with it.
+    ``spare_only`` tells that only upstreams with a limit may take it, since the others
+    are saturated.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         "route",
         "sends",
         "service",
+        "spare_only",
         "stream_begun",
         "tried",
         "work",
@@ -108,6 +111,7 @@
         self.keys: tuple[str, ...] = ()
         self.work = 1
         self.attempt: Attempt | None = None
+        self.spare_only = False
         self.stream_begun = False
         self.events_forwarded = False
         self.maybe_ran = False
@@ -149,7 +153,7 @@
         self.prefixes = StoredPrefixes()
         self.saturation = Saturation(self.random)
         self.suspicion = CrashSuspicion(name, self.random)
-        self.limits = RequestLimits()
+        self.limits = RequestLimits(self.random)
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.clock_offset = 0.0
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -5,12 +5,19 @@
 import pytest
 from msgspec import structs
 
-from masticdrum.core import attemptstart, clusterstate, exchanges, storedprefixes
+from masticdrum.core import (
+    attemptstart,
+    clusterstate,
+    exchanges,
+    requestlimits,
+    storedprefixes,
+)
 from masticdrum.core.attemptends import END_RULES
 from masticdrum.core.clusterstate import ClusterState
-from masticdrum.core.coldstartpacing import ColdStartPacer
+from masticdrum.core.coldstartpacing import ColdStartPacer, Place
 from masticdrum.core.crashsuspicion import CrashSuspicion
 from masticdrum.core.orderexecution import OrderExecution
+from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryWindow
 from masticdrum.core.saturation import Queue, Saturation
 from masticdrum.core.storedprefixes import StoredPrefixes
@@ -168,3 +175,16 @@
 
     patch.setattr(CrashSuspicion, "compute_quarantine", compute)
     patch.setattr(CrashSuspicion, "record_answer", lambda *_: [])
+
+
+def take_whole_limits(patch: Patch) -> None:
+    """Let each entry use the whole of a limit, as if it were alone."""
+    may_send = RequestLimits.may_send
+
+    def may_send_alone(
+        limits: RequestLimits, upstream: str, born: int, place: Place, now: float
+    ) -> bool:
+        return may_send(limits, upstream, born, Place(0, 1, place.time_of_day), now)
+
+    patch.setattr(RequestLimits, "may_send", may_send_alone)
+    patch.setattr(requestlimits, "compute_interval", lambda per_s, members: 1 / per_s)
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -12,6 +12,7 @@
     test_exchanges,
     test_keptparts,
     test_ordercourse,
+    test_requestlimits,
     test_saturation,
     test_upstreamlists,
 )
@@ -101,6 +102,14 @@
             shared_subject=True,
         ),
     ),
+    (
+        forwardmutants.take_whole_limits,
+        partial(
+            test_requestlimits.test_entries_use_what_an_upstream_in_need_takes,
+            entries=10,
+            share=0.85,
+        ),
+    ),
     (
         forwardmutants.refuse_nothing,
         test_saturation.test_a_small_excess_is_shed_and_no_more,
--- a/tests/core/test_requestlimits.py
+++ b/tests/core/test_requestlimits.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from masticdrum.model.cluster_events import Member, MembersListed
+from masticdrum.core.coldstartpacing import Place
+from masticdrum.core.requestlimits import RequestLimits
+from masticdrum.model.cluster_events import Member, MembersListed, UpstreamGone
 from masticdrum.model.exchange import AttemptEnd, StartAttempt
-from tests.forwarding import Entry, make_upstream, pick
+from tests.forwarding import Entry, get_start, make_upstream, pick
 
 NEEDY, SOUND = "engines-1", "engines-2"
 STEP_S = 0.02
@@ -80,3 +82,68 @@
         world.run(8.0, 60 / entries)
         allowed = FACTOR * limit * WINDOW_S + SLACK
         assert world.find_busiest() <= allowed, f"limit {limit}"
+
+
+# Guards against entries that leave much of a limit unused while callers are refused.
+@pytest.mark.parametrize(("entries", "share"), [(3, 0.85), (10, 0.85), (38, 0.4)])
+def test_entries_use_what_an_upstream_in_need_takes(entries: int, share: float) -> None:
+    world = LimitWorld(entries, 6.0)
+    world.run(5.0, 60 / entries)
+    world.needy_sends.clear()
+    world.run(20.0, 60 / entries)
+    assert share * 6.0 * 20 <= len(world.needy_sends) <= 1.1 * 6.0 * 20
+
+
+# Guards against a limit that outlives the need, or is taken for another upstream's.
+def test_a_limit_ends_with_an_answer_without_one_or_with_a_restart() -> None:
+    limits = RequestLimits(Random(1))
+    place = Place(0, 1, 0.0)
+    limits.record_answer("engines-1", 1, 0.5, "r1")
+    assert not limits.may_send("engines-1", 1, place, 100.0)
+    assert limits.may_send("engines-1", 2, place, 100.0)
+    limits.record_answer("engines-1", 1, None, "r2")
+    assert limits.may_send("engines-1", 1, place, 100.0)
+    entry = Entry()
+    start = get_start(entry.send_request("stream"))
+    entry.begin(start, 0.5)
+    assert entry.state.limits.has_limit(start.upstream)
+    entry.handle_event(UpstreamGone(start.upstream))
+    assert not entry.state.limits.has_limit(start.upstream)
+
+
+# Guards against a stream that began before the limit was named lifting it at its end.
+def test_the_end_of_a_stream_says_nothing_of_limits() -> None:
+    entry = Entry(upstreams=(make_upstream(NEEDY, "engines"),))
+    before = get_start(entry.send_request("stream"))
+    entry.begin(before)
+    after = get_start(entry.send_request("stream"))
+    entry.begin(after, 0.5)
+    entry.end(before, AttemptEnd.ANSWERED, 200, verified=True)
+    assert entry.state.limits.has_limit(NEEDY)
+
+
+# Guards against refusing prompts as saturated while an upstream with a limit, whose
+# queue is short, could take one more.
+def test_a_prompt_that_would_be_shed_takes_a_limited_upstreams_share() -> None:
+    upstreams = (make_upstream(NEEDY, "engines"), make_upstream(SOUND, "engines"))
+    entry = Entry(upstreams=upstreams)
+    entry.state.limits.record_answer(NEEDY, 0, 1.0, "r0")
+    for _ in range(8):
+        entry.send_request("stream")
+    entry.now += 0.5
+    entry.confirm()
+    sent: list[str] = []
+    for _ in range(200):
+        entry.now += 0.02
+        entry.confirm()
+        sent += [s.upstream for s in pick(entry.send_request("stream"), StartAttempt)]
+    assert set(sent) == {NEEDY}
+    assert 3 <= len(sent) <= 5
+
+
+# Guards against plain requests, which are answered whole, ignoring limits.
+def test_whole_answers_name_limits_too() -> None:
+    entry = Entry()
+    start = get_start(entry.send_request("idempotent"))
+    entry.end(start, AttemptEnd.ANSWERED, 200, verified=True, limit_per_s=0.5)
+    assert entry.state.limits.has_limit(start.upstream)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,29 @@
+"""What is read of the platform's headers."""
+
+import pytest
+
+from masticdrum.platform.headers import PlatformHeaderCodec
+
+
+# Guards against a limit that an upstream names being passed on unread, and against
+# values that are no limits.
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        (b"4.9", 4.9),
+        (b"0", 0.0),
+        (b"12", 12.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"many", None),
+        (b"", None),
+    ],
+)
+def test_the_limit_of_an_upstream_is_a_decimal_number(
+    value: bytes, limit: float | None
+) -> None:
+    headers = [(b"x-request-id", b"r1"), (b"server-limit", value)]
+    read = PlatformHeaderCodec().read_upstream(200, headers)
+    assert read.limit_per_s == limit
+    assert PlatformHeaderCodec().read_upstream(200, headers[:1]).limit_per_s is None
