--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -1,5 +1,7 @@
 """Attempts at upstreams with valid, irregular or no answers, over real sockets."""
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
@@ -276,6 +278,48 @@
     assert (end.end, end.last_event) == (AttemptEnd.TRUNCATED, 1)
 
 
+UNFRAMED = STREAM.replace(b"Transfer-Encoding: chunked\r\n", b"")
+UNFRAMED_OK = OK.replace(b"Content-Length: 2\r\n", b"")
+
+
+class ResettingUpstream(FakeUpstream):
+    """An upstream that resets the connection after its answer."""
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(self.answers.pop(0))
+        await trio.sleep(0.05)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await stream.aclose()
+
+
+# Guards against answers without a length, which end with their connection, that look
+# complete although they were broken off, or broken off although they are complete.
+@pytest.mark.parametrize(
+    ("upstream", "end", "events"),
+    [
+        (FakeUpstream(UNFRAMED + EVENT, close=True), AttemptEnd.ANSWERED, EVENT),
+        (
+            FakeUpstream(UNFRAMED + EVENT + b"id: 2\nda", close=True),
+            AttemptEnd.TRUNCATED,
+            EVENT,
+        ),
+        (ResettingUpstream(UNFRAMED + EVENT), AttemptEnd.LOST, EVENT),
+        (FakeUpstream(UNFRAMED_OK, close=True), AttemptEnd.ANSWERED, b""),
+        (ResettingUpstream(UNFRAMED_OK), AttemptEnd.TRUNCATED, b""),
+    ],
+    ids=["stream", "within an event", "stream reset", "whole", "whole reset"],
+)
+def test_an_answer_without_a_length_ends_with_its_connection(
+    upstream: FakeUpstream, end: AttemptEnd, events: bytes
+) -> None:
+    sink = FakeSink()
+    received = run_attempts(upstream, sink=sink)
+    first = [e.events for e in received if isinstance(e, StreamEventsReceived)]
+    assert b"".join([*first, *sink.forwarded]) == events
+    assert find_end(received).end is end
+
+
 class TricklingUpstream(FakeUpstream):
     """An upstream that sends its answer in pieces and waits before each."""
 
