--- a/masticdrum/core/crashsuspicion.py
+++ b/masticdrum/core/crashsuspicion.py
@@ -26,7 +26,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from itertools import chain, islice
 from random import Random
 
@@ -55,6 +55,7 @@
 LAST_BYTES_S = 0.05  # in which bytes from before a crash may still arrive
 CLEARANCE_DELAY_S = 0.5  # at most; spreads out the entries' writes
 PUBLISH_GAP_S = 0.3
+REVIEW_GAP_S = 1.0
 MAX_CLEARED_KEYS = 4096
 MAX_CLAIMS = 64  # of one entry
 MAX_KNOWN_CLAIMS = 2000
@@ -99,6 +100,8 @@
         "_publish_at",
         "_published_at",
         "_random",
+        "_refused_until",
+        "_reviewed_at",
         "_signatures",
         "is_listed",
     )
@@ -119,6 +122,8 @@
         self._dropped: dict[str, None] = {}
         self._publish_at: float | None = None
         self._published_at = float("-inf")
+        self._reviewed_at = float("-inf")
+        self._refused_until: dict[frozenset[str], float] = {}
 
     def record_loss(self, claim: CrashClaim, now: float) -> list[Log]:
         """Claim that a lost request may have crashed its upstream.
@@ -193,22 +198,16 @@
 
     def compute_quarantine(self, keys: tuple[str, ...], now: float) -> float:
         """Return for how long a request with these keys is refused, in seconds."""
-        implicated = self._implicated.intersection(keys) if self._implicated else ()
-        if not implicated:
+        if not self._implicated:
             return 0.0
-        matching = [
-            known
-            for signature, claims in self._signatures.items()
-            if signature.issubset(implicated)
-            for known in claims
-        ]
-        crashes = count_crashes(matching)
-        if crashes < MIN_MATCHES:
+        implicated = frozenset(self._implicated.intersection(keys))
+        if not implicated:
             return 0.0
-        last = max(known.learnt_at for known in matching)
-        relapses = max(0, crashes - MIN_CRASHES)
-        lasts_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** min(relapses, 10))
-        return max(0.0, last + lasts_s - now)
+        until = self._refused_until.get(implicated)
+        if until is None:
+            until = self._find_refused_until(implicated)
+            self._refused_until[implicated] = until
+        return max(0.0, until - now)
 
     def review(
         self, now: float, is_alive: IsAlive, is_registered: IsRegistered
@@ -220,16 +219,20 @@
         incarnation of a claim of this age in seconds would not be listed any more if it
         had crashed, but is.
         """
+        pending = [self._claims[n] for n, at in self._own_claims.items() if at]
         dropped = [
             known
-            for number, known in self._claims.items()
-            if now - known.learnt_at >= RETENTION_S
-            or is_registered(known.claim, now - known.learnt_at)
-            or (
-                self._own_claims.get(number) is not None
-                and is_alive(known.claim.upstream, known.learnt_at + LAST_BYTES_S)
-            )
+            for known in pending
+            if is_alive(known.claim.upstream, known.learnt_at + LAST_BYTES_S)
         ]
+        if now >= self._reviewed_at + REVIEW_GAP_S:
+            self._reviewed_at = now
+            dropped += [
+                known
+                for known in self._claims.values()
+                if now - known.learnt_at >= RETENTION_S
+                or is_registered(known.claim, now - known.learnt_at)
+            ]
         excess = max(0, len(self._claims) - MAX_KNOWN_CLAIMS)
         dropped += [known for known in islice(self._claims.values(), excess)]
         for known in dropped:
@@ -309,8 +312,10 @@
             self._cleared.discard(clearance)
             self._own_clearances.discard(clearance)
 
-    def _judge(self, keys: Iterable[str]) -> list[Log]:
+    def _judge(self, keys: Collection[str]) -> list[Log]:
         """Find out which keys are implicated, after the claims of ``keys`` changed."""
+        if not keys:
+            return []
         for key in keys:
             claims = [k for k in self._claims_by_key.get(key, ()) if key in k.suspects]
             if is_implicated(key, claims):
@@ -329,6 +334,7 @@
             key for key, listed in by_key.items() if is_implicated(key, listed)
         }
         self._signatures = {}
+        self._refused_until = {}
         for known in claims:
             implicated = known.suspects & self._implicated
             parts = frozenset(k for k in implicated if k.startswith(PART_PREFIX))
@@ -338,6 +344,22 @@
             return []
         return [self._describe_change(before)]
 
+    def _find_refused_until(self, implicated: frozenset[str]) -> float:
+        """Return until when requests with these implicated keys are refused."""
+        matching = [
+            known
+            for signature, claims in self._signatures.items()
+            if signature.issubset(implicated)
+            for known in claims
+        ]
+        crashes = count_crashes(matching)
+        if crashes < MIN_MATCHES:
+            return float("-inf")
+        last = max(known.learnt_at for known in matching)
+        relapses = max(0, crashes - MIN_CRASHES)
+        lasts_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** min(relapses, 10))
+        return last + lasts_s
+
     def _list_incriminating(self) -> list[KnownClaim]:
         """List the claims that have a candidate among their suspects."""
         return list(
