--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -6,6 +6,7 @@
 """
 
 from masticdrum.core.attemptends import ANSWER_ENDS, END_RULES
+from masticdrum.core.attemptlog import log_end
 from masticdrum.core.attemptstart import describe_attempt
 from masticdrum.core.candidatelist import is_cold, list_candidates
 from masticdrum.core.crashes import list_keys, record_end
@@ -39,7 +40,6 @@
 from masticdrum.model.telemetry import (
     Count,
     Counter,
-    Facts,
     Histogram,
     Log,
     LogNumber,
@@ -253,7 +253,7 @@
         state, attempt.upstream, rule.counts_as_failure, event, now
     )
     _update_weights(state, exchange, attempt, event)
-    effects += _log_end(exchange, attempt, event, rule.ran, now)
+    effects += log_end(exchange, attempt, event, rule.ran, now)
     effects += record_end(state, exchange, attempt, event, now)
     if event.end in ANSWER_ENDS and attempt.begun_at is None:
         effects += state.limits.record_answer(
@@ -337,43 +337,6 @@
         exchange.tried.discard(attempt.upstream)
 
 
-def _log_end(
-    exchange: Exchange,
-    attempt: Attempt,
-    event: AttemptEnded,
-    ran: Execution,
-    now: float,
-) -> list[ExchangeEffect]:
-    counted = Count(Counter.ATTEMPTS, event.end.value)
-    if event.end is AttemptEnd.ANSWERED:
-        return [counted]
-    log = Log(
-        LogNumber.EXCHANGE_ATTEMPT_ENDED,
-        request=exchange.request,
-        attempt=str(attempt.number),
-        detail=event.detail,
-        facts={
-            "upstream": attempt.upstream,
-            "end": event.end.value,
-            "ran": ran.value,
-            "status": event.status,
-            "after_s": round(now - attempt.started_at, 3),
-            **_describe_prompt(exchange, attempt, now),
-        },
-    )
-    return [counted, log]
-
-
-def _describe_prompt(exchange: Exchange, attempt: Attempt, now: float) -> Facts:
-    """Describe what distinguishes a request that ran at an upstream's crash."""
-    facts: Facts = {}
-    if exchange.prompt is not None:
-        facts["parts"] = [part.name for part in exchange.prompt.parts]
-    if attempt.begun_at is not None:
-        facts["begun_s"] = round(now - attempt.begun_at, 3)
-    return facts
-
-
 def _may_retry(
     state: ExchangeState, exchange: Exchange, ran: Execution, now: float
 ) -> bool:
