Take a spoilt body of the store for a lost answer

A 200 whose body is no object ended the task that keeps the entry's registration, and with it the process; the writer of crash reports would have ended likewise.

--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -128,12 +128,12 @@
                 status, body = await self._call("GET", f"{path}/{quote(name)}")
             else:
                 status, body = await self._put(path, name, call)
+            how = STATUSES.get(status, ObjectStatus.LOST)
+            if how is not ObjectStatus.OK:
+                return ObjectAnswer(call.call, how)
+            stored = decode(body, StoredObject)
         except StoreFailed:
             return ObjectAnswer(call.call, ObjectStatus.LOST)
-        how = STATUSES.get(status, ObjectStatus.LOST)
-        if how is not ObjectStatus.OK:
-            return ObjectAnswer(call.call, how)
-        stored = decode(body, StoredObject)
         return ObjectAnswer(
             call.call, how, stored.metadata.revision, bytes(stored.spec)
         )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import trio
 from trio.testing import MockClock
 
+from masticdrum.model.platform import ObjectGet, ObjectStatus
 from masticdrum.platform.store import Store, StoreFailed, WatchInterrupted
 
 OUTAGE_S = 4.0
@@ -49,3 +50,21 @@
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
     assert OUTAGE_S <= ended_at[0] <= OUTAGE_S + 2.0
+
+
+class SpoiltPool:
+    """Answers each call with a body that is no object."""
+
+    async def request(self, method: str, url: str, **more: Any) -> httpcore.Response:
+        response = httpcore.Response(200, content=b"spoilt")
+        await response.aread()
+        return response
+
+
+# Guards against a process that ends because the store sent it a spoilt body.
+def test_a_body_that_is_no_object_is_a_lost_answer() -> None:
+    store = Store("127.0.0.1:1", lambda how: None)
+    pool: Any = SpoiltPool()
+    store._pool = pool
+    answer = trio.run(store.execute, ObjectGet("read", "members/entry-1"))
+    assert answer.status is ObjectStatus.LOST
