--- a/tests/shell/test_forwarding.py
+++ b/tests/shell/test_forwarding.py
@@ -12,8 +12,11 @@
     Refuse,
 )
 from masticdrum.platform.headers import PlatformHeaderCodec
-from masticdrum.shell.callerconnection import CallerConnection
-from masticdrum.shell.forwardapplication import ForwardApplication
+from masticdrum.shell.callerconnection import CallerConnection, IncomingRequest
+from masticdrum.shell.forwardapplication import (
+    ForwardApplication,
+    compute_fingerprint,
+)
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.upstreamclient import UpstreamAnswer
 from tests.shell.callers import REQUEST, SMALL, FakeCaller, run_connection
@@ -145,3 +148,27 @@
     assert received.startswith(f"HTTP/1.1 {status}".encode())
     assert b"connection: close\r\n" in received.lower()
     assert forwarding.events == []
+
+
+# Guards against repeats of a crashing request that aren't known as such, and against
+# other requests that are taken for it.
+def test_only_repeats_by_the_same_caller_share_a_fingerprint() -> None:
+    def fingerprint(key: str = "k", **changes: object) -> int:
+        values: dict[str, object] = {
+            "method": b"POST",
+            "target": b"/a/1?x=2",
+            "headers": [(b"host", b"desk.example")],
+            "body": b"body",
+            "arrived": 1.0,
+        }
+        return compute_fingerprint(IncomingRequest(**{**values, **changes}), key)
+
+    assert fingerprint() == fingerprint(arrived=2.0)
+    others = [
+        fingerprint(key="l"),
+        fingerprint(body=b"bod"),
+        fingerprint(target=b"/a/1?x=3"),
+        fingerprint(method=b"PUT"),
+        fingerprint(target=b"/a/1?x=2b", body=b"ody"),
+    ]
+    assert len({fingerprint(), *others}) == 6
