Log that the store was restored, and what an agent knows of the permits

The logs couldn't tell whether an agent that gives no order waits for a permit, for the store or for a higher fencing number, nor that the store had come back from a copy. Store-Era is read from each answer; nothing decides by it yet.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -22,6 +22,7 @@
     Source,
     SourceLost,
     SourceRegained,
+    StoreRestored,
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
@@ -182,6 +183,9 @@
     if isinstance(event, DirectoryConfirmed):
         _extend_lease(cluster_state, event.last_confirmed_at)
         return []
+    if isinstance(event, StoreRestored):
+        facts: Facts = {"era": event.era, "before": event.before}
+        return [Log(LogNumber.STORE_RESTORED, facts=facts)]
     cluster_state.forget_lists()
     return _apply_change(cluster_state, event, now)
 
@@ -206,7 +210,9 @@
             return _apply_members(cluster_state, event)
         case SourceLost() | SourceRegained():
             return _apply_reachability(cluster_state, event, now)
-        case DirectoryConfirmed() | CrashReportsListed() | CrashReportChanged():
+        case DirectoryConfirmed() | StoreRestored():
+            return []
+        case CrashReportsListed() | CrashReportChanged():
             return []
 
 
--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -103,7 +103,7 @@
         case OrderAnswered():
             effects += _handle_order_answer(state, event, now)
         case ObjectAnswer():
-            state.orders.permits.handle_answer(event, now)
+            effects += _handle_permit_answer(state, event, now)
         case StopRequested():
             state.stopping = True
             return [ExitProcess()]
@@ -170,6 +170,19 @@
     return replace(PERMIT_BOUNDS, loads=loads)
 
 
+def _handle_permit_answer(
+    state: EngineControllerState, answer: ObjectAnswer, now: float
+) -> list[EngineControllerEffect]:
+    permits = state.orders.permits
+    before = permits.describe()
+    permits.handle_answer(answer, now)
+    facts = permits.describe()
+    if facts == before:
+        return []
+    facts["ordered_fence"] = state.orders.fence
+    return [Log(LogNumber.PERMIT_CHANGED, detail=answer.status.value, facts=facts)]
+
+
 def _handle_order_answer(
     state: EngineControllerState, answer: OrderAnswered, now: float
 ) -> list[EngineControllerEffect]:
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -21,6 +21,7 @@
     ObjectPut,
     ObjectStatus,
 )
+from masticdrum.model.telemetry import Facts
 
 PERMITS_PATH = "permits/weights"
 MAX_LOADS = 2  # concurrent loads that the weight store can serve
@@ -84,6 +85,7 @@
 
     __slots__ = (
         "_calls",
+        "_era",
         "_expires_at",
         "_fence",
         "_holder_prefix",
@@ -116,6 +118,7 @@
         self.desired = DesiredState.NONE
         self._random = Random(seed)
         self._calls = 0
+        self._era = 0
         self._pending = ""
         self._proposed = PermitTable()
         self._table = PermitTable()
@@ -144,6 +147,15 @@
         wanted = self.desired is DesiredState.HOLD
         return not wanted and not self._token and not self._pending
 
+    def describe(self) -> Facts:
+        """Return what is known of the permits, for the log."""
+        return {
+            "era": self._era,
+            "fence": self._table.fence,
+            "leases": len(self._table.leases),
+            "own_fence": self._fence,
+        }
+
     def request(self) -> None:
         """Request a permit, or keep the one that is held."""
         self.desired = DesiredState.HOLD
@@ -180,6 +192,7 @@
         if answer.call != self._pending:
             return
         wrote = self._pending.startswith("permits write")
+        self._era = answer.era
         self._pending = ""
         match answer.status:
             case ObjectStatus.OK if wrote:
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -106,6 +106,16 @@
     lost_s: float
 
 
+class StoreRestored(Struct, frozen=True):
+    """The store came back from an older copy, and has lost what was written since.
+
+    ``era`` counts how often that has happened; ``before`` is the last one seen.
+    """
+
+    era: int
+    before: int
+
+
 ClusterEvent = (
     DirectoryRead
     | DirectoryConfirmed
@@ -119,4 +129,5 @@
     | SourceRegained
     | CrashReportsListed
     | CrashReportChanged
+    | StoreRestored
 )
--- a/masticdrum/model/platform.py
+++ b/masticdrum/model/platform.py
@@ -58,6 +58,8 @@
 
     ``REJECTED`` had no effect: the platform answered at once that it is down or that a
     rate limit was reached. ``LOST`` may have had one. ``names`` answers ``ObjectList``.
+    ``era`` counts how often the platform has come back from an older copy; it is zero
+    if the platform doesn't tell.
     """
 
     call: str
@@ -65,6 +67,7 @@
     version: int = 0
     body: bytes = b""
     names: tuple[str, ...] = ()
+    era: int = 0
 
 
 class InstanceState(StrEnum):
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -64,6 +64,8 @@
     CRASH_SUSPECTED = 81
     SUSPICION_CHANGED = 82
     UPSTREAM_LIMITED = 83
+    STORE_RESTORED = 84
+    PERMIT_CHANGED = 85
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/agent.py
+++ b/masticdrum/platform/agent.py
@@ -8,6 +8,7 @@
 import click
 import trio
 
+from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.model.telemetry import Count, Counter
 from masticdrum.platform.engine import Engine
@@ -29,16 +30,18 @@
 
     def __init__(self, settings: EngineControllerSettings) -> None:
         self._settings = settings
+        self._submit: Submit | None = None
         self._meters: Metrics | None = None
-        self._store = Store(settings.store, self._count)
+        self._store = Store(settings.store, self._count, self._report_restored)
 
     def make_engine(self, submit: Submit) -> Engine:
         """Return the client of the engine."""
         return Engine(submit, self._settings)
 
-    def make_store(self, meters: Metrics) -> Store:
+    def make_store(self, meters: Metrics, submit: Submit) -> Store:
         """Return the client of the store."""
         self._meters = meters
+        self._submit = submit
         return self._store
 
     def make_watch_tasks(self, submit: Submit) -> list[Callable[[], Awaitable[None]]]:
@@ -48,6 +51,10 @@
             for watched in (AGENT_UPSTREAMS, WEIGHTS)
         ]
 
+    def _report_restored(self, event: StoreRestored) -> None:
+        if self._submit is not None:
+            self._submit(event)
+
     def _count(self, how: str) -> None:
         if self._meters is not None:
             self._meters.count(Count(Counter.PLATFORM_CALLS, how))
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -54,7 +54,7 @@
     def count_call(how: str) -> None:
         meters.count(Count(Counter.PLATFORM_CALLS, how))
 
-    store = Store(settings.store, count_call)
+    store = Store(settings.store, count_call, submit)
     member = Member(settings.name, ROLE, settings.data_centre)
     runs: list[Callable[[], Awaitable[None]]] = [lambda: announce(store, member)]
     for watched in WATCHED:
--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -9,6 +9,7 @@
 import trio
 from msgspec import Raw, Struct
 
+from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.platform import (
     ObjectAnswer,
     ObjectGet,
@@ -24,6 +25,7 @@
 KIND_PREFIX = "masticdrum-"  # our own kinds, separate from the platform's
 MS_PER_S = 1000
 HISTORY_GONE_STATUS = 410
+ERA_HEADER = b"store-era"
 STALE_QUERY = {"staleOk": "1"}
 STATUSES = {
     200: ObjectStatus.OK,
@@ -77,12 +79,19 @@
     first answer after a timeout ends them, and they are sent again.
     """
 
-    def __init__(self, address: str, count_call: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        address: str,
+        count_call: Callable[[str], None],
+        report_restored: Callable[[StoreRestored], None] = lambda event: None,
+    ) -> None:
         self._base = f"http://{address}/v1/objects/"
         self._count_call = count_call
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, network_backend=UpstreamBackend()
         )
+        self._report_restored = report_restored
+        self.era = 0  # the latest that an answer named
         self._was_silent = False
         self._watches: set[trio.CancelScope] = set()
 
@@ -130,12 +139,16 @@
                 status, body = await self._put(path, name, call)
             how = STATUSES.get(status, ObjectStatus.LOST)
             if how is not ObjectStatus.OK:
-                return ObjectAnswer(call.call, how)
+                return ObjectAnswer(call.call, how, era=self.era)
             stored = decode(body, StoredObject)
         except StoreFailed:
-            return ObjectAnswer(call.call, ObjectStatus.LOST)
+            return ObjectAnswer(call.call, ObjectStatus.LOST, era=self.era)
         return ObjectAnswer(
-            call.call, how, stored.metadata.revision, bytes(stored.spec)
+            call.call,
+            how,
+            stored.metadata.revision,
+            bytes(stored.spec),
+            era=self.era,
         )
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
@@ -181,13 +194,27 @@
         if self._was_silent:
             self._was_silent = False
             self._interrupt_watches()
+        self._note_era(find_era(response))
         return response.status, response.content
 
+    def _note_era(self, era: int) -> None:
+        before, self.era = self.era, max(self.era, era)
+        if 0 < before < self.era:
+            self._report_restored(StoreRestored(self.era, before))
+
     def _interrupt_watches(self) -> None:
         for scope in self._watches:
             scope.cancel()
 
 
+def find_era(response: httpcore.Response) -> int:
+    """Return how often the store has come back from a copy, zero if it isn't told."""
+    for name, value in response.headers:
+        if name.lower() == ERA_HEADER and value.isdigit():
+            return int(value)
+    return 0
+
+
 def decode(body: bytes, kind: type[T]) -> T:
     """Decode an answer; raises ``StoreFailed``."""
     try:
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -59,7 +59,7 @@
     def make_engine(self, submit: Submit) -> EngineOrderClient:
         """Return the client of the engine."""
 
-    def make_store(self, meters: Metrics) -> PermitStore:
+    def make_store(self, meters: Metrics, submit: Submit) -> PermitStore:
         """Return the client of the store."""
 
     def make_watch_tasks(self, submit: Submit) -> list[Callable[[], Awaitable[None]]]:
@@ -93,7 +93,7 @@
             lambda: None,
             read_clock,
         )
-        self.store = platform.make_store(self.meters)
+        self.store = platform.make_store(self.meters, self.loop.submit)
         self.engine = platform.make_engine(self.loop.submit)
         probes = Probes(self.meters, lambda: True, self._describe)
         self.server = CallerServer({settings.metrics: ProbeHandler(probes)})
