Give permits an era, so that loads are ordered after a restore

Cause: the permits for loads lie in one object. A restored store has an older one or none, so that fencing numbers begin again lower. An agent orders only under a higher number than its last, so it held its permit for ever and gave no order, and held up the others. Leases were forgotten too, so that three engines could load at once. Change: answers carry the store's era. Each era has its own range of fencing numbers; a table of an earlier era grants nothing until the time of a lease and a load has passed, while holders write their leases again; a write whose answer names a later era is read again, since revisions are given out again. An agent also never takes a number below the highest it has seen, for stores that name no era. Why it works: no number of an earlier era can be reached again, and a grant waits until no lease that was lost can still matter.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -18,7 +18,7 @@
 from masticdrum.core.orders import Orders
 from masticdrum.core.permits import PermitBounds, Permits
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered
-from masticdrum.model.cluster_events import ClusterEvent
+from masticdrum.model.cluster_events import ClusterEvent, StoreRestored
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
 from masticdrum.model.telemetry import Count, Counter, Facts, Log, LogNumber
@@ -104,6 +104,9 @@
             effects += _handle_order_answer(state, event, now)
         case ObjectAnswer():
             effects += _handle_permit_answer(state, event, now)
+        case StoreRestored():
+            state.orders.permits.record_era(event.era, now)
+            effects += apply_cluster_event(state.cluster_state, event, now)
         case StopRequested():
             state.stopping = True
             return [ExitProcess()]
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -7,6 +7,12 @@
 the time of a lease and a load. That covers an order sent at the last moment and the
 load that it started. After a lost answer the object is read: a lease with the agent's
 own token was granted.
+
+A platform that comes back from an older copy has lost leases and fencing numbers. Its
+answers name the era, which rises each time, and a table of an earlier era is settled
+only once the time of a lease and a load has passed since the era was first seen. Until
+then agents write the leases that they hold again, and nothing new is granted. Each era
+has a range of fencing numbers of its own, above those of the eras before.
 """
 
 from enum import StrEnum
@@ -31,6 +37,8 @@
 RENEW_EVERY_S = 3.0
 MIN_POLL_S = 0.5
 MAX_POLL_S = 10.0
+FIRST_ERA = 1  # in it nothing has been lost yet
+FENCES_PER_ERA = 2**32
 
 
 class Lease(Struct):
@@ -41,10 +49,14 @@
 
 
 class PermitTable(Struct):
-    """The stored object: the last fencing number, and the leases by token."""
+    """The stored object: the last fencing number, and the leases by token.
+
+    ``era`` is the one in which the table was last known to hold all leases.
+    """
 
     fence: int = 0
     leases: dict[str, Lease] = field(default_factory=dict)
+    era: int = 0
 
 
 class Sighting(Struct):
@@ -86,11 +98,14 @@
     __slots__ = (
         "_calls",
         "_era",
+        "_era_seen_at",
         "_expires_at",
         "_fence",
+        "_highest_fence",
         "_holder_prefix",
         "_poll_s",
         "_pending",
+        "_pending_era",
         "_proposed",
         "_random",
         "_released",
@@ -119,7 +134,10 @@
         self._random = Random(seed)
         self._calls = 0
         self._era = 0
+        self._era_seen_at = 0.0
+        self._highest_fence = 0
         self._pending = ""
+        self._pending_era = 0
         self._proposed = PermitTable()
         self._table = PermitTable()
         self._version = -1
@@ -175,6 +193,7 @@
         if self.desired is DesiredState.NONE and not self._token:
             return None
         self._calls += 1
+        self._pending_era = self._era
         if self._version < 0:
             self._pending = f"permits read {self._calls}"
             return ObjectGet(self._pending, PERMITS_PATH)
@@ -187,13 +206,24 @@
         body = msgspec.json.encode(proposed)
         return ObjectPut(self._pending, PERMITS_PATH, body, self._version)
 
+    def record_era(self, era: int, now: float) -> None:
+        """Record how often the platform has come back from an older copy."""
+        if era <= self._era:
+            return
+        self._era = era
+        self._era_seen_at = now
+        self._version = -1
+
     def handle_answer(self, answer: ObjectAnswer, now: float) -> None:
         """Handle the platform's answer."""
         if answer.call != self._pending:
             return
         wrote = self._pending.startswith("permits write")
-        self._era = answer.era
         self._pending = ""
+        self.record_era(answer.era, now)
+        if wrote and self._pending_era < self._era:
+            # The revision in the condition may have named another table.
+            return
         match answer.status:
             case ObjectStatus.OK if wrote:
                 self._install(answer.version, self._proposed, now)
@@ -211,6 +241,7 @@
     def _install(self, version: int, table: PermitTable, now: float) -> None:
         self._version = version
         self._table = table
+        self._highest_fence = max(self._highest_fence, table.fence)
         for token in [t for t in self._sightings if t not in table.leases]:
             del self._sightings[token]
         for token, lease in table.leases.items():
@@ -219,8 +250,22 @@
                 self._sightings[token] = Sighting(lease.renewals, now)
         self._update_own_lease(now)
 
+    def _is_settled(self, now: float) -> bool:
+        """Return whether all leases that still matter are in the table."""
+        if self._era <= max(FIRST_ERA, self._table.era):
+            return True
+        return now >= self._era_seen_at + self.bounds.lease_s + self.bounds.load_s
+
+    def _was_forgotten(self, now: float) -> bool:
+        """Return whether the own lease still holds but was lost by the platform."""
+        forgotten = self._token not in self._table.leases
+        return forgotten and self._table.era < self._era and now < self._expires_at
+
     def _update_own_lease(self, now: float) -> None:
         lease = self._table.leases.get(self._token)
+        if self._was_forgotten(now):
+            self._next_call_at = now
+            return
         if lease is None:
             self._token, self._fence, self._expires_at = "", 0, 0.0
             self._released = False
@@ -240,7 +285,12 @@
             for token, lease in self._table.leases.items()
             if token not in taken_over
         }
-        table = PermitTable(self._table.fence, leases)
+        settled = self._is_settled(now)
+        table = PermitTable(self._table.fence, leases, self._table.era)
+        if settled:
+            table.era = max(table.era, self._era)
+        if self._was_forgotten(now):
+            leases[self._token] = Lease(self._fence, max(self._sent_at))
         own = leases.get(self._token)
         if self._released:
             leases.pop(self._token, None)
@@ -249,15 +299,19 @@
             own.renewals += 1
             self._sent_at[own.renewals] = now
             return table
-        if len(leases) >= self.bounds.loads:
+        if len(leases) >= self.bounds.loads or not settled:
             return None
-        table.fence += 1
+        table.fence = max(table.fence, self._highest_fence, self._find_era_fence()) + 1
         self._token = f"{self.holder}/{self._calls}"
         self._released = False
         self._sent_at = {0: now}
         leases[self._token] = Lease(table.fence)
         return table
 
+    def _find_era_fence(self) -> int:
+        """Return the fencing number above which those of this era begin."""
+        return FENCES_PER_ERA * max(0, self._era - FIRST_ERA)
+
     def _may_take_over(self, token: str, now: float) -> bool:
         if token == self._token:
             return False
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -346,6 +346,52 @@
             check_loads(seed)
 
 
+def check_restores(seed: int) -> Fleet:
+    random = Random(seed)
+    restores = sorted(random.uniform(5.0, 500.0) for _ in range(3))
+    fleet = Fleet(seed, 0.02, tuple(restores), named=(200.0, 520.0))
+    fleet.run()
+    if fleet.lower_fences:
+        raise Violation("a lower fencing number after a higher one")
+    return fleet
+
+
+def test_granting_permits_at_once_after_a_restore_is_caught() -> None:
+    def settle(self: Permits, now: float) -> bool:
+        return True
+
+    with patch.object(Permits, "_is_settled", settle), pytest.raises(Violation):
+        for seed in range(1, 40):
+            check_restores(seed)
+
+
+# Guards against an engine that gets a lower fencing number than before, from an agent
+# that was restarted after the store had forgotten the numbers that it gave.
+def test_a_restarted_agent_gets_higher_fences_after_a_restore() -> None:
+    agent, store = Orders(Permits("agent/1", 1)), OneAgentStore()
+    fences = []
+    for number in range(3):
+        order = run_until_ordered(agent, store, 100.0 * number)
+        fences.append(order.fence)
+        agent.handle_answer(OrderAnswered(order.order, done=False), 100.0 * number + 50)
+        store.step(agent, "v1", 100.0 * number + 50)
+    store.version, store.body, store.era = 0, b"", 2
+    restarted = Orders(Permits("agent/2", 1))
+    assert run_until_ordered(restarted, store, 400.0).fence > max(fences)
+
+
+# Guards against a third load while an agent holds a permit that the store forgot.
+def test_a_lease_that_the_store_forgot_is_written_again() -> None:
+    agent, store = Orders(Permits("agent/1", 1)), OneAgentStore()
+    order = run_until_ordered(agent, store, 0.0)
+    store.version, store.body, store.era = 0, b"", 2
+    for step in range(40):
+        store.step(agent, "v2", 3.0 + step / 10)
+    table = msgspec.json.decode(store.body, type=permits.PermitTable)
+    assert [lease.fence for lease in table.leases.values()] == [order.fence]
+    assert agent.permits.get_valid_fence(7.0) == order.fence
+
+
 def test_treating_a_broken_connection_as_an_answer_is_caught() -> None:
     def handle_answer(self: Orders, answer: OrderAnswered, now: float) -> None:
         ORIGINAL_HANDLE_ANSWER(self, OrderAnswered(answer.order, answer.done), now)
