Write members and crash reports again after a restore

Callers could see: limits that entries share (retries, cold starts, limits of upstreams) overdrawn for up to 20 s, and entries started after a restore that send on what has crashed upstreams. Cause: a process wrote its registration at its heartbeat and its crash report when that changed, and nothing told it that the store had lost them. Change: the first answer of a new era makes a process announce itself and publish its report at once. Why it works: each object is written by its owner only, which still knows it.

--- a/masticdrum/core/crashsuspicion.py
+++ b/masticdrum/core/crashsuspicion.py
@@ -260,6 +260,11 @@
             tuple(clearances[:MAX_CLEARANCES]),
         )
 
+    def republish(self, now: float) -> None:
+        """Publish this entry's report again, since the platform may have lost it."""
+        if self._own_claims:
+            self._request_publication(now)
+
     def _matters(self, key: str) -> bool:
         """Return whether a key is implicated but for its clearances, or nearly so."""
         return count_crashes(self._claims_by_key.get(key, [])) >= MIN_CRASHES - 1
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -13,7 +13,7 @@
 )
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
-from masticdrum.model.cluster_events import ClusterEvent, WeightsNamed
+from masticdrum.model.cluster_events import ClusterEvent, StoreRestored, WeightsNamed
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.exchange import (
     AttemptEnded,
@@ -108,6 +108,8 @@
     logs = apply_cluster_event(state.cluster_state, event, now)
     if isinstance(event, WeightsNamed) and state.cluster_state.weights != before:
         state.weights_at[event.model] = now
+    if isinstance(event, StoreRestored):
+        state.suspicion.republish(now)
     _forget_removed_upstreams(state)
     return [*logs]
 
--- a/masticdrum/platform/members.py
+++ b/masticdrum/platform/members.py
@@ -14,12 +14,17 @@
 
 
 async def announce(store: Store, member: Member) -> None:
-    """Write a process's own registration at each heartbeat; runs for ever."""
+    """Write a process's own registration at each heartbeat; runs for ever.
+
+    A store that was restored may have lost it, so it is written again at once.
+    """
     beat = 0
     while True:
         beat += 1
+        restored = store.restored
         written = await write_member(store, msgspec.structs.replace(member, beat=beat))
-        await trio.sleep(HEARTBEAT_S if written else RETRY_S)
+        with trio.move_on_after(HEARTBEAT_S if written else RETRY_S):
+            await restored.wait()
 
 
 async def write_member(store: Store, member: Member) -> bool:
--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -92,6 +92,7 @@
         )
         self._report_restored = report_restored
         self.era = 0  # the latest that an answer named
+        self.restored = trio.Event()  # replaced at each restore
         self._was_silent = False
         self._watches: set[trio.CancelScope] = set()
 
@@ -201,6 +202,8 @@
         before, self.era = self.era, max(self.era, era)
         if 0 < before < self.era:
             self._report_restored(StoreRestored(self.era, before))
+            restored, self.restored = self.restored, trio.Event()
+            restored.set()
 
     def _interrupt_watches(self) -> None:
         for scope in self._watches:
--- a/tests/core/test_crashsuspicion.py
+++ b/tests/core/test_crashsuspicion.py
@@ -13,15 +13,16 @@
     QUARANTINE_S,
     CrashSuspicion,
 )
-from masticdrum.model.cluster_events import UpstreamGone
+from masticdrum.model.cluster_events import StoreRestored, UpstreamGone
 from masticdrum.model.crashes import (
     Clearance,
     CrashClaim,
     CrashReport,
     CrashReportsListed,
+    PublishCrashReport,
 )
 from masticdrum.model.errors import ErrorKind
-from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt
+from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt, Ticked
 from tests.crashworld import CRASHING_PART, FIRST_PART, STEP_S, CrashWorld
 from tests.forwarding import Entry, get_start, make_upstream, pick
 
@@ -119,6 +120,22 @@
         (start,) = starts
 
 
+# Guards against entries that start after a restore and don't know what crashes
+# upstreams, since the store has forgotten the reports.
+def test_an_entry_reports_its_crashes_again_after_a_restore() -> None:
+    entry = Entry(upstreams=(make_upstream("engines-1", "engines"),))
+    lose(entry, "stream", [], fingerprint=7)
+    published: list[PublishCrashReport] = []
+    for _ in range(20):
+        entry.now += 0.5
+        published += pick(entry.handle_event(Ticked()), PublishCrashReport)
+    assert len(published) == 1
+    entry.handle_event(StoreRestored(2, 1))
+    entry.now += 0.5
+    again = pick(entry.handle_event(Ticked()), PublishCrashReport)
+    assert [p.report for p in again] == [published[0].report]
+
+
 # Guards against a request that its caller repeats crashing each upstream (BUDGET).
 @pytest.mark.parametrize("route", ["idempotent", "non_idempotent"])
 def test_a_repeat_of_a_request_that_crashed_three_upstreams_is_refused(
