Keep the shares of common limits over a restore

Callers could see: servers crashed by more cold requests, and a retry budget overdrawn, for the seconds in which a restored store lacks some entries: each of the others took a larger share. Cause: a list of members replaced what was known, also when the store had lost them. Why it works: members announce themselves again within a second of a restore; one that can't reach the store loses its lease on the configuration meanwhile.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -12,6 +12,7 @@
 
 from masticdrum.core.directory import DirectoryIndex
 from masticdrum.core.rendezvous import Ranking
+from masticdrum.core.restores import Restores
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -78,6 +79,7 @@
         "members",
         "drained",
         "reregister_until",
+        "restores",
         "superseded",
         "weights",
     )
@@ -97,6 +99,7 @@
         self.members: tuple[Member, ...] | None = None
         self.lost: dict[Source, float] = {}
         self.reregister_until = 0.0
+        self.restores = Restores()
 
     @property
     def version(self) -> int:
@@ -184,6 +187,7 @@
         _extend_lease(cluster_state, event.last_confirmed_at)
         return []
     if isinstance(event, StoreRestored):
+        cluster_state.restores.record_restore(now)
         facts: Facts = {"era": event.era, "before": event.before}
         return [Log(LogNumber.STORE_RESTORED, facts=facts)]
     cluster_state.forget_lists()
@@ -207,7 +211,7 @@
         case WeightsNamed():
             return _apply_weights(cluster_state, event)
         case MembersListed():
-            return _apply_members(cluster_state, event)
+            return _apply_members(cluster_state, event, now)
         case SourceLost() | SourceRegained():
             return _apply_reachability(cluster_state, event, now)
         case (
@@ -347,14 +351,21 @@
     return [Log(LogNumber.WEIGHTS_NAMED, facts=facts)]
 
 
-def _apply_members(cluster_state: ClusterState, event: MembersListed) -> list[Log]:
-    before = 0 if cluster_state.members is None else len(cluster_state.members)
-    cluster_state.members = event.members
-    if before == len(event.members):
+def _apply_members(
+    cluster_state: ClusterState, event: MembersListed, now: float
+) -> list[Log]:
+    before = cluster_state.members or ()
+    members = event.members
+    if cluster_state.restores.may_be_missing(now):
+        listed = {member.name for member in members}
+        members += tuple(member for member in before if member.name not in listed)
+    cluster_state.members = members
+    if len(before) == len(members):
         return []
     facts: Facts = {
-        "members": len(event.members),
-        "before": before,
+        "members": len(members),
+        "before": len(before),
+        "listed": len(event.members),
     }
     return [Log(LogNumber.MEMBERS_CHANGED, facts=facts)]
 
--- a/tests/core/test_beliefs.py
+++ b/tests/core/test_beliefs.py
@@ -2,11 +2,15 @@
 
 from masticdrum.core.clusterstate import REREGISTER_S
 from masticdrum.core.outlierdetection import EJECT_AFTER_FAILURES, OutlierDetector
+from masticdrum.core.restores import REWRITE_S
 from masticdrum.model.cluster_events import (
     DataCentresDrained,
+    Member,
+    MembersListed,
     Source,
     SourceLost,
     SourceRegained,
+    StoreRestored,
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
@@ -100,3 +104,20 @@
     entry = Entry()
     entry.handle_event(WeightsNamed(MODEL, 3))
     assert entry.state.cluster_state.find_superseded_at(MODEL, 1) == float("-inf")
+
+
+def list_members(*names: str) -> MembersListed:
+    return MembersListed(tuple(Member(name, "entry", "north") for name in names))
+
+
+# Guards against shares of common limits that grow because a restored store has
+# forgotten some of the processes that share them.
+def test_members_that_the_store_forgot_still_share_limits_after_a_restore() -> None:
+    entry = Entry()
+    entry.handle_event(list_members("entry-1", "entry-2", "entry-3"))
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(list_members("entry-1"))
+    assert entry.state.count_peer_entries() == 3
+    entry.now += REWRITE_S
+    entry.handle_event(list_members("entry-1", "entry-2"))
+    assert entry.state.count_peer_entries() == 2
