Tell registrations of a restored store's copy from newer ones

Callers could see: requests at servers that are leaving or gone (DRAIN), refusals for want of servers that the copy doesn't list, and claims of crashes dropped since the copy lists the crashed engine as if it lived. Cause: whatever the store said of a server replaced what was known, though a server's report counts (sequence) tell that it is older. Change: an older report of the same incarnation changes nothing. A server that had gone and is back with no newer report is used only once the store would have removed it. A server that a restored store lacks has the two seconds to register again that it has after an outage, however short the store was away. Why it works: counts of reports only grow within an incarnation, whatever the store forgets.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -12,7 +12,7 @@
 
 from masticdrum.core.directory import DirectoryIndex
 from masticdrum.core.rendezvous import Ranking
-from masticdrum.core.restores import Restores
+from masticdrum.core.restores import Restores, is_outdated
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -44,23 +44,27 @@
     """How long the cluster state may be acted on, in seconds.
 
     ``revoke_s`` is how soon a revoked key must stop working everywhere; ``drain_s`` is
-    how long an upstream whose registration is gone may still be sent to.
+    how long an upstream whose registration is gone may still be sent to. A registration
+    that isn't renewed is removed by the store within ``unregister_s``.
     """
 
     revoke_s: float
     drain_s: float
+    unregister_s: float = 6.0
 
 
 class KnownUpstream(Struct):
     """An upstream's registration, and what this process learnt about it.
 
     ``usable_until`` is set for an upstream whose registration is gone but that is still
-    used for a while.
+    used for a while, ``trusted_at`` for one that may only be back because the store was
+    restored from a copy.
     """
 
     upstream: Upstream
     cold_until: float = 0.0
     usable_until: float | None = None
+    trusted_at: float = 0.0
 
 
 class ClusterState:
@@ -126,8 +130,12 @@
             if not known.upstream.leaving
             and known.upstream.data_centre not in drained
             and (known.usable_until is None or now < known.usable_until)
+            and now >= known.trusted_at
         ]
-        if all(known.usable_until is None for known in registered):
+        if all(
+            known.usable_until is None and now >= known.trusted_at
+            for known in registered
+        ):
             self._usable[service] = usable
         return usable
 
@@ -188,6 +196,7 @@
         return []
     if isinstance(event, StoreRestored):
         cluster_state.restores.record_restore(now)
+        cluster_state.reregister_until = now + REREGISTER_S
         facts: Facts = {"era": event.era, "before": event.before}
         return [Log(LogNumber.STORE_RESTORED, facts=facts)]
     cluster_state.forget_lists()
@@ -266,6 +275,9 @@
     cluster_state: ClusterState, upstream: Upstream, now: float
 ) -> list[Log]:
     old = cluster_state.known.get(upstream.name)
+    if old is not None and is_outdated(upstream, old.upstream):
+        old.usable_until = None
+        return [_log_outdated(upstream, old.upstream.sequence, 0.0)]
     cold_until = now + upstream.cold_s if upstream.cold_s > 0 else 0.0
     if old is None or old.upstream.born != upstream.born:
         known = KnownUpstream(upstream, cold_until)
@@ -280,8 +292,13 @@
         cluster_state.by_service[old.upstream.service].pop(upstream.name, None)
     known.upstream = upstream
     known.usable_until = None
+    known.trusted_at = cluster_state.restores.find_trusted_at(
+        upstream, cluster_state.bounds.unregister_s, now
+    )
     cluster_state.known[upstream.name] = known
     cluster_state.by_service.setdefault(upstream.service, {})[upstream.name] = known
+    if old is None and known.trusted_at > now:
+        return [_log_outdated(upstream, upstream.sequence, known.trusted_at - now)]
     if old is None:
         return [_log_upstream(LogNumber.UPSTREAM_SEEN, upstream)]
     if upstream.leaving and not was_leaving:
@@ -303,11 +320,24 @@
     if known.usable_until is not None and now < known.usable_until:
         return []
     cluster_state.forget_rankings()
+    cluster_state.restores.record_departure(known.upstream)
     del cluster_state.known[name]
     cluster_state.by_service[known.upstream.service].pop(name, None)
     return [_log_upstream(LogNumber.UPSTREAM_GONE, known.upstream)]
 
 
+def _log_outdated(read: Upstream, known_sequence: int, unused_s: float) -> Log:
+    return Log(
+        LogNumber.REGISTRATION_OUTDATED,
+        facts={
+            "upstream": read.name,
+            "sequence": read.sequence,
+            "known_sequence": known_sequence,
+            "unused_s": round(unused_s, 3),
+        },
+    )
+
+
 def _log_upstream(number: LogNumber, upstream: Upstream) -> Log:
     return Log(
         number,
--- a/masticdrum/core/crashes.py
+++ b/masticdrum/core/crashes.py
@@ -85,6 +85,7 @@
             age_s >= state.bounds.unregister_s
             and known is not None
             and known.upstream.born == claim.born
+            and now >= known.trusted_at
             and Source.UPSTREAMS not in state.cluster_state.lost
         )
 
--- a/masticdrum/model/directory.py
+++ b/masticdrum/model/directory.py
@@ -123,6 +123,7 @@
 class Upstream(Struct, frozen=True):
     """An upstream's registration; ``born`` differs after each restart.
 
+    ``sequence`` counts the reports of this incarnation, zero if it isn't told.
     ``weights`` maps each model to the version that it serves. ``cold_s`` is how much
     longer the upstream is cold, counted from the time of the registration.
     """
@@ -135,4 +136,5 @@
     leaving: bool = False
     cold_s: float = 0.0
     born: int = 0
+    sequence: int = 0
     weights: dict[str, int] = field(default_factory=dict)
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -66,6 +66,7 @@
     UPSTREAM_LIMITED = 83
     STORE_RESTORED = 84
     PERMIT_CHANGED = 85
+    REGISTRATION_OUTDATED = 86
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -126,6 +126,7 @@
     slots: int = 1
     coldRemainingMs: float = 0  # noqa: N815
     born: int = 0
+    sequence: int = 0
     models: list[WireWeights] = field(default_factory=list)
 
 
@@ -209,6 +210,7 @@
         leaving=STATES[wire.state],
         cold_s=wire.coldRemainingMs / MS_PER_S,
         born=wire.born,
+        sequence=wire.sequence,
         weights={model.name: model.version for model in wire.models},
     )
 
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -203,15 +203,16 @@
 
 def make_bounds(settings: ForwardSettings) -> ForwardBounds:
     """Convert settings to the reducer's bounds."""
+    unregister_s = UNREGISTER_HEARTBEATS * settings.heartbeat_s
     return ForwardBounds(
-        cluster_state=ClusterBounds(settings.revoke_s, settings.drain_s),
+        cluster_state=ClusterBounds(settings.revoke_s, settings.drain_s, unregister_s),
         retries=RetryBounds(
             settings.retry_ratio, settings.retry_window_s, settings.retry_extra
         ),
         cold=ColdStartBounds(settings.cold_factor, settings.cold_slack),
         weights_s=max(0.0, settings.weights_s - WEIGHTS_MARGIN_S),
         stop_linger_s=STOP_LINGER_S,
-        unregister_s=UNREGISTER_HEARTBEATS * settings.heartbeat_s,
+        unregister_s=unregister_s,
     )
 
 
--- a/tests/core/test_beliefs.py
+++ b/tests/core/test_beliefs.py
@@ -16,8 +16,9 @@
     UpstreamsListed,
     WeightsNamed,
 )
+from masticdrum.model.directory import Upstream
 from masticdrum.model.exchange import StartAttempt
-from tests.forwarding import MODEL, UPSTREAMS, Entry, make_upstream, pick
+from tests.forwarding import BOUNDS, MODEL, UPSTREAMS, Entry, make_upstream, pick
 
 
 def test_upstreams_that_expire_in_an_outage_are_used_until_they_can_register() -> None:
@@ -121,3 +122,67 @@
     entry.now += REWRITE_S
     entry.handle_event(list_members("entry-1", "entry-2"))
     assert entry.state.count_peer_entries() == 2
+
+
+def make_desk(sequence: int, **changes: object) -> Upstream:
+    return make_upstream("desk-1", born=7, sequence=sequence, **changes)
+
+
+def list_desks(entry: Entry) -> list[str]:
+    usable = entry.state.cluster_state.list_usable_upstreams("desk", entry.now)
+    return [known.upstream.name for known in usable]
+
+
+# Guards against requests at a server that is leaving, since the copy that the store
+# came back from still calls it ready (DRAIN).
+def test_an_upstream_that_said_it_leaves_is_not_used_again_after_a_restore() -> None:
+    entry = Entry(upstreams=(make_desk(4), make_upstream("desk-2")))
+    entry.handle_event(UpstreamChanged(make_desk(20, leaving=True)))
+    entry.handle_event(StoreRestored(2, 1))
+    listed = (make_desk(4), make_upstream("desk-2"))
+    entry.handle_event(UpstreamsListed(listed))
+    assert list_desks(entry) == ["desk-2"]
+    entry.handle_event(UpstreamChanged(make_desk(21, leaving=True)))
+    assert list_desks(entry) == ["desk-2"]
+
+
+# Guards against requests at a server that is gone, since the copy that the store came
+# back from still lists it (DRAIN).
+def test_an_upstream_that_had_left_is_not_used_again_after_a_restore() -> None:
+    entry = Entry(upstreams=(make_desk(4), make_upstream("desk-2")))
+    entry.handle_event(UpstreamGone("desk-1"))
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(UpstreamsListed((make_desk(4), make_upstream("desk-2"))))
+    assert list_desks(entry) == ["desk-2"]
+    entry.now += BOUNDS.unregister_s - 0.1
+    assert list_desks(entry) == ["desk-2"]
+
+
+def test_an_upstream_that_the_copy_brought_back_is_used_once_it_reports() -> None:
+    entry = Entry(upstreams=(make_desk(4), make_upstream("desk-2")))
+    entry.handle_event(UpstreamGone("desk-1"))
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(UpstreamsListed((make_desk(4), make_upstream("desk-2"))))
+    entry.handle_event(UpstreamChanged(make_desk(9)))
+    assert "desk-1" in list_desks(entry)
+
+
+def test_an_upstream_that_stays_registered_after_a_restore_is_used() -> None:
+    entry = Entry(upstreams=(make_desk(4), make_upstream("desk-2")))
+    entry.handle_event(UpstreamGone("desk-1"))
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(UpstreamsListed((make_desk(4), make_upstream("desk-2"))))
+    assert list_desks(entry) == ["desk-2"]
+    entry.now += BOUNDS.unregister_s
+    assert sorted(list_desks(entry)) == ["desk-1", "desk-2"]
+
+
+# Guards against callers refused for want of servers, since a restored store has
+# forgotten those that registered last and was away too shortly for an outage.
+def test_upstreams_that_the_store_forgot_are_used_until_they_can_register() -> None:
+    entry = Entry()
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(UpstreamsListed(()))
+    assert len(list_desks(entry)) == 3
+    entry.now += REREGISTER_S + 0.1
+    assert not list_desks(entry)
--- a/tests/core/test_crashsuspicion.py
+++ b/tests/core/test_crashsuspicion.py
@@ -13,7 +13,11 @@
     QUARANTINE_S,
     CrashSuspicion,
 )
-from masticdrum.model.cluster_events import StoreRestored, UpstreamGone
+from masticdrum.model.cluster_events import (
+    StoreRestored,
+    UpstreamGone,
+    UpstreamsListed,
+)
 from masticdrum.model.crashes import (
     Clearance,
     CrashClaim,
@@ -24,7 +28,7 @@
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt, Ticked
 from tests.crashworld import CRASHING_PART, FIRST_PART, STEP_S, CrashWorld
-from tests.forwarding import Entry, get_start, make_upstream, pick
+from tests.forwarding import BOUNDS, Entry, get_start, make_upstream, pick
 
 STABLE_S = 3.0  # after the fifth crash all entries are to know
 ALLOWED_SENDS = 3
@@ -136,6 +140,20 @@
     assert [p.report for p in again] == [published[0].report]
 
 
+# Guards against claims that are dropped because a restored store lists the crashed
+# upstream as if it lived.
+def test_a_crashed_upstream_that_a_copy_brings_back_clears_no_claim() -> None:
+    crashed = make_upstream("engines-1", "engines", born=7, sequence=4)
+    entry = Entry(upstreams=(crashed,))
+    lose(entry, "stream", [], fingerprint=7)
+    entry.now += BOUNDS.unregister_s
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(UpstreamsListed((crashed,)))
+    entry.now += 2.0
+    entry.handle_event(Ticked())
+    assert entry.state.suspicion.count_claims() == 1
+
+
 # Guards against a request that its caller repeats crashing each upstream (BUDGET).
 @pytest.mark.parametrize("route", ["idempotent", "non_idempotent"])
 def test_a_repeat_of_a_request_that_crashed_three_upstreams_is_refused(
