List each kind again after a restore of the store

Callers could see: a route that was added, a key or a draining server that an entry never learns of (CONFIG). Cause: revisions are given out again after a restore. A watch that was ended and sent again, or one that was answered over the restore, went on from a revision that names another change by then; and an answer of the earlier era could arrive after it. Change: watchers remember the era of their list and list again when it has changed; the first answer of a new era ends the watches that wait; answers of an earlier era are failed calls. Why it works: a revision is compared only with those of the same era.

--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -76,7 +76,8 @@
     """The client of the platform's store; ``address`` is ``IP:PORT``.
 
     A store that was silent may never answer the watches that waited meanwhile. So the
-    first answer after a timeout ends them, and they are sent again.
+    first answer after a timeout ends them, and they are sent again. The first answer
+    after a restore ends them too, since revisions of before name other changes then.
     """
 
     def __init__(
@@ -192,18 +193,22 @@
         ) as error:
             self._was_silent |= isinstance(error, trio.TooSlowError)
             raise StoreFailed(f"{method} {path}: {error!r}") from error
+        era = find_era(response)
+        if 0 < era < self.era:
+            raise StoreFailed(f"{method} {path}: an answer of the earlier era {era}")
         if self._was_silent:
             self._was_silent = False
             self._interrupt_watches()
-        self._note_era(find_era(response))
+        self._record_era(era)
         return response.status, response.content
 
-    def _note_era(self, era: int) -> None:
+    def _record_era(self, era: int) -> None:
         before, self.era = self.era, max(self.era, era)
         if 0 < before < self.era:
             self._report_restored(StoreRestored(self.era, before))
             restored, self.restored = self.restored, trio.Event()
             restored.set()
+            self._interrupt_watches()
 
     def _interrupt_watches(self) -> None:
         for scope in self._watches:
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -93,6 +93,7 @@
         self._random = random
         self._objects: dict[str, StoredObject] = {}
         self._since = 0
+        self._era = 0
         self._requested_at = float("-inf")
         self._reachability = Reachability(watched.source, submit)
         self._pause_s = MIN_PAUSE_S
@@ -119,7 +120,9 @@
             page = await self._store.list_page(
                 self._watched.kind, after, stale=self._watched.stale
             )
-            since = since or page.asOf
+            if not since:
+                since, self._era = page.asOf, self._store.era
+            self._check_era()
             for stored in self._decode_objects(page.items):
                 objects[stored.metadata.name] = stored
                 after = stored.metadata.name
@@ -133,9 +136,11 @@
     async def _watch(self) -> None:
         wait_s = self._watched.wait_s
         requested_at = read_clock()
+        self._check_era()
         changes = await self._store.watch(
             self._watched.kind, self._since, wait_s, stale=self._watched.stale
         )
+        self._check_era()
         self._since = max(self._since, changes.asOf)
         self._requested_at = requested_at
         self._record_read()
@@ -150,6 +155,11 @@
         self._report_changes(requested_at)
         await trio.sleep(self._watched.gap_s)
 
+    def _check_era(self) -> None:
+        """Raise ``HistoryGone`` if the store was restored since the kind was listed."""
+        if self._store.era != self._era:
+            raise HistoryGone
+
     def _apply_change(self, stored: StoredObject, deleted: bool) -> None:
         name = stored.metadata.name
         if deleted:
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -10,7 +10,7 @@
 from trio.testing import MockClock
 
 from masticdrum.model.cluster_events import ClusterEvent, UpstreamChanged, WeightsNamed
-from masticdrum.platform.store import Change, Changes, Page
+from masticdrum.platform.store import Change, Changes, Page, WatchInterrupted
 from masticdrum.platform.watchers import (
     AGENT_UPSTREAMS,
     UPSTREAMS,
@@ -37,6 +37,7 @@
         self.first = first
         self.later = later
         self.calls: list[tuple[str, bool]] = []
+        self.era = 1
         self.began = trio.current_time()
 
     async def list_page(self, kind: str, after: str, *, stale: bool = False) -> Page:
@@ -103,3 +104,46 @@
     (event,) = submitted
     assert isinstance(event, WeightsNamed)
     assert event.not_before > 0
+
+
+class RestoredKind(KindOfStore):
+    """Restored after a second; the watch that waits then is ended, or answered.
+
+    Revisions begin again below the last one that was watched, so that a watch from
+    there never hears of ``second``.
+    """
+
+    def __init__(self, first: Raw, second: Raw, answers: bool) -> None:
+        super().__init__([first], [])
+        self.second = second
+        self.answers = answers
+
+    async def watch(
+        self, kind: str, since: int, wait_s: float, *, stale: bool = False
+    ) -> Changes:
+        self.calls.append(("watch", stale))
+        if self.era > 1:
+            await trio.sleep(wait_s)
+            return Changes([], since)
+        await trio.sleep(1.0)
+        self.era, self.first = 2, [self.second]
+        if self.answers:
+            return Changes([], since)
+        raise WatchInterrupted
+
+
+# Guards against an operator's change that is never in force because it was written
+# again by a restored store under a revision that had been watched already (CONFIG).
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_kind_is_listed_again_after_a_restore(answers: bool) -> None:
+    first = make_object("m1", {"model": "m1", "version": 2})
+    second = make_object("m1", {"model": "m1", "version": 3})
+    submitted: list[ClusterEvent] = []
+
+    async def run() -> None:
+        store: Any = RestoredKind(first, second, answers)
+        with trio.move_on_after(4.0):
+            await KindWatcher(WEIGHTS, store, submitted.append, Random(1)).run()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert [e.version for e in submitted if isinstance(e, WeightsNamed)] == [2, 3]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import trio
 from trio.testing import MockClock
 
+from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.platform import ObjectGet, ObjectStatus
 from masticdrum.platform.store import Store, StoreFailed, WatchInterrupted
 
@@ -52,6 +53,60 @@
     assert OUTAGE_S <= ended_at[0] <= OUTAGE_S + 2.0
 
 
+class EraPool:
+    """Answers each list with the next of ``eras``, and no watch."""
+
+    def __init__(self, *eras: int) -> None:
+        self.eras = list(eras)
+
+    async def request(self, method: str, url: str, **more: Any) -> httpcore.Response:
+        if "watch=" in url:
+            await trio.sleep_forever()
+        era = str(self.eras.pop(0)).encode()
+        headers = [(b"Store-Era", era)]
+        response = httpcore.Response(200, headers=headers, content=EMPTY_PAGE)
+        await response.aread()
+        return response
+
+
+# Guards against changes that are missed because a watch goes on over a restore.
+def test_a_restore_is_reported_once_and_ends_the_watches_of_before() -> None:
+    restores: list[StoreRestored] = []
+    interrupted: list[float] = []
+
+    async def watch(store: Store) -> None:
+        with pytest.raises(WatchInterrupted):
+            await store.watch("crashes", 5, 20.0)
+        interrupted.append(trio.current_time())
+
+    async def run() -> None:
+        store = Store("127.0.0.1:1", lambda how: None, restores.append)
+        pool: Any = EraPool(3, 3, 4, 4)
+        store._pool = pool
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, store)
+            for _ in range(4):
+                await trio.sleep(1.0)
+                await store.list_page("config", "")
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert restores == [StoreRestored(4, 3)]
+    assert interrupted == [3.0]
+
+
+# Guards against an answer from before a restore that arrives after it.
+def test_an_answer_of_an_earlier_era_is_a_failed_call() -> None:
+    async def run() -> None:
+        store = Store("127.0.0.1:1", lambda how: None)
+        pool: Any = EraPool(2, 1)
+        store._pool = pool
+        await store.list_page("config", "")
+        with pytest.raises(StoreFailed):
+            await store.list_page("config", "")
+
+    trio.run(run)
+
+
 class SpoiltPool:
     """Answers each call with a body that is no object."""
 
