Keep data centres drained until a restored store has them again

Callers could see: requests in a data centre that its operators have drained (EVAC). Cause: a list without the entry replaced what was known, also when the store had lost it. Evidence: three new tests failed before. Why it works: a removal is an event of its own in a watch.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -216,7 +216,7 @@
         case UpstreamGone():
             return _remove_upstream(cluster_state, event.name, now)
         case DataCentresDrained():
-            return _apply_drained_data_centres(cluster_state, event.names, now)
+            return _apply_drained_data_centres(cluster_state, event, now)
         case WeightsNamed():
             return _apply_weights(cluster_state, event)
         case MembersListed():
@@ -351,9 +351,11 @@
 
 
 def _apply_drained_data_centres(
-    cluster_state: ClusterState, names: frozenset[str], now: float
+    cluster_state: ClusterState, event: DataCentresDrained, now: float
 ) -> list[Log]:
-    before = cluster_state.drained
+    before, names = cluster_state.drained, event.names
+    if before is not None and cluster_state.restores.may_be_missing(now):
+        names |= before - event.removed
     if names == before:
         return []
     for known in cluster_state.known.values():
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -57,9 +57,13 @@
 
 
 class DataCentresDrained(Struct, frozen=True):
-    """All data centres that operators have drained."""
+    """All data centres that operators have drained.
+
+    ``removed`` are those that they have explicitly put back since the last event.
+    """
 
     names: frozenset[str]
+    removed: frozenset[str] = frozenset()
 
 
 class WeightsNamed(Struct, frozen=True):
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -8,6 +8,7 @@
 import trio
 from msgspec import Raw, Struct
 
+from masticdrum.core.restores import REWRITE_S
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -92,8 +93,10 @@
         self._submit = submit
         self._random = random
         self._objects: dict[str, StoredObject] = {}
+        self._removed: set[str] = set()
         self._since = 0
         self._era = 0
+        self._list_again_at = float("inf")
         self._requested_at = float("-inf")
         self._reachability = Reachability(watched.source, submit)
         self._pause_s = MIN_PAUSE_S
@@ -115,6 +118,7 @@
 
     async def _list(self) -> None:
         objects: dict[str, StoredObject] = {}
+        era_before = self._era
         requested_at, since, after = read_clock(), 0, ""
         while True:
             page = await self._store.list_page(
@@ -129,14 +133,18 @@
             if not page.hasMore or not page.items:
                 break
         self._objects, self._since = objects, since
+        self._removed.clear()
+        self._list_again_at = float("inf")
+        if 0 < era_before < self._era:
+            self._list_again_at = requested_at + REWRITE_S
         self._record_read()
         self._report_list(requested_at)
         self._requested_at = requested_at
 
     async def _watch(self) -> None:
-        wait_s = self._watched.wait_s
         requested_at = read_clock()
         self._check_era()
+        wait_s = min(self._watched.wait_s, self._list_again_at - requested_at)
         changes = await self._store.watch(
             self._watched.kind, self._since, wait_s, stale=self._watched.stale
         )
@@ -149,6 +157,7 @@
                 waited_s = min(wait_s, read_clock() - requested_at) - CONFIRM_MARGIN_S
                 self._submit(DirectoryConfirmed(requested_at + max(0.0, waited_s)))
             return
+        self._removed.clear()
         for change in changes.events:
             for stored in self._decode_objects([change.object]):
                 self._apply_change(stored, change.deleted)
@@ -156,16 +165,22 @@
         await trio.sleep(self._watched.gap_s)
 
     def _check_era(self) -> None:
-        """Raise ``HistoryGone`` if the store was restored since the kind was listed."""
-        if self._store.era != self._era:
+        """Raise ``HistoryGone`` if a restore demands another list.
+
+        That is one at once, and one when what was lost has been written again, so that
+        nothing is believed for ever that nobody has written again.
+        """
+        if self._store.era != self._era or read_clock() >= self._list_again_at:
             raise HistoryGone
 
     def _apply_change(self, stored: StoredObject, deleted: bool) -> None:
         name = stored.metadata.name
         if deleted:
             self._objects.pop(name, None)
+            self._removed.add(name)
         else:
             self._objects[name] = stored
+            self._removed.discard(name)
         if self._watched.source is Source.UPSTREAMS:
             self._report_upstream(stored, deleted)
         if self._watched.source is Source.CRASHES and not deleted:
@@ -222,7 +237,8 @@
                 self._report_directory(requested_at)
             case Source.DATA_CENTRES:
                 names = [n for n, s in self._objects.items() if not s.metadata.deleting]
-                self._submit(DataCentresDrained(frozenset(names)))
+                removed = frozenset(self._removed)
+                self._submit(DataCentresDrained(frozenset(names), removed))
             case Source.WEIGHTS:
                 for stored in self._objects.values():
                     self._report_weights(stored)
--- a/tests/core/test_beliefs.py
+++ b/tests/core/test_beliefs.py
@@ -186,3 +186,19 @@
     assert len(list_desks(entry)) == 3
     entry.now += REREGISTER_S + 0.1
     assert not list_desks(entry)
+
+
+# Guards against requests in a data centre that operators have drained, since a restored
+# store has forgotten that (EVAC).
+def test_a_data_centre_stays_drained_while_its_operators_write_that_again() -> None:
+    entry = Entry()
+    entry.handle_event(DataCentresDrained(frozenset({"north", "south"})))
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(DataCentresDrained(frozenset()))
+    assert entry.state.cluster_state.drained == {"north", "south"}
+    put_back = DataCentresDrained(frozenset({"south"}), frozenset({"north"}))
+    entry.handle_event(put_back)
+    assert entry.state.cluster_state.drained == {"south"}
+    entry.now += REWRITE_S
+    entry.handle_event(DataCentresDrained(frozenset()))
+    assert entry.state.cluster_state.drained == frozenset()
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -9,10 +9,18 @@
 from msgspec import Raw
 from trio.testing import MockClock
 
-from masticdrum.model.cluster_events import ClusterEvent, UpstreamChanged, WeightsNamed
+from masticdrum.core.restores import REWRITE_S
+from masticdrum.model.cluster_events import (
+    ClusterEvent,
+    DataCentresDrained,
+    UpstreamChanged,
+    WeightsNamed,
+)
+from masticdrum.platform import watchers
 from masticdrum.platform.store import Change, Changes, Page, WatchInterrupted
 from masticdrum.platform.watchers import (
     AGENT_UPSTREAMS,
+    DATA_CENTRES,
     UPSTREAMS,
     WEIGHTS,
     KindWatcher,
@@ -147,3 +155,54 @@
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
     assert [e.version for e in submitted if isinstance(e, WeightsNamed)] == [2, 3]
+
+
+# Guards against a data centre that stays drained for ever because its operators put it
+# back while a restored store had forgotten that it was drained.
+def test_a_kind_is_listed_once_more_when_all_should_be_written_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(watchers, "read_clock", trio.current_time)
+    first = make_object("north", {})
+    lists: list[float] = []
+
+    async def run() -> None:
+        store: Any = RestoredKind(first, first, answers=True)
+        began = trio.current_time()
+
+        def submit(event: ClusterEvent) -> None:
+            if isinstance(event, DataCentresDrained):
+                lists.append(trio.current_time() - began)
+
+        with trio.move_on_after(30.0):
+            await KindWatcher(DATA_CENTRES, store, submit, Random(1)).run()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert [round(at) for at in lists] == [0, 1, 1 + REWRITE_S]
+
+
+def test_a_data_centre_that_is_put_back_is_named_as_removed() -> None:
+    submitted, _ = watch_kind(DATA_CENTRES, [make_object("north", {})], [])
+    assert submitted == [DataCentresDrained(frozenset({"north"}))]
+    gone = Change(make_object("north", {}), deleted=True)
+
+    async def run() -> list[ClusterEvent]:
+        store: Any = KindOfStore([make_object("north", {})], [])
+        heard: list[ClusterEvent] = []
+        watcher = KindWatcher(DATA_CENTRES, store, heard.append, Random(1))
+        await watcher._list()
+        store.watch = make_watch(Changes([gone], 5))
+        await watcher._watch()
+        return heard
+
+    assert trio.run(run, clock=MockClock(autojump_threshold=0))[1:] == [
+        DataCentresDrained(frozenset(), frozenset({"north"}))
+    ]
+
+
+def make_watch(changes: Changes) -> Any:
+    async def watch(*call: Any, **more: Any) -> Changes:
+        await trio.sleep(0)
+        return changes
+
+    return watch
