Log software versions and where streams go on

An attempt's log now names the version of its engine's software, after which event it goes on and which earlier request its caller takes up, so that the hypotheses on joined streams can be told apart. Nothing decides by it yet.

--- a/masticdrum/core/attemptlog.py
+++ b/masticdrum/core/attemptlog.py
@@ -28,6 +28,7 @@
         detail=event.detail,
         facts={
             "upstream": attempt.upstream,
+            "software": attempt.software,
             "end": event.end.value,
             "ran": ran.value,
             "status": event.status,
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -117,6 +117,7 @@
     exchange.prompt = event.prompt
     exchange.work = estimate_work(event.prompt)
     exchange.last_event = event.last_event
+    exchange.resumes = event.resumes
     exchange.keys = list_keys(event)
     return exchange
 
@@ -172,7 +173,9 @@
     if not state.limits.is_empty:
         state.limits.record_send(upstream.name, state.find_place(now), now)
     state.attempts += 1
-    exchange.attempt = Attempt(state.attempts, upstream.name, upstream.born, now)
+    exchange.attempt = Attempt(
+        state.attempts, upstream.name, upstream.born, now, upstream.software
+    )
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
@@ -183,6 +186,9 @@
         facts={
             "route": exchange.route.name,
             "upstream": upstream.name,
+            "software": upstream.software,
+            "after_event": -1 if exchange.last_event is None else exchange.last_event,
+            "resumes": exchange.resumes,
             "open": load,
             "candidates": len(candidates),
             "left_s": round(exchange.deadline - now, 3),
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -39,19 +39,20 @@
 class Attempt:
     """One attempt of an exchange at an upstream.
 
-    ``born`` is the upstream's incarnation. ``begun_at`` is when it began a stream as
-    its answer, or None.
+    ``born`` is the upstream's incarnation, ``software`` the version of its software.
+    ``begun_at`` is when it began a stream as its answer, or None.
     """
 
-    __slots__ = ("begun_at", "born", "number", "started_at", "upstream")
+    __slots__ = ("begun_at", "born", "number", "software", "started_at", "upstream")
 
     def __init__(
-        self, number: int, upstream: str, born: int, started_at: float
+        self, number: int, upstream: str, born: int, started_at: float, software: str
     ) -> None:
         self.number = number
         self.upstream = upstream
         self.born = born
         self.started_at = started_at
+        self.software = software
         self.begun_at: float | None = None
 
 
@@ -80,6 +81,7 @@
         "prompt",
         "rejections",
         "request",
+        "resumes",
         "route",
         "sends",
         "service",
@@ -117,6 +119,7 @@
         self.maybe_ran = False
         self.sends = 0
         self.rejections = 0
+        self.resumes = ""
         self.expected_s = 0.0
         self.last_event: int | None = None
         self.tried: set[str] = set()
--- a/masticdrum/model/directory.py
+++ b/masticdrum/model/directory.py
@@ -124,6 +124,8 @@
     """An upstream's registration; ``born`` differs after each restart.
 
     ``sequence`` counts the reports of this incarnation, zero if it isn't told.
+    ``software`` is the version of its software; streams of two versions don't fit
+    together.
     ``weights`` maps each model to the version that it serves. ``cold_s`` is how much
     longer the upstream is cold, counted from the time of the registration.
     """
@@ -137,4 +139,5 @@
     cold_s: float = 0.0
     born: int = 0
     sequence: int = 0
+    software: str = ""
     weights: dict[str, int] = field(default_factory=dict)
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -61,7 +61,8 @@
 
     ``deadline_s`` is how long the caller waits, counted from ``arrived``, or None if
     it states no limit. ``last_event`` is the id of the event after which a stream is
-    to be resumed. ``fingerprint`` is the same for repeats by the same caller.
+    to be resumed, ``resumes`` the request that brought its first event. ``fingerprint``
+    is the same for repeats by the same caller.
     """
 
     handle: int
@@ -73,6 +74,7 @@
     deadline_s: float | None = None
     prompt: Prompt | None = None
     last_event: int | None = None
+    resumes: str = ""
     fingerprint: int = 0
 
 
--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -15,6 +15,7 @@
 TOKENS = b"x-token-usage"
 PARTS = b"x-prefix-hash"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 SIGNATURE = b"x-response-signature"
 NOT_RUN = b"x-not-executed"
 WEIGHTS = b"x-weight-versions"
@@ -37,7 +38,16 @@
 )
 MS_PER_S = 1000
 MIN_MS = 1  # the platform counts whole milliseconds
-SINGLE_HEADERS = (REQUEST, DEADLINE, AUTHORIZATION, MODEL, TOKENS, PARTS, LAST_EVENT)
+SINGLE_HEADERS = (
+    REQUEST,
+    DEADLINE,
+    AUTHORIZATION,
+    MODEL,
+    TOKENS,
+    PARTS,
+    LAST_EVENT,
+    RESUMES,
+)
 
 
 class PlatformHeaderCodec:
@@ -61,6 +71,7 @@
                     deadline_s=None if deadline is None else int(deadline) / MS_PER_S,
                     prompt=read_prompt(values),
                     last_event=None if last is None else int(last),
+                    resumes=values.get(RESUMES, b"").decode("latin-1"),
                 )
             )
         except ValueError as error:
--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -127,6 +127,7 @@
     coldRemainingMs: float = 0  # noqa: N815
     born: int = 0
     sequence: int = 0
+    version: str = ""
     models: list[WireWeights] = field(default_factory=list)
 
 
@@ -211,6 +212,7 @@
         cold_s=wire.coldRemainingMs / MS_PER_S,
         born=wire.born,
         sequence=wire.sequence,
+        software=wire.version,
         weights={model.name: model.version for model in wire.models},
     )
 
--- a/masticdrum/shell/forwardapplication.py
+++ b/masticdrum/shell/forwardapplication.py
@@ -287,6 +287,7 @@
         deadline_s=caller_headers.deadline_s,
         prompt=caller_headers.prompt,
         last_event=caller_headers.last_event,
+        resumes=caller_headers.resumes,
         fingerprint=compute_fingerprint(request, caller_headers.key),
     )
 
--- a/masticdrum/shell/headercodec.py
+++ b/masticdrum/shell/headercodec.py
@@ -10,13 +10,18 @@
 
 
 class CallerHeaders(Struct, frozen=True):
-    """A caller's decoded headers; times are in seconds."""
+    """A caller's decoded headers; times are in seconds.
+
+    ``resumes`` is the request that began the stream that is to go on after
+    ``last_event``.
+    """
 
     request: str
     key: str = ""
     deadline_s: float | None = None
     prompt: Prompt | None = None
     last_event: int | None = None
+    resumes: str = ""
 
 
 class UpstreamHeaders(Struct, frozen=True):
