--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -13,6 +13,7 @@
 from masticdrum.core.directory import DirectoryIndex
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.restores import Restores, is_outdated
+from masticdrum.core.servedsoftware import ServedSoftware
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -84,6 +85,7 @@
         "drained",
         "reregister_until",
         "restores",
+        "software",
         "superseded",
         "weights",
     )
@@ -104,6 +106,7 @@
         self.lost: dict[Source, float] = {}
         self.reregister_until = 0.0
         self.restores = Restores()
+        self.software = ServedSoftware()
 
     @property
     def version(self) -> int:
@@ -263,6 +266,8 @@
     cluster_state: ClusterState, event: UpstreamsListed, now: float
 ) -> list[Log]:
     logs: list[Log] = []
+    if cluster_state.software.since is None:
+        cluster_state.software.since = now
     listed = {upstream.name for upstream in event.upstreams}
     for upstream in event.upstreams:
         logs += _apply_upstream(cluster_state, upstream, now)
@@ -290,6 +295,8 @@
     was_leaving = old is not None and old.upstream.leaving
     if old is not None:
         cluster_state.by_service[old.upstream.service].pop(upstream.name, None)
+        cluster_state.software.remove(old.upstream, now)
+    cluster_state.software.add(upstream)
     known.upstream = upstream
     known.usable_until = None
     known.trusted_at = cluster_state.restores.find_trusted_at(
@@ -321,6 +328,7 @@
         return []
     cluster_state.forget_rankings()
     cluster_state.restores.record_departure(known.upstream)
+    cluster_state.software.remove(known.upstream, now)
     del cluster_state.known[name]
     cluster_state.by_service[known.upstream.service].pop(name, None)
     return [_log_upstream(LogNumber.UPSTREAM_GONE, known.upstream)]
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -20,6 +20,7 @@
 from masticdrum.core.exchangestate import Attempt, Exchange, ExchangeState
 from masticdrum.core.invariants import require
 from masticdrum.core.outlierdetection import OutlierDetector
+from masticdrum.core.resumption import may_go_on, record_origin
 from masticdrum.core.upstreamchoice import choose_upstream, estimate_work
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.errors import ANSWERS, ErrorKind
@@ -75,6 +76,9 @@
     if quarantine_s > 0:
         kind = ErrorKind.CRASH_SUSPECT
         return [counted, *fail_exchange(state, exchange, kind, now, quarantine_s)]
+    if not may_go_on(state, exchange, now):
+        kind = ErrorKind.ORIGIN_UNKNOWN
+        return [counted, *fail_exchange(state, exchange, kind, now)]
     if exchange.prompt is not None:
         if _must_shed(state, exchange, now):
             exchange.spare_only = True
@@ -229,6 +233,7 @@
     effects: list[ExchangeEffect] = [ForwardEvents(exchange.handle, event.events)]
     if not exchange.events_forwarded:
         exchange.events_forwarded = True
+        record_origin(state, exchange, now)
         state.saturation.record_first_event(exchange.service, exchange.handle, now)
         first_s = now - exchange.arrived
         effects.append(
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -13,6 +13,7 @@
 from masticdrum.core.saturation import Saturation
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.storepolls import StorePolls, choose_polls
+from masticdrum.core.streamorigins import StreamOrigins
 from masticdrum.core.timers import Timers
 from masticdrum.model.cluster_events import Member
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
@@ -64,6 +65,8 @@
     whether there was one. ``last_event`` is the id of the last event that was
     forwarded. ``expected_s`` is how long its first event was expected to take when the
     request arrived. ``keys`` is what other requests may have in common with it.
+    ``resumes`` is the request that began the stream that it takes up. ``software`` is
+    the version at which its stream began, None as long as any may take it.
     ``spare_only`` tells that only upstreams with a limit may take it, since the others
     are saturated.
     """
@@ -85,6 +88,7 @@
         "route",
         "sends",
         "service",
+        "software",
         "spare_only",
         "stream_begun",
         "tried",
@@ -120,6 +124,7 @@
         self.sends = 0
         self.rejections = 0
         self.resumes = ""
+        self.software: str | None = None
         self.expected_s = 0.0
         self.last_event: int | None = None
         self.tried: set[str] = set()
@@ -157,6 +162,7 @@
         self.saturation = Saturation(self.random)
         self.suspicion = CrashSuspicion(name, self.random)
         self.limits = RequestLimits(self.random)
+        self.origins = StreamOrigins()
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.clock_offset = 0.0
--- /dev/null
+++ b/masticdrum/core/streamorigins.py
@@ -0,0 +1,43 @@
+"""Which version of the upstreams' software began each stream, as this process knows."""
+
+from collections import OrderedDict
+
+from msgspec import Struct
+
+from masticdrum.core.servedsoftware import STREAM_LIFE_S
+
+MAX_ORIGINS = 20_000
+
+
+class Origin(Struct, frozen=True):
+    """The version that began a stream, and when this process learnt it."""
+
+    software: str
+    at: float
+
+
+class StreamOrigins:
+    """The versions that began recent streams, by request; bounded in number and age."""
+
+    __slots__ = ("_origins",)
+
+    def __init__(self) -> None:
+        self._origins: OrderedDict[str, Origin] = OrderedDict()
+
+    def record(self, request: str, software: str, now: float) -> None:
+        """Record which version began the stream of a request."""
+        self._origins[request] = Origin(software, now)
+        self._origins.move_to_end(request)
+        while self._origins:
+            oldest = next(iter(self._origins.values()))
+            is_over = now >= oldest.at + STREAM_LIFE_S
+            if not is_over and len(self._origins) <= MAX_ORIGINS:
+                return
+            self._origins.popitem(last=False)
+
+    def find(self, request: str, now: float) -> str | None:
+        """Return the version that began a request's stream, None if it isn't known."""
+        origin = self._origins.get(request)
+        if origin is None or now >= origin.at + STREAM_LIFE_S:
+            return None
+        return origin.software
--- a/masticdrum/model/errors.py
+++ b/masticdrum/model/errors.py
@@ -43,6 +43,7 @@
     TOMBSTONED = "tombstoned"
     QUARANTINED = "quarantined"
     CRASH_SUSPECT = "crash_suspect"
+    ORIGIN_UNKNOWN = "origin_unknown"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -97,6 +98,9 @@
     ErrorKind.TOMBSTONED: Answer(503, "the attempt was given up", 1.0, True),
     ErrorKind.QUARANTINED: Answer(422, "the request crashed upstreams before"),
     ErrorKind.CRASH_SUSPECT: Answer(503, "requests like this crash upstreams", 60.0),
+    ErrorKind.ORIGIN_UNKNOWN: Answer(
+        503, "it is not known which version began the stream", 0.5
+    ),
     ErrorKind.UPSTREAM_FAILED: Answer(502, "the upstream failed", 1.0, True),
     ErrorKind.UPSTREAM_SILENT: Answer(504, "the upstream fell silent", 1.0, True),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, "the deadline passed", 1.0),
