Expect the era in the stored table of permits

The test compared the whole stored object with one that has no era; the table has one since permits outlast a restore of the store. The comparison is still of the whole.

--- a/tests/core/test_agentguards.py
+++ b/tests/core/test_agentguards.py
@@ -183,4 +183,4 @@
         for path, (_, body) in harness.platform.objects.items()
         if path.startswith("permits/")
     ]
-    assert table == {"fence": 1, "leases": {}}
+    assert table == {"fence": 1, "leases": {}, "era": 0}
