List each kind once, not in a loop, when all should be written again

What callers could see: from 10 s after a restore of the store on, every entry and agent lists every kind again and again without a pause, so that the store turns calls away. Cause: the second list after a restore is demanded by a time. The check of that time was made within the list too, before the time was cleared, so that each list was given up. Change: within a list only a change of era matters; the era of a watcher is that of its last complete list. Why it works: a complete list clears the time. One that fails is begun again, and still compares with the era of the last complete one.

--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -118,15 +118,16 @@
 
     async def _list(self) -> None:
         objects: dict[str, StoredObject] = {}
-        era_before = self._era
         requested_at, since, after = read_clock(), 0, ""
+        era = self._store.era
         while True:
             page = await self._store.list_page(
                 self._watched.kind, after, stale=self._watched.stale
             )
             if not since:
-                since, self._era = page.asOf, self._store.era
-            self._check_era()
+                since, era = page.asOf, self._store.era
+            if self._store.era != era:
+                raise HistoryGone
             for stored in self._decode_objects(page.items):
                 objects[stored.metadata.name] = stored
                 after = stored.metadata.name
@@ -135,8 +136,9 @@
         self._objects, self._since = objects, since
         self._removed.clear()
         self._list_again_at = float("inf")
-        if 0 < era_before < self._era:
+        if 0 < self._era < era:
             self._list_again_at = requested_at + REWRITE_S
+        self._era = era
         self._record_read()
         self._report_list(requested_at)
         self._requested_at = requested_at
