Don't send a request again on a connection on which it was refused

What callers could see: 'not run' (503) for a request that an upstream runs (REFUSED), or a request that may run once sent to a second upstream after that (TWICE). Cause: a request that all upstreams refused is sent to one of them once more, and may get the connection on which that one refused it. A faulty upstream that writes its refusal again there names the right request. Evidence: a stand-in that repeats its refusal while it runs the second sending: test_a_request_is_not_sent_again_on_a_connection_on_which_it_was_refused failed before (rejected twice on one connection). Refusals of other requests, and those that name none, were already taken as proof of nothing; four cases show it now. Change: a connection remembers the requests that were refused on it and carries none of them again; after 64 it is closed, so that this is bounded. Why it works: on a connection that never carried a request before, no earlier answer can name it.

--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -37,6 +37,7 @@
 # Statuses which state that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED = 421
+REFUSALS = frozenset({AttemptEnd.REJECTED, AttemptEnd.MISDIRECTED})
 METHODS_WITHOUT_BODY = (b"GET", b"HEAD")
 AttemptEvent = StreamBegun | StreamEventsReceived | AttemptEnded
 CONNECTION_ERRORS = (
@@ -137,7 +138,7 @@
     ) -> AttemptEnded:
         try:
             connection = await self.connections.acquire(
-                effect.address, min(CONNECT_S, effect.left_s)
+                effect.address, min(CONNECT_S, effect.left_s), request.request
             )
         except (OSError, trio.TooSlowError) as error:
             return make_ended(effect, AttemptEnd.UNREACHABLE, detail=repr(error))
@@ -151,6 +152,8 @@
         finally:
             if not is_finished:
                 connection.close()
+        if ended.end in REFUSALS:
+            connection.refused.add(request.request)
         self.connections.release(effect.address, connection, idle_s)
         return ended
 
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -40,10 +40,11 @@
     """Sends one request after the other and receives their answers.
 
     ``has_sent`` states whether bytes of the present request may have been sent,
-    ``is_reused`` whether the connection carried a request before.
+    ``is_reused`` whether the connection carried a request before. ``refused`` names the
+    requests that the upstream stated on it not to have run.
     """
 
-    __slots__ = ("_http", "_tcp", "has_sent", "idle_until", "is_reused")
+    __slots__ = ("_http", "_tcp", "has_sent", "idle_until", "is_reused", "refused")
 
     def __init__(self, tcp: TcpConnection) -> None:
         self._tcp = tcp
@@ -53,6 +54,7 @@
         self.has_sent = False
         self.is_reused = False
         self.idle_until = 0.0
+        self.refused: set[str] = set()
 
     async def send_request(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
--- a/masticdrum/shell/upstreampool.py
+++ b/masticdrum/shell/upstreampool.py
@@ -2,7 +2,8 @@
 
 A connection is returned to the pool only after a complete answer with no bytes behind
 it, and reused only if it is certainly within the upstream's idle timeout and has
-nothing to read.
+nothing to read. A request that was refused on it is never sent on it again, since a
+second copy of the refusal could not be told from an answer.
 """
 
 import trio
@@ -15,6 +16,7 @@
 # Covers a request's transit time to the upstream, and timeouts in whole seconds.
 IDLE_MARGIN_S = 1.0
 MAX_IDLE_CONNECTIONS = 64  # per upstream
+MAX_REFUSED = 64  # requests that one connection remembers as refused
 
 
 class UpstreamConnectionPool:
@@ -23,12 +25,14 @@
     def __init__(self) -> None:
         self._idle: dict[str, list[UpstreamConnection]] = {}
 
-    async def acquire(self, address: str, connect_s: float) -> UpstreamConnection:
-        """Return a connection to ``IP:PORT``.
+    async def acquire(
+        self, address: str, connect_s: float, request: str
+    ) -> UpstreamConnection:
+        """Return a connection to ``IP:PORT`` on which a request was not refused.
 
         Raises ``OSError``, or ``trio.TooSlowError`` after ``connect_s``.
         """
-        connection = self._pop_idle(address)
+        connection = self._pop_idle(address, request)
         if connection is not None:
             return connection
         host, _, port = address.rpartition(":")
@@ -44,6 +48,7 @@
         if (
             allowed_s <= 0
             or len(idle) >= MAX_IDLE_CONNECTIONS
+            or len(connection.refused) >= MAX_REFUSED
             or not connection.begin_next()
         ):
             connection.close()
@@ -64,11 +69,13 @@
             else:
                 del self._idle[address]
 
-    def _pop_idle(self, address: str) -> UpstreamConnection | None:
+    def _pop_idle(self, address: str, request: str) -> UpstreamConnection | None:
         idle = self._idle.get(address, [])
         now = read_clock()
-        while idle:
-            connection = idle.pop()
+        for place in range(len(idle) - 1, -1, -1):
+            if request in idle[place].refused:
+                continue
+            connection = idle.pop(place)
             if connection.is_usable(now):
                 return connection
             connection.close()
--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 import trio.testing
+from msgspec import structs
 
 from masticdrum.model.exchange import (
     AttemptEnd,
@@ -17,7 +18,7 @@
     StreamEventsReceived,
 )
 from masticdrum.platform.headers import PlatformHeaderCodec
-from masticdrum.shell import upstreamclient
+from masticdrum.shell import upstreamclient, upstreampool
 from masticdrum.shell.upstreamclient import (
     CallerRequest,
     UpstreamAnswer,
@@ -104,8 +105,12 @@
     count: int = 1,
     first_wait_s: float = 2.0,
     sink: FakeSink | None = None,
+    requests: list[CallerRequest] | None = None,
 ) -> list:
-    """Make attempts one after the other and return the events of all."""
+    """Make attempts one after the other and return the events of all.
+
+    They send ``requests``, or ``REQUEST`` each time.
+    """
     events: list = []
 
     async def run() -> None:
@@ -124,7 +129,7 @@
             for number in range(count):
                 ended = trio.Event()
                 start = make_start(f"127.0.0.1:{port}", number, first_wait_s)
-                client.start(start, REQUEST)
+                client.start(start, REQUEST if requests is None else requests[number])
                 with trio.fail_after(5):
                     await ended.wait()
                 await trio.testing.wait_all_tasks_blocked(0.01)
@@ -501,3 +506,56 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
+
+
+class RepeatingUpstream(FakeUpstream):
+    """Refuses the first request of a connection, and repeats that for all others.
+
+    It runs those. A second connection is answered properly.
+    """
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        answer = REFUSED if self.connections == 1 else OK
+        while True:
+            data = bytes(await stream.receive_some())
+            if not data:
+                return
+            self.requests.append(data)
+            await stream.send_all(answer)
+
+
+REFUSED = OK.replace(b"200 OK", b"503 Full\r\nX-Not-Executed: 1")
+MISDIRECTED = OK.replace(b"200 OK", b"421 Misdirected")
+
+
+# Guards against callers that are told "not run" for requests that an upstream runs,
+# since it repeats an earlier refusal of the same request (REFUSED, TWICE).
+def test_a_request_is_not_sent_again_on_a_connection_on_which_it_was_refused() -> None:
+    fake_upstream = RepeatingUpstream()
+    events = run_attempts(fake_upstream, 2)
+    ends = [event.end for event in events if isinstance(event, AttemptEnded)]
+    assert ends == [AttemptEnd.REJECTED, AttemptEnd.ANSWERED]
+    assert fake_upstream.connections == 2
+
+
+@pytest.mark.parametrize("refusal", [REFUSED, MISDIRECTED])
+@pytest.mark.parametrize("named", [b"X-Request-Id: r0\r\n", b""])
+def test_a_repeated_refusal_of_another_request_proves_nothing(
+    refusal: bytes, named: bytes
+) -> None:
+    repeated = refusal.replace(b"X-Request-Id: r1\r\n", named)
+    events = run_attempts(FakeUpstream(OK, repeated), 2)
+    ends = [event.end for event in events if isinstance(event, AttemptEnded)]
+    assert ends == [AttemptEnd.ANSWERED, AttemptEnd.FOREIGN]
+
+
+@pytest.mark.parametrize(("most", "connections"), [(1, 2), (2, 1)])
+def test_a_connection_that_has_refused_many_requests_is_not_reused(
+    monkeypatch: pytest.MonkeyPatch, most: int, connections: int
+) -> None:
+    monkeypatch.setattr(upstreampool, "MAX_REFUSED", most)
+    fake_upstream = FakeUpstream(REFUSED, OK.replace(b"r1", b"r2"))
+    other = structs.replace(REQUEST, request="r2")
+    run_attempts(fake_upstream, 2, requests=[REQUEST, other])
+    assert fake_upstream.connections == connections
