Don't end a stream as complete with an answer that is no stream

What callers could see: a stream that broke off ends as if it were complete (ORDER, MIXED). Cause: when the next upstream answers the request to go on with an answer of its own, such as 400, 404 or a plain 200, the attempt counts as answered, and an answered attempt ends a stream that has begun. Answers of 500 and above ended it as incomplete already. Evidence: test_an_answer_that_is_no_stream_does_not_end_a_stream_as_complete failed before for all four statuses. Change: such an answer counts as a fault of the upstream: the stream goes on elsewhere, or ends as incomplete. Its body was and is never written to the caller. Why it works: a stream ends as complete only by an attempt that itself sent a stream.

--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -5,6 +5,8 @@
 proof.
 """
 
+from msgspec.structs import replace
+
 from masticdrum.core.attemptends import ANSWER_ENDS, END_RULES
 from masticdrum.core.attemptlog import log_end
 from masticdrum.core.attemptstart import describe_attempt
@@ -299,6 +301,8 @@
     attempt = _release_attempt(state, exchange)
     if event.last_event is not None:
         exchange.last_event = event.last_event
+    if _answers_stream_otherwise(exchange, attempt, event):
+        event = replace(event, end=AttemptEnd.FAULT_ANSWERED)
     rule = END_RULES[event.end]
     if rule.ran is not Execution.NO:
         exchange.maybe_ran = True
@@ -325,6 +329,14 @@
     return effects + fail_exchange(state, exchange, rule.kind, now)
 
 
+def _answers_stream_otherwise(
+    exchange: Exchange, attempt: Attempt, event: AttemptEnded
+) -> bool:
+    """Return whether an answer that is no stream came for the rest of a stream."""
+    answered = event.end is AttemptEnd.ANSWERED
+    return answered and exchange.stream_begun and attempt.begun_at is None
+
+
 def _release_attempt(state: ExchangeState, exchange: Exchange) -> Attempt:
     attempt = exchange.attempt
     if attempt is None:
--- a/tests/core/test_exchanges.py
+++ b/tests/core/test_exchanges.py
@@ -115,6 +115,36 @@
     assert pick(effects, EndStream)
 
 
+# Guards against a broken stream that ends as if it were complete, since the next
+# upstream answered with an error or something else that is no stream (ORDER, MIXED).
+@pytest.mark.parametrize("status", [200, 400, 404, 413])
+def test_an_answer_that_is_no_stream_does_not_end_a_stream_as_complete(
+    status: int,
+) -> None:
+    entry = Entry()
+    start = get_start(entry.send_request("stream"))
+    entry.begin(start)
+    entry.stream(start, 4)
+    again = get_start(entry.end(start, AttemptEnd.LOST))
+    effects = entry.end(again, AttemptEnd.ANSWERED, status, verified=True)
+    third = get_start(effects)
+    assert third.last_event == 4
+    ended = entry.end(third, AttemptEnd.ANSWERED, status, verified=True)
+    assert pick(ended, AbortStream)
+    for effect_kind in (EndStream, ForwardAnswer, ForwardEvents, BeginStream):
+        assert not pick([*effects, *ended], effect_kind)
+
+
+def test_a_resumed_stream_without_further_events_is_complete() -> None:
+    entry = Entry()
+    start = get_start(entry.send_request("stream"))
+    entry.begin(start)
+    entry.stream(start, 4)
+    again = get_start(entry.end(start, AttemptEnd.LOST))
+    entry.begin(again)
+    assert pick(entry.end(again, AttemptEnd.ANSWERED, 200, verified=True), EndStream)
+
+
 def test_a_broken_stream_that_may_not_resume_ends_as_incomplete() -> None:
     entry = Entry()
     start = get_start(entry.send_request("once"))
