Don't forward another answer behind a stream without a length

Cause: a stream with neither length nor chunks ends with its connection, so that whatever a faulty upstream writes behind the last event belongs to it. A head ends with an empty line, as an event does, and was forwarded as one. Evidence: test_another_answer_behind_an_unframed_stream_is_not_forwarded failed before (the error's head and text were forwarded, and the stream ended as complete). Change: the bytes of a head end the attempt as garbled after the last whole event before it. Events that tell of a head in their data are forwarded as before. Why it works: no line of an event begins like a status line or a framing header. Text of another answer without a head can't be told from an event; in a framed stream it is a violation of the framing, which was noticed already.

--- a/masticdrum/shell/eventsplitter.py
+++ b/masticdrum/shell/eventsplitter.py
@@ -10,6 +10,15 @@
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)(?=[\r\n])")
 MAX_EVENT_BYTES = 256 * 1024
+# The head of another answer, in a stream that its connection's end ends. It may
+# follow a part of an event on the same line; no line of an event begins like a header.
+ANSWER_HEAD = re.compile(
+    rb"(?:^|[\r\n])HTTP/\d"
+    rb"|HTTP/\d\.\d \d{3}[^\r\n]*(?:\r?\n[^\r\n]+)*?"
+    rb"\r?\n(?:content-length|content-type|connection|transfer-encoding|date):",
+    re.IGNORECASE,
+)
+ANSWER_MARK = b"HTTP/"
 
 
 class EventTooLong(Exception):
@@ -17,13 +26,17 @@
 
 
 class EventSplitter:
-    """Buffers the last event until it has arrived completely."""
+    """Buffers the last event until it has arrived completely.
 
-    __slots__ = ("_max_event_bytes", "_rest", "last_event")
+    ``is_garbled`` means that the head of another answer followed the last event.
+    """
+
+    __slots__ = ("_max_event_bytes", "_rest", "is_garbled", "last_event")
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self._max_event_bytes = max_event_bytes
         self._rest = b""
+        self.is_garbled = False
         self.last_event: int | None = None
 
     @property
@@ -47,11 +60,24 @@
             whole, self._rest = data[:end], data[end:]
             if len(self._rest) > self._max_event_bytes:
                 raise EventTooLong(f"an event is over {self._max_event_bytes} bytes")
+        if ANSWER_MARK in whole:
+            whole = self._cut_off_answer(whole)
         last_event = find_last_id(whole)
         if last_event is not None:
             self.last_event = last_event
         return whole
 
+    def _cut_off_answer(self, events: bytes) -> bytes:
+        """Return the events before another answer's head, if there is one."""
+        head = ANSWER_HEAD.search(events)
+        if head is None:
+            return events
+        self.is_garbled = True
+        end = 0
+        for found in EVENT_END.finditer(events, 0, head.start() + 1):
+            end = found.end()
+        return events[:end]
+
 
 def find_last_id(events: bytes) -> int | None:
     """Return the id of the last event that has one, or None."""
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -219,6 +219,10 @@
                 part = await connection.receive_body()
             while not scope.cancel_called:
                 forwarder.forward(part.data, hold=part.is_last)
+                if forwarder.is_garbled:
+                    connection.close()
+                    detail = "another answer follows the last event"
+                    return forwarder.make_ended(AttemptEnd.GARBLED, detail=detail)
                 if part.is_last:
                     break
                 if self._sink.is_blocked(effect.handle):
@@ -320,6 +324,11 @@
         """Whether the stream so far ends with a complete event."""
         return self._splitter.is_whole
 
+    @property
+    def is_garbled(self) -> bool:
+        """Whether bytes that belong to another answer followed the events."""
+        return self._splitter.is_garbled
+
     def begin(self, limit_per_s: float | None) -> None:
         """Report the start of the stream; its head is sent with what follows at once.
 
--- a/tests/shell/test_eventsplitter.py
+++ b/tests/shell/test_eventsplitter.py
@@ -56,3 +56,37 @@
     with pytest.raises(EventTooLong):
         for _ in range(20):
             splitter.feed(b"data: more ")
+
+
+HEAD = b"HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\n"
+
+
+# Guards against callers that find another answer's head and text within their stream,
+# which has no length and no chunks (MIXED, ORDER).
+@pytest.mark.parametrize("begun", [b"", b"id: 3\nda", b"id: 3\ndata: c\n"])
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_another_answers_head_is_no_event(begun: bytes, size: int) -> None:
+    splitter = EventSplitter()
+    before = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    data = before + begun + HEAD + b"failed"
+    whole = b""
+    for at in range(0, len(data), size):
+        whole += splitter.feed(data[at : at + size])
+        if splitter.is_garbled:
+            break
+    assert splitter.is_garbled
+    assert (whole, splitter.last_event) == (before, 2)
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        b"id: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Type: text/plain\n\n",
+        b"id: 1\r\ndata: HTTP/1.1 200 OK\r\ndata: Date: now\r\n\r\n",
+        b"data: see HTTP/2\nid: 1\n\n",
+    ],
+)
+def test_an_event_may_tell_of_an_answers_head(event: bytes) -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(event) == event
+    assert not splitter.is_garbled and splitter.last_event == 1
--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -287,6 +287,15 @@
 UNFRAMED_OK = OK.replace(b"Content-Length: 2\r\n", b"")
 
 
+# Guards against an error's head and text within a caller's stream (MIXED, ORDER).
+def test_another_answer_behind_an_unframed_stream_is_not_forwarded() -> None:
+    error = b"HTTP/1.1 500 Failed\r\nContent-Length: 9\r\n\r\nfailed\n\n\n"
+    events, forwarded = read_stream(UNFRAMED + EVENT + b"id: 2\nda" + error, close=True)
+    assert forwarded == EVENT
+    end = find_end(events)
+    assert (end.end, end.last_event) == (AttemptEnd.GARBLED, 1)
+
+
 class ResettingUpstream(FakeUpstream):
     """An upstream that resets the connection after its answer."""
 
