Send nothing more to an upstream whose answer says that it leaves

What callers could see: requests cut off at servers that are leaving (DRAIN): the new header Server-Leaving was read by nobody, and the registration that says the same is read up to 0.2 s later, or not at all while the store is away. Change: an answer with the header, whatever its status, marks that incarnation as leaving in this entry. Older registrations, also those of a restored store, don't undo it; a 421, which another server at the address gives, doesn't count. Why it works: only a new incarnation clears it, and candidates leave out what is leaving.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -9,8 +9,10 @@
 from collections.abc import Iterable, Iterator
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from masticdrum.core.directory import DirectoryIndex
+from masticdrum.core.leavingupstreams import LeavingUpstreams
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.restores import Restores, is_outdated
 from masticdrum.core.servedsoftware import ServedSoftware
@@ -80,6 +82,7 @@
         "by_service",
         "index",
         "known",
+        "leaving",
         "lease_until",
         "lost",
         "members",
@@ -108,6 +111,7 @@
         self.lost: dict[Source, float] = {}
         self.reregister_until = 0.0
         self.restores = Restores()
+        self.leaving = LeavingUpstreams()
         self.software = ServedSoftware()
 
     @property
@@ -304,6 +308,8 @@
     if old is not None and is_outdated(upstream, old.upstream):
         old.usable_until = None
         return [_log_outdated(upstream, old.upstream.sequence, 0.0)]
+    if cluster_state.leaving.has_said(upstream):
+        upstream = replace(upstream, leaving=True)
     cold_until = now + upstream.cold_s if upstream.cold_s > 0 else 0.0
     if old is None or old.upstream.born != upstream.born:
         known = KnownUpstream(upstream, cold_until)
@@ -334,6 +340,17 @@
     return []
 
 
+def apply_leaving(cluster_state: ClusterState, name: str, born: int) -> list[Log]:
+    """Send nothing more to an upstream whose answer says that it leaves."""
+    cluster_state.leaving.record(name, born)
+    known = cluster_state.known.get(name)
+    if known is None or known.upstream.born != born or known.upstream.leaving:
+        return []
+    known.upstream = replace(known.upstream, leaving=True)
+    cluster_state.forget_lists()
+    return [_log_upstream(LogNumber.UPSTREAM_LEAVING, known.upstream, "answer")]
+
+
 def _has_moved(old: Upstream, new: Upstream) -> bool:
     before = (old.service, old.data_centre, old.software)
     return before != (new.service, new.data_centre, new.software)
@@ -350,6 +367,7 @@
         return []
     cluster_state.forget_rankings()
     cluster_state.restores.record_departure(known.upstream)
+    cluster_state.leaving.record_departure(known.upstream)
     cluster_state.software.remove(known.upstream, now)
     del cluster_state.known[name]
     cluster_state.by_service[known.upstream.service].pop(name, None)
@@ -368,9 +386,10 @@
     )
 
 
-def _log_upstream(number: LogNumber, upstream: Upstream) -> Log:
+def _log_upstream(number: LogNumber, upstream: Upstream, detail: str = "") -> Log:
     return Log(
         number,
+        detail=detail,
         facts={
             "upstream": upstream.name,
             "service": upstream.service,
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -11,6 +11,7 @@
 from masticdrum.core.attemptlog import log_end
 from masticdrum.core.attemptstart import describe_attempt
 from masticdrum.core.candidatelist import is_cold, list_candidates
+from masticdrum.core.clusterstate import apply_leaving
 from masticdrum.core.crashes import list_keys, record_end
 from masticdrum.core.exchangeclose import (
     DEADLINE,
@@ -263,6 +264,8 @@
     logs = state.limits.record_answer(
         attempt.upstream, attempt.born, event.limit_per_s, exchange.request
     )
+    if event.leaving:
+        logs += apply_leaving(state.cluster_state, attempt.upstream, attempt.born)
     if exchange.stream_begun:
         return [*logs]
     exchange.stream_begun = True
@@ -319,6 +322,8 @@
         effects += state.limits.record_answer(
             attempt.upstream, attempt.born, event.limit_per_s, exchange.request
         )
+    if event.leaving and event.end is not AttemptEnd.MISDIRECTED:
+        effects += apply_leaving(state.cluster_state, attempt.upstream, attempt.born)
     if event.end is AttemptEnd.ANSWERED:
         return effects + deliver_answer(state, exchange, event, now)
     if _may_retry(state, exchange, rule.ran, now):
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -89,12 +89,13 @@
     """An upstream has started a stream of events.
 
     ``limit_per_s`` is how many requests a second it takes from all entries together,
-    None without a limit.
+    None without a limit. ``leaving`` means that it is about to leave.
     """
 
     handle: int
     attempt: int
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class StreamEventsReceived(Struct, frozen=True):
@@ -117,7 +118,8 @@
     answers bear the upstream's signature and may be forwarded. ``weights`` is the
     version of the weights that the upstream reports, zero if it reports none.
     ``last_event`` is the id of the last event of a stream that was forwarded.
-    ``limit_per_s`` is as in ``StreamBegun``, for answers that are no streams.
+    ``limit_per_s`` and ``leaving`` are as in ``StreamBegun``, for answers that are no
+    streams.
     """
 
     handle: int
@@ -129,6 +131,7 @@
     detail: str = ""
     last_event: int | None = None
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class StopRequested(Struct, frozen=True):
--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -21,6 +21,7 @@
 WEIGHTS = b"x-weight-versions"
 KEEP_ALIVE = b"keep-alive"
 LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 STRIPPED_PREFIXES = (b"x-kv-", b"x-expect-")
 STRIPPED_HEADERS = frozenset(
     {
@@ -118,6 +119,7 @@
             weights=int(weights) if weights.isdigit() else 0,
             idle_s=read_idle_timeout(values.get(KEEP_ALIVE, b"")),
             limit_per_s=read_limit(values.get(LIMIT)),
+            leaving=values.get(LEAVING, b"").strip() == b"1",
         )
 
 
--- a/masticdrum/shell/headercodec.py
+++ b/masticdrum/shell/headercodec.py
@@ -32,6 +32,7 @@
     encoding, and ``events`` that it is an event stream. ``idle_s`` is the upstream's
     idle timeout for the connection; None if it isn't stated. ``limit_per_s`` is how
     many requests a second it takes from all entries together, None without a limit.
+    ``leaving`` means that the upstream is about to leave.
     """
 
     request: str
@@ -42,6 +43,7 @@
     weights: int = 0
     idle_s: float | None = None
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -187,12 +187,20 @@
             and upstream_headers.signed
             and upstream_headers.plain
         ):
-            limit = upstream_headers.limit_per_s
-            ended = await self._read_events(effect, connection, answer, scope, limit)
+            begun = StreamBegun(
+                effect.handle,
+                effect.attempt,
+                upstream_headers.limit_per_s,
+                upstream_headers.leaving,
+            )
+            ended = await self._read_events(effect, connection, answer, scope, begun)
         else:
             ended = await self._read_whole(effect, connection, answer, upstream_headers)
-            if upstream_headers.limit_per_s is not None:
-                ended = replace(ended, limit_per_s=upstream_headers.limit_per_s)
+            ended = replace(
+                ended,
+                limit_per_s=upstream_headers.limit_per_s,
+                leaving=upstream_headers.leaving,
+            )
         return ended, upstream_headers.idle_s
 
     def _make_headers(self, effect: StartAttempt, request: CallerRequest) -> Headers:
@@ -207,11 +215,11 @@
         connection: UpstreamConnection,
         answer: UpstreamAnswer,
         scope: trio.CancelScope,
-        limit_per_s: float | None,
+        begun: StreamBegun,
     ) -> AttemptEnded:
         self._sink.store_answer(effect.handle, effect.attempt, answer)
         forwarder = StreamForwarder(effect, self._submit, self._sink)
-        forwarder.begin(limit_per_s)
+        forwarder.begin(begun)
         try:
             part = connection.take_body()
             if part is None:
@@ -329,14 +337,13 @@
         """Whether bytes that belong to another answer followed the events."""
         return self._splitter.is_garbled
 
-    def begin(self, limit_per_s: float | None) -> None:
+    def begin(self, begun: StreamBegun) -> None:
         """Report the start of the stream; its head is sent with what follows at once.
 
         The caller of this method releases what is held.
         """
-        effect = self._effect
-        self._sink.hold(effect.handle)
-        self._submit(StreamBegun(effect.handle, effect.attempt, limit_per_s))
+        self._sink.hold(begun.handle)
+        self._submit(begun)
 
     def forward(self, data: bytes, *, hold: bool) -> None:
         """Forward the events that ``data`` completes; raises ``EventTooLong``.
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -172,9 +172,14 @@
         )
 
     def begin(
-        self, start: StartAttempt, limit_per_s: float | None = None
+        self,
+        start: StartAttempt,
+        limit_per_s: float | None = None,
+        leaving: bool = False,
     ) -> list[ExchangeEffect]:
-        return self.handle_event(StreamBegun(start.handle, start.attempt, limit_per_s))
+        return self.handle_event(
+            StreamBegun(start.handle, start.attempt, limit_per_s, leaving)
+        )
 
     def stream(self, start: StartAttempt, number: int) -> list[ExchangeEffect]:
         events = f"id: {number}\ndata: x\n\n".encode()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -27,3 +27,15 @@
     read = PlatformHeaderCodec().read_upstream(200, headers)
     assert read.limit_per_s == limit
     assert PlatformHeaderCodec().read_upstream(200, headers[:1]).limit_per_s is None
+
+
+# Guards against an upstream's word that it leaves being passed on unread (DRAIN).
+@pytest.mark.parametrize(
+    ("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)]
+)
+def test_an_upstream_says_in_a_header_that_it_leaves(
+    value: bytes, leaving: bool
+) -> None:
+    headers = [(b"x-request-id", b"r1"), (b"server-leaving", value)]
+    assert PlatformHeaderCodec().read_upstream(200, headers).leaving is leaving
+    assert not PlatformHeaderCodec().read_upstream(200, headers[:1]).leaving
--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -15,6 +15,7 @@
     AttemptEnded,
     StartAttempt,
     StopAttempt,
+    StreamBegun,
     StreamEventsReceived,
 )
 from masticdrum.platform.headers import PlatformHeaderCodec
@@ -296,6 +297,21 @@
     assert (end.end, end.last_event) == (AttemptEnd.GARBLED, 1)
 
 
+@pytest.mark.parametrize("answer", [OK, OK.replace(b"200 OK", b"500 Failed")])
+def test_an_answer_that_says_that_its_upstream_leaves_is_reported(
+    answer: bytes,
+) -> None:
+    leaving = answer.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n")
+    assert find_end(run_attempts(FakeUpstream(leaving))).leaving
+    assert not find_end(run_attempts(FakeUpstream(answer))).leaving
+
+
+def test_a_stream_that_says_that_its_upstream_leaves_is_reported() -> None:
+    leaving = STREAM.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n")
+    events, _ = read_stream(leaving + make_chunk(EVENT) + b"0\r\n\r\n")
+    assert [e.leaving for e in events if isinstance(e, StreamBegun)] == [True]
+
+
 class ResettingUpstream(FakeUpstream):
     """An upstream that resets the connection after its answer."""
 
