Shed a stream that its caller takes up only if it can't go on in time

Cause: a stream that goes on was shed by the target for first events. Its first event was delivered already, and its caller has a part of its answer to lose. Change: such a stream is shed by the time that its caller still waits, with the same rule. Why it works: what is broken off for good serves nobody; the bound by the time left keeps callers from passing the queue for nothing.

--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -141,8 +141,12 @@
 def _must_shed(state: ExchangeState, exchange: Exchange, now: float) -> bool:
     service, urgency = exchange.service, exchange.urgency
     exchange.expected_s = state.saturation.estimate(service, urgency, now)
+    target_s = exchange.route.target_s
+    if exchange.last_event is not None:
+        # Its first event was in time or not; what counts is that it goes on at all.
+        target_s = max(target_s, exchange.deadline - now)
     return state.saturation.is_refused(
-        service, urgency, exchange.expected_s, exchange.route.target_s, now
+        service, urgency, exchange.expected_s, target_s, now
     )
 
 
--- a/tests/core/test_saturation.py
+++ b/tests/core/test_saturation.py
@@ -9,10 +9,13 @@
 from bench.saturation import RANK, SERVICE, TARGET_S, Chosen, QueueOnly, play
 from masticdrum.core.saturation import (
     HOLD_S,
+    MAX_SHED_WAIT,
+    MIN_SHED_WAIT,
     MIN_WAITING,
     WINDOW_S,
     Saturation,
 )
+from masticdrum.core.servedsoftware import STREAM_LIFE_S
 from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt
 from tests.forwarding import Entry, get_start, pick
 
@@ -150,6 +153,40 @@
     assert pick(entry.send_request("idempotent"), StartAttempt)
 
 
+def make_saturated_entry(seed: int = 1) -> Entry:
+    """Return an entry that serves four prompts a second and has eight that wait."""
+    entry = Entry(seed)
+    entry.now += STREAM_LIFE_S
+    entry.confirm()
+    for _ in range(20):
+        start = get_start(entry.send_request("stream"))
+        entry.begin(start)
+        entry.stream(start, 1)
+        entry.end(start, AttemptEnd.ANSWERED, 200, verified=True)
+    saturate_entry(entry)
+    assert pick(entry.send_request("stream", deadline_s=9.0), Refuse)
+    return entry
+
+
+# Guards against refusing callers of broken streams, who have a part of their answer, as
+# often as those that have nothing to lose yet (LOST).
+@pytest.mark.parametrize("seed", range(20))
+def test_a_stream_that_is_taken_up_is_not_shed_while_it_can_go_on_in_time(
+    seed: int,
+) -> None:
+    entry = make_saturated_entry(seed)
+    wait_s = entry.state.saturation.estimate("engines", 2, entry.now)
+    left_s = wait_s / MIN_SHED_WAIT
+    assert get_start(entry.send_request("stream", deadline_s=left_s, last_event=4))
+
+
+def test_a_stream_that_is_taken_up_too_late_to_go_on_is_shed() -> None:
+    entry = make_saturated_entry()
+    wait_s = entry.state.saturation.estimate("engines", 2, entry.now)
+    left_s = wait_s / MAX_SHED_WAIT
+    assert pick(entry.send_request("stream", deadline_s=left_s, last_event=4), Refuse)
+
+
 def test_ended_requests_no_longer_count_as_waiting() -> None:
     entry = Entry()
     saturate_entry(entry)
