Send nothing to an upstream for the time that it names in a 503

The header Retry-After of a server was passed on to callers, or dropped with the attempt. Change: a 503 with Retry-After pauses that incarnation for this entry; other answers don't end the pause. If all upstreams that could take a request are paused, it is refused at once and told when the first one takes requests again. Why it works: candidates leave out what is paused, for each way in which a request is sent.

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -17,6 +17,8 @@
     usable = state.cluster_state.list_usable_upstreams(exchange.service, now)
     if exchange.software is not None:
         usable = [k for k in usable if k.upstream.software == exchange.software]
+    if not state.pauses.is_empty:
+        usable = [k for k in usable if not state.pauses.is_paused(k.upstream, now)]
     if now < state.cluster_state.any_cold_until or not state.pacer.is_empty:
         usable = [known for known in usable if _has_cold_capacity(state, known, now)]
     if exchange.spare_only:
--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -25,6 +25,7 @@
 ORIGIN = "origin"
 RETRY_AFTER_FRACTION = 0.25  # of the time left; callers wait for at most a third of it
 MIN_RETRY_AFTER_S = 0.05
+PAUSE_SPREAD = 0.25  # so that not all callers return when the upstreams' pause ends
 
 
 def deliver_answer(
@@ -74,6 +75,7 @@
     if status == 503 and wait_s == 0:
         left_s = max(0.0, exchange.deadline - now)
         wait_s = draw_retry_after(state, kind, left_s, _compute_backlog(exchange))
+        wait_s = max(wait_s, _draw_pause(state, exchange, now))
     log = Log(
         LogNumber.EXCHANGE_REFUSED,
         request=exchange.request,
@@ -128,6 +130,17 @@
     return exchange.expected_s - MIN_SHED_WAIT * exchange.route.target_s
 
 
+def _draw_pause(state: ExchangeState, exchange: Exchange, now: float) -> float:
+    """Draw for how long all upstreams want nothing; zero if one of them does."""
+    if state.pauses.is_empty:
+        return 0.0
+    usable = state.cluster_state.list_usable_upstreams(exchange.service, now)
+    end = state.pauses.find_next_end([known.upstream for known in usable], now)
+    if end is None:
+        return 0.0
+    return (end - now) * state.random.uniform(1.0, 1.0 + PAUSE_SPREAD)
+
+
 def draw_retry_after(
     state: ExchangeState, kind: ErrorKind, left_s: float, backlog_s: float = 0.0
 ) -> float:
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -51,6 +51,7 @@
 from masticdrum.model.telemetry import (
     Count,
     Counter,
+    Facts,
     Histogram,
     Log,
     LogNumber,
@@ -322,12 +323,7 @@
     _update_weights(state, exchange, attempt, event)
     effects += log_end(exchange, attempt, event, rule.ran, now)
     effects += record_end(state, exchange, attempt, event, now)
-    if event.end in ANSWER_ENDS and attempt.begun_at is None:
-        effects += state.limits.record_answer(
-            attempt.upstream, attempt.born, event.limit_per_s, exchange.request
-        )
-    if event.leaving and event.end is not AttemptEnd.MISDIRECTED:
-        effects += apply_leaving(state.cluster_state, attempt.upstream, attempt.born)
+    effects += _record_notices(state, exchange, attempt, event, now)
     if event.end is AttemptEnd.ANSWERED:
         return effects + deliver_answer(state, exchange, event, now)
     if _may_retry(state, exchange, rule.ran, now):
@@ -338,6 +334,31 @@
     return effects + fail_exchange(state, exchange, rule.kind, now)
 
 
+def _record_notices(
+    state: ExchangeState,
+    exchange: Exchange,
+    attempt: Attempt,
+    event: AttemptEnded,
+    now: float,
+) -> list[Log]:
+    """Record what an answer says of its upstream besides answering."""
+    name, born = attempt.upstream, attempt.born
+    logs: list[Log] = []
+    if event.end in ANSWER_ENDS and attempt.begun_at is None:
+        logs += state.limits.record_answer(
+            name, born, event.limit_per_s, exchange.request
+        )
+    if event.end is AttemptEnd.MISDIRECTED:
+        return logs
+    if event.leaving:
+        logs += apply_leaving(state.cluster_state, name, born)
+    if event.pause_s > 0 and state.pauses.record(name, born, now + event.pause_s):
+        facts: Facts = {"upstream": name, "for_s": round(event.pause_s, 3)}
+        number = LogNumber.UPSTREAM_PAUSED
+        logs.append(Log(number, request=exchange.request, facts=facts))
+    return logs
+
+
 def _answers_stream_otherwise(
     exchange: Exchange, attempt: Attempt, event: AttemptEnded
 ) -> bool:
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -15,6 +15,7 @@
 from masticdrum.core.storepolls import StorePolls, choose_polls
 from masticdrum.core.streamorigins import StreamOrigins
 from masticdrum.core.timers import Timers
+from masticdrum.core.upstreampauses import UpstreamPauses
 from masticdrum.model.cluster_events import Member
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.exchange import Prompt
@@ -178,6 +179,7 @@
         self.saturation = Saturation(self.random)
         self.suspicion = CrashSuspicion(name, self.random)
         self.limits = RequestLimits(self.random)
+        self.pauses = UpstreamPauses()
         self.origins = StreamOrigins()
         self.has_agents = True
         self.timers: Timers[TimerName] = Timers()
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -141,6 +141,9 @@
     for name in state.limits.list_upstreams():
         if name not in known:
             state.limits.forget(name)
+    for name in state.pauses.list_upstreams():
+        if name not in known:
+            state.pauses.forget(name)
 
 
 def _report_lease_change(state: ExchangeState, now: float) -> list[ExchangeEffect]:
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -119,7 +119,8 @@
     version of the weights that the upstream reports, zero if it reports none.
     ``last_event`` is the id of the last event of a stream that was forwarded.
     ``limit_per_s`` and ``leaving`` are as in ``StreamBegun``, for answers that are no
-    streams.
+    streams. ``pause_s`` is for how long the upstream wants nothing from this entry,
+    zero if it doesn't say so.
     """
 
     handle: int
@@ -132,6 +133,7 @@
     last_event: int | None = None
     limit_per_s: float | None = None
     leaving: bool = False
+    pause_s: float = 0.0
 
 
 class StopRequested(Struct, frozen=True):
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -68,6 +68,7 @@
     PERMIT_CHANGED = 85
     REGISTRATION_OUTDATED = 86
     STREAM_TAKEN_UP = 87
+    UPSTREAM_PAUSED = 88
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -22,6 +22,7 @@
 KEEP_ALIVE = b"keep-alive"
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 STRIPPED_PREFIXES = (b"x-kv-", b"x-expect-")
 STRIPPED_HEADERS = frozenset(
     {
@@ -119,6 +120,7 @@
             weights=int(weights) if weights.isdigit() else 0,
             idle_s=read_idle_timeout(values.get(KEEP_ALIVE, b"")),
             limit_per_s=read_limit(values.get(LIMIT)),
+            pause_s=read_seconds(values.get(RETRY_AFTER)) if status == 503 else 0.0,
             leaving=values.get(LEAVING, b"").strip() == b"1",
         )
 
@@ -164,6 +166,11 @@
     return limit if isfinite(limit) and limit >= 0 else None
 
 
+def read_seconds(value: bytes | None) -> float:
+    """Return a time in seconds, zero if there is none that can be read."""
+    return read_limit(value) or 0.0
+
+
 def read_idle_timeout(value: bytes) -> float | None:
     """Return the idle timeout in a ``Keep-Alive`` header, in seconds."""
     for word in value.split(b","):
--- a/masticdrum/shell/headercodec.py
+++ b/masticdrum/shell/headercodec.py
@@ -32,7 +32,8 @@
     encoding, and ``events`` that it is an event stream. ``idle_s`` is the upstream's
     idle timeout for the connection; None if it isn't stated. ``limit_per_s`` is how
     many requests a second it takes from all entries together, None without a limit.
-    ``leaving`` means that the upstream is about to leave.
+    ``leaving`` means that the upstream is about to leave. ``pause_s`` is for how long
+    it wants nothing from this process, zero if it doesn't say so.
     """
 
     request: str
@@ -44,6 +45,7 @@
     idle_s: float | None = None
     limit_per_s: float | None = None
     leaving: bool = False
+    pause_s: float = 0.0
 
 
 class HeaderCodec(Protocol):
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -200,6 +200,7 @@
                 ended,
                 limit_per_s=upstream_headers.limit_per_s,
                 leaving=upstream_headers.leaving,
+                pause_s=upstream_headers.pause_s,
             )
         return ended, upstream_headers.idle_s
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -39,3 +39,27 @@
     headers = [(b"x-request-id", b"r1"), (b"server-leaving", value)]
     assert PlatformHeaderCodec().read_upstream(200, headers).leaving is leaving
     assert not PlatformHeaderCodec().read_upstream(200, headers[:1]).leaving
+
+
+# Guards against the time in which an upstream wants nothing being passed on unread, and
+# against values that are no times (BUDGET).
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, b"3", 3.0),
+        (503, b"0.25", 0.25),
+        (503, b"-1", 0.0),
+        (503, b"inf", 0.0),
+        (503, b"nan", 0.0),
+        (503, b"Fri, 04 Dec 2026 22:00:00 GMT", 0.0),
+        (503, b"", 0.0),
+        (429, b"3", 0.0),
+        (200, b"3", 0.0),
+    ],
+)
+def test_an_upstream_says_for_how_long_it_wants_nothing(
+    status: int, value: bytes, pause_s: float
+) -> None:
+    headers = [(b"x-request-id", b"r1"), (b"retry-after", value)]
+    assert PlatformHeaderCodec().read_upstream(status, headers).pause_s == pause_s
+    assert PlatformHeaderCodec().read_upstream(status, headers[:1]).pause_s == 0.0
--- a/tests/shell/test_upstreamclient.py
+++ b/tests/shell/test_upstreamclient.py
@@ -306,6 +306,12 @@
     assert not find_end(run_attempts(FakeUpstream(answer))).leaving
 
 
+def test_the_time_in_which_an_upstream_wants_nothing_is_reported() -> None:
+    full = OK.replace(b"200 OK", b"503 Full\r\nRetry-After: 1.5\r\nX-Not-Executed: 1")
+    end = find_end(run_attempts(FakeUpstream(full)))
+    assert (end.end, end.pause_s) == (AttemptEnd.REJECTED, 1.5)
+
+
 def test_a_stream_that_says_that_its_upstream_leaves_is_reported() -> None:
     leaving = STREAM.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n")
     events, _ = read_stream(leaving + make_chunk(EVENT) + b"0\r\n\r\n")
