Tell agents where streams began only while two versions serve

Cause: the records were sent in case another version should appear. Change: an entry sends them from the moment at which it knows of a second version until one alone has served for 30 s; it then sends those of the last 30 s too, 100 at a time. In its own first 30 s it sends all. Evidence: test_agents_are_told_nothing_while_one_version_serves and test_agents_learn_where_streams_began_as_soon_as_another_version_serves. Why it works: where a stream began matters only once another version serves.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -201,6 +201,10 @@
         ]
         return min(times, default=float("-inf"))
 
+    def has_watched_software(self, now: float) -> bool:
+        """Return whether no software version can have left unseen lately."""
+        return self.software.has_watched_long(now)
+
     def count_members(self, role: str) -> int:
         """Count the processes of a role that share limits, including this one."""
         if self.members is None:
--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -165,7 +165,7 @@
         query.request,
         state.origins.find(query.request, now),
         tuple(sorted(served.list_versions(query.service, now))),
-        served.has_watched_long(now),
+        state.cluster_state.has_watched_software(now),
     )
     return SendOriginReply(event.peer, reply)
 
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -1,5 +1,6 @@
 """The state of an entry that forwards exchanges."""
 
+from collections import deque
 from random import Random
 
 from msgspec import Struct
@@ -159,8 +160,10 @@
     ``role`` is the role by which it finds its peer entries. ``open`` is the work that
     this entry has open at each upstream, ``heard_at`` when it last began or ended an
     answer. ``has_agents`` states whether agents can be told and asked where streams
-    began. ``clock_offset`` is what has to be added to its clock for the time of day,
-    in seconds.
+    began. ``mixed`` are the services of which several software versions serve or did
+    lately, ``unsent_origins`` the streams, by service and request, that agents have to
+    be told of since. ``clock_offset`` is what has to be added to its clock for the time
+    of day, in seconds.
     """
 
     def __init__(self, name: str, role: str, bounds: ForwardBounds, seed: int) -> None:
@@ -182,6 +185,8 @@
         self.pauses = UpstreamPauses()
         self.origins = StreamOrigins()
         self.has_agents = True
+        self.mixed: set[str] = set()
+        self.unsent_origins: deque[tuple[str, str]] = deque()
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.clock_offset = 0.0
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -14,8 +14,16 @@
     use_origin_reply,
 )
 from masticdrum.core.exchangestate import ExchangeState
+from masticdrum.core.resumption import review_versions, send_records
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
-from masticdrum.model.cluster_events import ClusterEvent, StoreRestored, WeightsNamed
+from masticdrum.model.cluster_events import (
+    ClusterEvent,
+    StoreRestored,
+    UpstreamChanged,
+    UpstreamGone,
+    UpstreamsListed,
+    WeightsNamed,
+)
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.exchange import (
     AttemptEnded,
@@ -88,7 +96,7 @@
         case StopRequested():
             return _begin_stop(state, event, now)
         case Ticked():
-            return review_crashes(state, now)
+            return [*review_crashes(state, now), *send_records(state, now)]
         case CrashReportsListed() | CrashReportChanged() | OriginReply():
             return _handle_peer_event(state, event, now)
         case PrefixesReported() | PrefixStoreLost():
@@ -128,7 +136,10 @@
     if isinstance(event, StoreRestored):
         state.suspicion.republish(now)
     _forget_removed_upstreams(state)
-    return [*logs]
+    effects: list[ExchangeEffect] = [*logs]
+    if isinstance(event, UpstreamsListed | UpstreamChanged | UpstreamGone):
+        effects += review_versions(state, now)
+    return effects
 
 
 def _forget_removed_upstreams(state: ExchangeState) -> None:
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -20,12 +20,13 @@
     OriginReply,
     SendToAgents,
 )
-from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.model.telemetry import Facts, Log, LogNumber
 
 SEARCH_S = 0.2  # for the agents' replies; one between regions takes a third of it
 COPIES = 2  # agents that keep a stream's origin
 # Upstreams that registered since a stream began move its agents down in rank.
 QUERIED_PER_VERSION = 6
+RECORDS_AT_ONCE = 100  # about 10 ms of a slow core
 
 
 class Resumption(StrEnum):
@@ -47,7 +48,7 @@
     if known is not None:
         return _allow(exchange, known, "own record")
     versions = software.list_versions(exchange.service, now)
-    if len(versions) <= 1 and software.has_watched_long(now):
+    if len(versions) <= 1 and state.cluster_state.has_watched_software(now):
         return _allow(exchange, next(iter(versions), None), "only version")
     addresses = _list_queried(state, exchange)
     if not addresses:
@@ -67,7 +68,8 @@
         return Resumption.SEARCHING, []
     if reply.software is not None:
         _end_search(state, exchange)
-        state.origins.record(exchange.resumes, reply.software, now)
+        service = exchange.service
+        state.origins.record(exchange.resumes, reply.software, now, service)
         return _allow(exchange, reply.software, "agent")
     search.unanswered -= 1
     search.versions |= set(reply.versions)
@@ -101,9 +103,51 @@
     request = exchange.request if began_here else exchange.resumes
     if not request or not exchange.route.resumable:
         return []
-    state.origins.record(request, exchange.software, now)
-    record = OriginRecord(request, exchange.software)
-    addresses = _list_recorders(state, exchange.service, record)
+    service = exchange.service
+    state.origins.record(request, exchange.software, now, service)
+    if service in state.mixed or not state.cluster_state.has_watched_software(now):
+        return _send_record(state, service, OriginRecord(request, exchange.software))
+    return []
+
+
+def review_versions(state: ExchangeState, now: float) -> list[ExchangeEffect]:
+    """Begin to tell agents where streams began as soon as two versions serve.
+
+    They are told of recent streams too. While one version serves there is no need.
+    """
+    effects: list[ExchangeEffect] = []
+    for service in state.cluster_state.by_service:
+        versions = state.cluster_state.software.list_versions(service, now)
+        if len(versions) <= 1:
+            state.mixed.discard(service)
+        elif service not in state.mixed:
+            state.mixed.add(service)
+            recent = state.origins.list_requests(service)
+            state.unsent_origins.extend((service, request) for request in recent)
+            facts: Facts = {
+                "service": service,
+                "versions": sorted(versions),
+                "streams": len(recent),
+            }
+            effects.append(Log(LogNumber.SOFTWARE_MIXED, facts=facts))
+    return effects + send_records(state, now)
+
+
+def send_records(state: ExchangeState, now: float) -> list[ExchangeEffect]:
+    """Tell agents of some of the streams that began before two versions served."""
+    effects: list[ExchangeEffect] = []
+    for _ in range(min(RECORDS_AT_ONCE, len(state.unsent_origins))):
+        service, request = state.unsent_origins.popleft()
+        software = state.origins.find(request, now)
+        if software is not None:
+            effects += _send_record(state, service, OriginRecord(request, software))
+    return effects
+
+
+def _send_record(
+    state: ExchangeState, service: str, record: OriginRecord
+) -> list[ExchangeEffect]:
+    addresses = _list_recorders(state, service, record)
     return [SendToAgents(addresses, record)] if addresses else []
 
 
--- a/masticdrum/core/servedsoftware.py
+++ b/masticdrum/core/servedsoftware.py
@@ -13,7 +13,7 @@
 class ServedSoftware:
     """The versions of each service, from the registrations of its upstreams.
 
-    ``since`` is when the first list of upstreams was read, or None before that.
+    ``since`` is from when on each registration was read, or None before the first list.
     """
 
     __slots__ = ("_left", "_registered", "since")
--- a/masticdrum/core/streamorigins.py
+++ b/masticdrum/core/streamorigins.py
@@ -15,6 +15,7 @@
 
     software: str
     at: float
+    service: str
 
 
 class StreamOrigins:
@@ -25,11 +26,16 @@
     def __init__(self) -> None:
         self._origins: OrderedDict[str, Origin] = OrderedDict()
 
-    def record(self, request: str, software: str, now: float) -> None:
-        """Record which version began the stream of a request."""
+    def record(
+        self, request: str, software: str, now: float, service: str = ""
+    ) -> None:
+        """Record which version began the stream of a request.
+
+        ``service`` is that of the upstream, or empty where it isn't needed.
+        """
         if max(len(request), len(software)) > MAX_NAME_CHARS:
             return
-        self._origins[request] = Origin(software, now)
+        self._origins[request] = Origin(software, now, service)
         self._origins.move_to_end(request)
         while self._origins:
             oldest = next(iter(self._origins.values()))
@@ -38,6 +44,10 @@
                 return
             self._origins.popitem(last=False)
 
+    def list_requests(self, service: str) -> list[str]:
+        """List the requests of a service whose streams' versions are recorded."""
+        return [r for r, origin in self._origins.items() if origin.service == service]
+
     def find(self, request: str, now: float) -> str | None:
         """Return the version that began a request's stream, None if it isn't known."""
         origin = self._origins.get(request)
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -69,6 +69,7 @@
     REGISTRATION_OUTDATED = 86
     STREAM_TAKEN_UP = 87
     UPSTREAM_PAUSED = 88
+    SOFTWARE_MIXED = 89
 
 
 class Counter(StrEnum):
--- a/tests/core/test_resumption.py
+++ b/tests/core/test_resumption.py
@@ -8,7 +8,12 @@
     EngineControllerState,
     reduce_engine_controller,
 )
-from masticdrum.core.resumption import COPIES, QUERIED_PER_VERSION, SEARCH_S
+from masticdrum.core.resumption import (
+    COPIES,
+    QUERIED_PER_VERSION,
+    RECORDS_AT_ONCE,
+    SEARCH_S,
+)
 from masticdrum.core.servedsoftware import STREAM_LIFE_S
 from masticdrum.core.streamorigins import MAX_NAME_CHARS, MAX_ORIGINS, StreamOrigins
 from masticdrum.model.cluster_events import (
@@ -213,6 +218,42 @@
     assert len(query.addresses) <= 2 * QUERIED_PER_VERSION
 
 
+# Guards against a datagram for each stream on ordinary days: at size that is over the
+# bytes that control may cost a node.
+def test_agents_are_told_nothing_while_one_version_serves() -> None:
+    entry = make_entry(*OLD)
+    age_entry(entry)
+    start = start_at_old(entry)
+    entry.begin(start)
+    assert not pick(entry.stream(start, 4), SendToAgents)
+
+
+# Guards against streams whose origin nobody else knows, since they began just before
+# another version appeared and all entries were killed then (LOST).
+def test_agents_learn_where_streams_began_as_soon_as_another_version_serves() -> None:
+    agents = Agents(*OLD)
+    entry = make_entry(*OLD)
+    age_entry(entry)
+    requests = []
+    for number in range(RECORDS_AT_ONCE + 50):
+        start = start_at_old(entry, number)
+        entry.begin(start)
+        assert not pick(entry.stream(start, 4), SendToAgents)
+        requests.append(entry.state.exchanges[start.handle].request)
+        entry.disconnect(start.handle)
+    first = entry.handle_event(UpstreamChanged(NEW[0]))
+    second = entry.handle_event(Ticked())
+    batches = [len(pick(effects, SendToAgents)) for effects in (first, second)]
+    assert batches == [RECORDS_AT_ONCE, 50]
+    assert not pick(entry.handle_event(Ticked()), SendToAgents)
+    agents.deliver(entry, [*first, *second])
+    fresh = restart_entry(entry.now, *OLD, NEW[0])
+    for number, request in enumerate(requests):
+        again = get_start(take_up(fresh, request, agents, number))
+        assert find_software(fresh, again) == "v1"
+        fresh.disconnect(again.handle)
+
+
 def test_agents_of_upstreams_that_leave_are_not_told_where_a_stream_began() -> None:
     leaving = [make_upstream(u.name, "engines", leaving=True) for u in NEW[1:]]
     entry = make_entry(NEW[0], *OLD)
