Don't trust the only version that was seen across an outage of the store

What callers could see: a stream joined from two software versions (ORDER) at an entry that was cut off from the store: it counted as having watched for 30 s all the same, though other entries learnt of another version meanwhile. Evidence: test_an_entry_that_was_cut_off_does_not_trust_the_only_version, both cases, failed before. Change: losses of the list of upstreams of a second and more begin the 30 s anew, at entries and at agents. Why it works: what was not read can't be told from what did not happen.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -203,7 +203,8 @@
 
     def has_watched_software(self, now: float) -> bool:
         """Return whether no software version can have left unseen lately."""
-        return self.software.has_watched_long(now)
+        lost_at = self.lost.get(Source.UPSTREAMS, now)
+        return now < lost_at + OUTAGE_S and self.software.has_watched_long(now)
 
     def count_members(self, role: str) -> int:
         """Count the processes of a role that share limits, including this one."""
@@ -467,6 +468,7 @@
     cluster_state.lost.pop(event.source, None)
     if event.source is Source.UPSTREAMS and event.lost_s > OUTAGE_S:
         cluster_state.reregister_until = now + REREGISTER_S
+        cluster_state.software.since = now
     facts: Facts = {
         "source": event.source.value,
         "lost_s": round(event.lost_s, 3),
--- a/tests/core/test_resumption.py
+++ b/tests/core/test_resumption.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from masticdrum.core.clusterstate import OUTAGE_S
 from masticdrum.core.enginecontroller import (
     EngineControllerState,
     reduce_engine_controller,
@@ -17,6 +18,9 @@
 from masticdrum.core.servedsoftware import STREAM_LIFE_S
 from masticdrum.core.streamorigins import MAX_NAME_CHARS, MAX_ORIGINS, StreamOrigins
 from masticdrum.model.cluster_events import (
+    Source,
+    SourceLost,
+    SourceRegained,
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
@@ -254,6 +258,32 @@
         fresh.disconnect(again.handle)
 
 
+# Guards against an entry that was cut off from the store, meanwhile learnt of no other
+# version, and joins its streams (ORDER).
+@pytest.mark.parametrize("regained", [False, True])
+def test_an_entry_that_was_cut_off_does_not_trust_the_only_version(
+    regained: bool,
+) -> None:
+    entry = make_entry(*OLD)
+    age_entry(entry)
+    entry.handle_event(SourceLost(Source.UPSTREAMS, "silent"))
+    entry.now += 2 * OUTAGE_S
+    entry.confirm()
+    if regained:
+        entry.handle_event(SourceRegained(Source.UPSTREAMS, 2 * OUTAGE_S))
+    take_up(entry, "elsewhere")
+    assert pick(expire_search(entry), Refuse)
+
+
+def test_a_short_loss_of_the_store_hides_no_version() -> None:
+    entry = make_entry(*OLD)
+    age_entry(entry)
+    entry.handle_event(SourceLost(Source.UPSTREAMS, "reset"))
+    entry.now += OUTAGE_S / 2
+    entry.handle_event(SourceRegained(Source.UPSTREAMS, OUTAGE_S / 2))
+    assert get_start(take_up(entry, "elsewhere"))
+
+
 def test_agents_of_upstreams_that_leave_are_not_told_where_a_stream_began() -> None:
     leaving = [make_upstream(u.name, "engines", leaving=True) for u in NEW[1:]]
     entry = make_entry(NEW[0], *OLD)
