--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -10,17 +10,22 @@
     clusterstate,
     exchanges,
     requestlimits,
+    resumption,
     storedprefixes,
 )
 from masticdrum.core.attemptends import END_RULES
 from masticdrum.core.clusterstate import ClusterState
 from masticdrum.core.coldstartpacing import ColdStartPacer, Place
 from masticdrum.core.crashsuspicion import CrashSuspicion
+from masticdrum.core.leavingupstreams import LeavingUpstreams
 from masticdrum.core.orderexecution import OrderExecution
 from masticdrum.core.requestlimits import RequestLimits
+from masticdrum.core.resumption import Resumption
 from masticdrum.core.retrywindow import RetryWindow
 from masticdrum.core.saturation import Queue, Saturation
+from masticdrum.core.servedsoftware import ServedSoftware
 from masticdrum.core.storedprefixes import StoredPrefixes
+from masticdrum.core.upstreampauses import UpstreamPauses
 from masticdrum.model.exchange import Execution
 
 Patch = pytest.MonkeyPatch
@@ -188,3 +193,28 @@
 
     patch.setattr(RequestLimits, "may_send", may_send_alone)
     patch.setattr(requestlimits, "compute_interval", lambda per_s, members: 1 / per_s)
+
+
+def resume_at_any_version(patch: Patch) -> None:
+    """Let a stream that its caller takes up go on at any software version."""
+    patch.setattr(resumption, "_allow", lambda *given: (Resumption.ALLOWED, []))
+
+
+def trust_the_only_version(patch: Patch) -> None:
+    """Take for granted that no other software version served before."""
+    patch.setattr(ServedSoftware, "has_watched_long", lambda *given: True)
+
+
+def end_streams_with_any_answer(patch: Patch) -> None:
+    """Take any answer for the rest of a stream."""
+    patch.setattr(exchanges, "_answers_stream_otherwise", lambda *given: False)
+
+
+def forget_who_leaves(patch: Patch) -> None:
+    """Let an older registration bring an upstream back that leaves."""
+    patch.setattr(LeavingUpstreams, "has_said", lambda *given: False)
+
+
+def send_during_pauses(patch: Patch) -> None:
+    """Send to an upstream that wants nothing for a while."""
+    patch.setattr(UpstreamPauses, "is_paused", lambda *given: False)
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -11,10 +11,13 @@
     test_crashsuspicion,
     test_exchanges,
     test_keptparts,
+    test_leavingupstreams,
     test_ordercourse,
     test_requestlimits,
+    test_resumption,
     test_saturation,
     test_upstreamlists,
+    test_upstreampauses,
 )
 
 Check = Callable[[], None]
@@ -114,6 +117,33 @@
         forwardmutants.refuse_nothing,
         test_saturation.test_a_small_excess_is_shed_and_no_more,
     ),
+    (
+        forwardmutants.resume_at_any_version,
+        test_resumption.test_another_entry_learns_from_agents_which_version_began_a_stream,
+    ),
+    (
+        forwardmutants.trust_the_only_version,
+        test_resumption.test_an_entry_that_has_just_started_does_not_trust_the_only_version,
+    ),
+    (
+        forwardmutants.end_streams_with_any_answer,
+        partial(
+            test_exchanges.test_an_answer_that_is_no_stream_does_not_end_a_stream_as_complete,
+            status=404,
+        ),
+    ),
+    (
+        forwardmutants.forget_who_leaves,
+        partial(
+            test_leavingupstreams.test_an_older_registration_does_not_bring_a_leaving_upstream_back,
+            gone=False,
+            born=7,
+        ),
+    ),
+    (
+        forwardmutants.send_during_pauses,
+        test_upstreampauses.test_a_shorter_pause_does_not_end_a_longer_one,
+    ),
 ]
 
 
