--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -7,7 +7,7 @@
 
 from msgspec.structs import replace
 
-from masticdrum.core.attemptends import ANSWER_ENDS, END_RULES
+from masticdrum.core.attemptends import END_RULES
 from masticdrum.core.attemptlog import log_end
 from masticdrum.core.attemptstart import describe_attempt
 from masticdrum.core.candidatelist import is_cold, list_candidates
@@ -22,7 +22,6 @@
 )
 from masticdrum.core.exchangestate import Attempt, Exchange, ExchangeState
 from masticdrum.core.invariants import require
-from masticdrum.core.outlierdetection import OutlierDetector
 from masticdrum.core.resumption import (
     Resumption,
     begin_resumption,
@@ -31,6 +30,11 @@
     record_origin,
 )
 from masticdrum.core.upstreamchoice import choose_upstream, estimate_work
+from masticdrum.core.upstreamnotices import (
+    record_notices,
+    record_outcome,
+    update_weights,
+)
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.exchange import (
@@ -51,7 +55,6 @@
 from masticdrum.model.telemetry import (
     Count,
     Counter,
-    Facts,
     Histogram,
     Log,
     LogNumber,
@@ -88,7 +91,7 @@
         kind = ErrorKind.CRASH_SUSPECT
         return [counted, *fail_exchange(state, exchange, kind, now, quarantine_s)]
     verdict, effects = begin_resumption(state, exchange, now)
-    return [counted, *effects, *_resume(state, exchange, verdict, now)]
+    return [counted, *effects, *_proceed(state, exchange, verdict, now)]
 
 
 def use_origin_reply(
@@ -99,7 +102,7 @@
     if exchange is None:
         return []
     verdict, effects = handle_reply(state, exchange, reply, now)
-    return [*effects, *_resume(state, exchange, verdict, now)]
+    return [*effects, *_proceed(state, exchange, verdict, now)]
 
 
 def end_origin_search(
@@ -110,10 +113,10 @@
     if exchange is None:
         return []
     verdict, effects = finish_search(state, exchange)
-    return [*effects, *_resume(state, exchange, verdict, now)]
+    return [*effects, *_proceed(state, exchange, verdict, now)]
 
 
-def _resume(
+def _proceed(
     state: ExchangeState, exchange: Exchange, verdict: Resumption, now: float
 ) -> list[ExchangeEffect]:
     match verdict:
@@ -317,13 +320,13 @@
         exchange.sends += 1
     else:
         exchange.rejections += 1
-    effects = _record_outcome(
-        state, attempt.upstream, rule.counts_as_failure, event, now
-    )
-    _update_weights(state, exchange, attempt, event)
+    effects: list[ExchangeEffect] = [
+        *record_outcome(state, attempt.upstream, rule.counts_as_failure, event, now)
+    ]
+    update_weights(state, exchange, attempt, event)
     effects += log_end(exchange, attempt, event, rule.ran, now)
     effects += record_end(state, exchange, attempt, event, now)
-    effects += _record_notices(state, exchange, attempt, event, now)
+    effects += record_notices(state, exchange, attempt, event, now)
     if event.end is AttemptEnd.ANSWERED:
         return effects + deliver_answer(state, exchange, event, now)
     if _may_retry(state, exchange, rule.ran, now):
@@ -334,31 +337,6 @@
     return effects + fail_exchange(state, exchange, rule.kind, now)
 
 
-def _record_notices(
-    state: ExchangeState,
-    exchange: Exchange,
-    attempt: Attempt,
-    event: AttemptEnded,
-    now: float,
-) -> list[Log]:
-    """Record what an answer says of its upstream besides answering."""
-    name, born = attempt.upstream, attempt.born
-    logs: list[Log] = []
-    if event.end in ANSWER_ENDS and attempt.begun_at is None:
-        logs += state.limits.record_answer(
-            name, born, event.limit_per_s, exchange.request
-        )
-    if event.end is AttemptEnd.MISDIRECTED:
-        return logs
-    if event.leaving:
-        logs += apply_leaving(state.cluster_state, name, born)
-    if event.pause_s > 0 and state.pauses.record(name, born, now + event.pause_s):
-        facts: Facts = {"upstream": name, "for_s": round(event.pause_s, 3)}
-        number = LogNumber.UPSTREAM_PAUSED
-        logs.append(Log(number, request=exchange.request, facts=facts))
-    return logs
-
-
 def _answers_stream_otherwise(
     exchange: Exchange, attempt: Attempt, event: AttemptEnded
 ) -> bool:
@@ -381,60 +359,6 @@
     return attempt
 
 
-def _record_outcome(
-    state: ExchangeState,
-    name: str,
-    counts_as_failure: bool,
-    event: AttemptEnded,
-    now: float,
-) -> list[ExchangeEffect]:
-    end = event.end
-    # A misdirected request whose answer names no weights met another upstream at the
-    # address; the list will drop the one that it was meant for.
-    was_rejected = end is AttemptEnd.REJECTED or (
-        end is AttemptEnd.MISDIRECTED and event.weights == 0
-    )
-    detector = state.outlier_detectors.get(name)
-    if detector is None:
-        if not counts_as_failure and not was_rejected:
-            return []
-        detector = state.outlier_detectors[name] = OutlierDetector()
-    if was_rejected:
-        detector.record_rejection(now)
-        return []
-    if not counts_as_failure:
-        if end is AttemptEnd.ANSWERED:
-            detector.record_success()
-        return []
-    if not detector.record_failure(now):
-        return []
-    return [
-        Log(
-            LogNumber.UPSTREAM_AVOIDED,
-            detail=end.value,
-            facts={
-                "upstream": name,
-                "in_a_row": detector.consecutive_failures,
-                "failing": round(detector.failure_rate, 3),
-                "for_s": round(detector.ejected_until - now, 3),
-            },
-        )
-    ]
-
-
-def _update_weights(
-    state: ExchangeState, exchange: Exchange, attempt: Attempt, event: AttemptEnded
-) -> None:
-    """Record the weight version that an upstream states in its answer."""
-    known = state.cluster_state.known.get(attempt.upstream)
-    if known is None or exchange.prompt is None or event.weights <= 0:
-        return
-    weights = known.upstream.weights
-    if weights.get(exchange.prompt.model, 0) < event.weights:
-        weights[exchange.prompt.model] = event.weights
-        exchange.tried.discard(attempt.upstream)
-
-
 def _may_retry(
     state: ExchangeState, exchange: Exchange, ran: Execution, now: float
 ) -> bool:
