--- a/masticdrum/core/settingscheck.py
+++ b/masticdrum/core/settingscheck.py
@@ -22,7 +22,7 @@
     | ForwardSettings
     | EngineControllerSettings
 )
-SOCKET_ADDRESSES = frozenset({"http", "probes", "metrics", "store"})
+SOCKET_ADDRESSES = frozenset({"http", "probes", "metrics", "store", "datagrams"})
 
 ADDRESS_SCHEMES = {
     "listen": "tcp",
--- a/tests/shell/test_settings.py
+++ b/tests/shell/test_settings.py
@@ -5,8 +5,14 @@
 
 import msgspec
 import pytest
+from msgspec.structs import fields
 
-from masticdrum.model.settings import AgentSettings, EntrySettings
+from masticdrum.model.settings import (
+    AgentSettings,
+    EngineControllerSettings,
+    EntrySettings,
+    ForwardSettings,
+)
 from masticdrum.shell.settings import load_credentials, load_settings
 
 ENTRY = {
@@ -54,6 +60,23 @@
     assert load_settings(path, EntrySettings).failure() == f"{path}: {text}"
 
 
+# Guards against an address for datagrams that ends the process only once it is bound.
+@pytest.mark.parametrize(
+    "address", ["localhost:7702", "127.0.0.1", "127.0.0.1:0x1", ""]
+)
+@pytest.mark.parametrize("kind", [ForwardSettings, EngineControllerSettings])
+def test_a_malformed_address_for_datagrams_is_refused(
+    tmp_path: Path, address: str, kind: type[ForwardSettings | EngineControllerSettings]
+) -> None:
+    texts = {"name", "data_centre", "http", "probes", "metrics", "store", "upstream"}
+    known = {field.name for field in fields(kind)}
+    values = dict.fromkeys(texts & known, "127.0.0.1:1")
+    path = write(tmp_path / "some.json", values | {"datagrams": address})
+    assert load_settings(path, kind).failure().startswith(f"{path}: datagrams: ")
+    path = write(tmp_path / "some.json", values | {"datagrams": "127.0.0.1:7702"})
+    assert load_settings(path, kind).unwrap().datagrams == "127.0.0.1:7702"
+
+
 def test_missing_file_is_named(tmp_path: Path) -> None:
     path = tmp_path / "none.json"
     failure = load_settings(path, AgentSettings).failure()
