--- a/masticdrum/model/origins.py
+++ b/masticdrum/model/origins.py
@@ -8,14 +8,14 @@
 from msgspec import Struct
 
 
-class OriginRecord(Struct, frozen=True, tag="record"):
+class OriginRecord(Struct, frozen=True, array_like=True, tag="record"):
     """A request's stream has begun at an upstream of a version of the software."""
 
     request: str
     software: str
 
 
-class OriginQuery(Struct, frozen=True, tag="query"):
+class OriginQuery(Struct, frozen=True, array_like=True, tag="query"):
     """Asks which version began a stream; ``handle`` is echoed in the reply."""
 
     handle: int
@@ -23,7 +23,7 @@
     service: str
 
 
-class OriginReply(Struct, frozen=True, tag="reply"):
+class OriginReply(Struct, frozen=True, array_like=True, tag="reply"):
     """What an agent knows of a stream's origin.
 
     ``software`` is the version that began it, or None. ``versions`` are those at which
