--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -22,11 +22,11 @@
 )
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
-SEARCH_S = 0.2  # for the agents' replies; one between regions takes a third of it
+SEARCH_S = 0.2  # for replies of agents, also in another region
 COPIES = 2  # agents that keep a stream's origin
 # Upstreams that registered since a stream began move its agents down in rank.
 QUERIED_PER_VERSION = 6
-RECORDS_AT_ONCE = 100  # about 10 ms of a slow core
+RECORDS_AT_ONCE = 100  # so that they delay no request
 
 
 class Resumption(StrEnum):
