Derive a stream's life from the timeouts of its routes

Cause: a fixed time stood for the longest life of a stream. Change: twice the longest timeout of a route whose streams may be resumed, 30 s at least. Queries name it, since agents don't read the configuration. Records are kept for 10 minutes. Evidence: test_versions_count_for_twice_the_longest_timeout_of_streams; with timeouts of 60 s and more the fixed time let such streams go on at another version. Why it works: no stream that began longer ago is still waited for by its caller.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -15,7 +15,7 @@
 from masticdrum.core.leavingupstreams import LeavingUpstreams
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.restores import Restores, is_outdated
-from masticdrum.core.servedsoftware import ServedSoftware
+from masticdrum.core.servedsoftware import ServedSoftware, compute_stream_life
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -201,10 +201,19 @@
         ]
         return min(times, default=float("-inf"))
 
-    def has_watched_software(self, now: float) -> bool:
-        """Return whether no software version can have left unseen lately."""
+    @property
+    def stream_life_s(self) -> float:
+        """How long ago a stream that is taken up may have begun, in seconds."""
+        return (
+            compute_stream_life(())
+            if self.index is None
+            else (self.index.stream_life_s)
+        )
+
+    def has_watched_software(self, now: float, life_s: float) -> bool:
+        """Return whether no software version can have left unseen within a time."""
         lost_at = self.lost.get(Source.UPSTREAMS, now)
-        return now < lost_at + OUTAGE_S and self.software.has_watched_long(now)
+        return now < lost_at + OUTAGE_S and self.software.has_watched_long(now, life_s)
 
     def count_members(self, role: str) -> int:
         """Count the processes of a role that share limits, including this one."""
--- a/masticdrum/core/directory.py
+++ b/masticdrum/core/directory.py
@@ -4,6 +4,7 @@
 index.find_route("shop.example", "/orders/new/7")  # the longest matching prefix
 """
 
+from masticdrum.core.servedsoftware import compute_stream_life
 from masticdrum.model.directory import (
     Directory,
     ForwardRoute,
@@ -15,7 +16,15 @@
 class DirectoryIndex:
     """A directory with the lookups that each request needs."""
 
-    __slots__ = ("directory", "models", "services", "stores", "_routes", "_workspaces")
+    __slots__ = (
+        "_routes",
+        "_workspaces",
+        "directory",
+        "models",
+        "services",
+        "stores",
+        "stream_life_s",
+    )
 
     def __init__(self, directory: Directory) -> None:
         self.directory = directory
@@ -25,6 +34,9 @@
         self.stores = [
             service for service in directory.services if service.store is not None
         ]
+        self.stream_life_s = compute_stream_life(
+            route.timeout_s for route in directory.routes if route.resumable
+        )
         self._routes: dict[str, dict[str, ForwardRoute]] = {}
         for route in directory.routes:
             self._routes.setdefault(route.host, {})[route.prefix] = route
--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -159,13 +159,14 @@
     state: EngineControllerState, event: OriginQueried, now: float
 ) -> SendOriginReply:
     query = event.query
+    life_s = query.life_s
     served = state.cluster_state.software
     reply = OriginReply(
         query.handle,
         query.request,
         state.origins.find(query.request, now),
-        tuple(sorted(served.list_versions(query.service, now))),
-        state.cluster_state.has_watched_software(now),
+        tuple(sorted(served.list_versions(query.service, now, life_s))),
+        state.cluster_state.has_watched_software(now, life_s),
     )
     return SendOriginReply(event.peer, reply)
 
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -43,19 +43,20 @@
     """Find the version that began an exchange's stream, or query the agents for it."""
     if exchange.last_event is None:
         return Resumption.ALLOWED, []
-    software = state.cluster_state.software
+    cluster_state = state.cluster_state
+    life_s = cluster_state.stream_life_s
     known = state.origins.find(exchange.resumes, now)
     if known is not None:
         return _allow(exchange, known, "own record")
-    versions = software.list_versions(exchange.service, now)
-    if len(versions) <= 1 and state.cluster_state.has_watched_software(now):
+    versions = cluster_state.software.list_versions(exchange.service, now, life_s)
+    if len(versions) <= 1 and cluster_state.has_watched_software(now, life_s):
         return _allow(exchange, next(iter(versions), None), "only version")
     addresses = _list_queried(state, exchange)
     if not addresses:
         return _refuse(exchange, versions)
     exchange.search = OriginSearch(len(addresses), versions)
     state.timers.set((ORIGIN, exchange.handle), now + SEARCH_S)
-    query = OriginQuery(exchange.handle, exchange.resumes, exchange.service)
+    query = OriginQuery(exchange.handle, exchange.resumes, exchange.service, life_s)
     return Resumption.SEARCHING, [SendToAgents(addresses, query)]
 
 
@@ -105,7 +106,9 @@
         return []
     service = exchange.service
     state.origins.record(request, exchange.software, now, service)
-    if service in state.mixed or not state.cluster_state.has_watched_software(now):
+    cluster_state = state.cluster_state
+    watched = cluster_state.has_watched_software(now, cluster_state.stream_life_s)
+    if service in state.mixed or not watched:
         return _send_record(state, service, OriginRecord(request, exchange.software))
     return []
 
@@ -116,18 +119,20 @@
     They are told of recent streams too. While one version serves there is no need.
     """
     effects: list[ExchangeEffect] = []
+    life_s = state.cluster_state.stream_life_s
     for service in state.cluster_state.by_service:
-        versions = state.cluster_state.software.list_versions(service, now)
+        versions = state.cluster_state.software.list_versions(service, now, life_s)
         if len(versions) <= 1:
             state.mixed.discard(service)
         elif service not in state.mixed:
             state.mixed.add(service)
-            recent = state.origins.list_requests(service)
+            recent = state.origins.list_requests(service, now - life_s)
             state.unsent_origins.extend((service, request) for request in recent)
             facts: Facts = {
                 "service": service,
                 "versions": sorted(versions),
                 "streams": len(recent),
+                "life_s": life_s,
             }
             effects.append(Log(LogNumber.SOFTWARE_MIXED, facts=facts))
     return effects + send_records(state, now)
--- a/masticdrum/core/servedsoftware.py
+++ b/masticdrum/core/servedsoftware.py
@@ -3,11 +3,24 @@
 What two versions write doesn't fit together, so a stream goes on only at the version
 that began it. While one version alone has served for as long as a stream can last,
 every stream began at it.
+
+No page bounds how long that is. A stream may be cut at the timeout of its route and be
+taken up once more, so that twice the longest timeout is taken for its life, in seconds.
 """
 
+from collections.abc import Iterable
+
 from masticdrum.model.directory import Upstream
 
-STREAM_LIFE_S = 30.0  # no caller takes up a stream that began longer ago
+MIN_STREAM_LIFE_S = 30.0
+MAX_STREAM_LIFE_S = 600.0
+TIMEOUTS_PER_LIFE = 2.0
+
+
+def compute_stream_life(timeouts_s: Iterable[float]) -> float:
+    """Return how long ago a stream that is taken up may have begun, in seconds."""
+    wanted = TIMEOUTS_PER_LIFE * max(timeouts_s, default=0.0)
+    return min(MAX_STREAM_LIFE_S, max(MIN_STREAM_LIFE_S, wanted))
 
 
 class ServedSoftware:
@@ -40,13 +53,14 @@
         """List the versions that registered upstreams run."""
         return sorted(self._registered.get(service, ()))
 
-    def list_versions(self, service: str, now: float) -> set[str]:
+    def list_versions(self, service: str, now: float, life_s: float) -> set[str]:
         """List the versions at which an open stream may have begun, as far as known."""
         left = self._left.get(service, {})
-        for version in [v for v, at in left.items() if now >= at + STREAM_LIFE_S]:
+        for version in [v for v, at in left.items() if now >= at + MAX_STREAM_LIFE_S]:
             del left[version]
-        return {*self._registered.get(service, ()), *left}
+        lately = [version for version, at in left.items() if now < at + life_s]
+        return {*self._registered.get(service, ()), *lately}
 
-    def has_watched_long(self, now: float) -> bool:
+    def has_watched_long(self, now: float, life_s: float) -> bool:
         """Return whether no version can have left unseen within a stream's life."""
-        return self.since is not None and now >= self.since + STREAM_LIFE_S
+        return self.since is not None and now >= self.since + life_s
--- a/masticdrum/core/streamorigins.py
+++ b/masticdrum/core/streamorigins.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from masticdrum.core.servedsoftware import STREAM_LIFE_S
+from masticdrum.core.servedsoftware import MAX_STREAM_LIFE_S
 
 MAX_ORIGINS = 20_000
 MAX_NAME_CHARS = 128  # of a request; the streams of longer ones are not recorded
@@ -39,18 +39,22 @@
         self._origins.move_to_end(request)
         while self._origins:
             oldest = next(iter(self._origins.values()))
-            is_over = now >= oldest.at + STREAM_LIFE_S
+            is_over = now >= oldest.at + MAX_STREAM_LIFE_S
             if not is_over and len(self._origins) <= MAX_ORIGINS:
                 return
             self._origins.popitem(last=False)
 
-    def list_requests(self, service: str) -> list[str]:
-        """List the requests of a service whose streams' versions are recorded."""
-        return [r for r, origin in self._origins.items() if origin.service == service]
+    def list_requests(self, service: str, since: float) -> list[str]:
+        """List the requests of a service whose streams were recorded since a time."""
+        return [
+            request
+            for request, origin in self._origins.items()
+            if origin.service == service and origin.at >= since
+        ]
 
     def find(self, request: str, now: float) -> str | None:
         """Return the version that began a request's stream, None if it isn't known."""
         origin = self._origins.get(request)
-        if origin is None or now >= origin.at + STREAM_LIFE_S:
+        if origin is None or now >= origin.at + MAX_STREAM_LIFE_S:
             return None
         return origin.software
--- a/masticdrum/model/origins.py
+++ b/masticdrum/model/origins.py
@@ -16,18 +16,23 @@
 
 
 class OriginQuery(Struct, frozen=True, array_like=True, tag="query"):
-    """Asks which version began a stream; ``handle`` is echoed in the reply."""
+    """Asks which version began a stream; ``handle`` is echoed in the reply.
+
+    The stream may have begun ``life_s`` seconds ago.
+    """
 
     handle: int
     request: str
     service: str
+    life_s: float
 
 
 class OriginReply(Struct, frozen=True, array_like=True, tag="reply"):
     """What an agent knows of a stream's origin.
 
     ``software`` is the version that began it, or None. ``versions`` are those at which
-    streams of the service may have begun; with ``is_complete`` there are no others.
+    streams of the service may have begun within the time that the query names; with
+    ``is_complete`` there are no others.
     """
 
     handle: int
--- a/tests/core/test_resumption.py
+++ b/tests/core/test_resumption.py
@@ -15,9 +15,14 @@
     RECORDS_AT_ONCE,
     SEARCH_S,
 )
-from masticdrum.core.servedsoftware import STREAM_LIFE_S
+from masticdrum.core.servedsoftware import (
+    MAX_STREAM_LIFE_S,
+    MIN_STREAM_LIFE_S,
+    compute_stream_life,
+)
 from masticdrum.core.streamorigins import MAX_NAME_CHARS, MAX_ORIGINS, StreamOrigins
 from masticdrum.model.cluster_events import (
+    DirectoryRead,
     Source,
     SourceLost,
     SourceRegained,
@@ -25,7 +30,7 @@
     UpstreamGone,
     UpstreamsListed,
 )
-from masticdrum.model.directory import Upstream
+from masticdrum.model.directory import Backend, RouteKind, Upstream
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import (
     AbortStream,
@@ -44,7 +49,15 @@
     SendOriginReply,
     SendToAgents,
 )
-from tests.forwarding import MODEL, Entry, get_start, make_upstream, pick
+from tests.forwarding import (
+    MODEL,
+    Entry,
+    get_start,
+    make_directory,
+    make_route,
+    make_upstream,
+    pick,
+)
 
 PEER = ("10.0.1.1", 7702)
 
@@ -74,7 +87,7 @@
 
 def age_entry(entry: Entry) -> None:
     """Let an entry watch for as long as a stream can last."""
-    entry.now += STREAM_LIFE_S
+    entry.now += MIN_STREAM_LIFE_S
     entry.confirm()
 
 
@@ -338,10 +351,38 @@
     agents = Agents(*OLD)
     entry = make_entry(*OLD)
     assert pick(take_up(entry, "elsewhere", agents), Refuse)
-    fresh = restart_entry(entry.now + STREAM_LIFE_S, *OLD)
+    fresh = restart_entry(entry.now + MIN_STREAM_LIFE_S, *OLD)
     assert get_start(take_up(fresh, "elsewhere", agents))
 
 
+# Guards against streams that outlast a fixed time, after which the version that began
+# them counted as long gone (ORDER).
+@pytest.mark.parametrize("timeout_s", [5.0, 60.0, 1000.0])
+def test_versions_count_for_twice_the_longest_timeout_of_streams(
+    timeout_s: float,
+) -> None:
+    life_s = compute_stream_life([timeout_s, 1.0])
+    assert life_s == min(MAX_STREAM_LIFE_S, max(MIN_STREAM_LIFE_S, 2 * timeout_s))
+    route = make_route(
+        RouteKind.STREAM,
+        backends=(Backend("engines"),),
+        resumable=True,
+        timeout_s=timeout_s,
+    )
+    entry = make_entry(*OLD, *NEW)
+    directory = make_directory(2, routes=(route,))
+    entry.handle_event(DirectoryRead(directory, entry.now))
+    entry.now += life_s
+    entry.confirm()
+    entry.handle_event(UpstreamsListed(NEW))
+    for passed_s, goes_on in ((life_s - 1.0, False), (1.0, True)):
+        entry.now += passed_s
+        entry.confirm()
+        agents = Agents(*NEW)
+        agents.began = entry.now
+        assert bool(pick(take_up(entry, "elsewhere", agents), StartAttempt)) is goes_on
+
+
 def test_a_stream_goes_on_anywhere_while_one_version_alone_has_served() -> None:
     entry = make_entry(*OLD)
     age_entry(entry)
@@ -400,7 +441,7 @@
     for number in range(MAX_ORIGINS + 10):
         origins.record(f"r{number}", "v1", 1.0)
     assert origins.find("r9", 1.0) is None and origins.find("r10", 1.0) == "v1"
-    assert origins.find("r10", 1.0 + STREAM_LIFE_S) is None
+    assert origins.find("r10", 1.0 + MAX_STREAM_LIFE_S) is None
 
 
 def test_a_caller_that_leaves_ends_the_search_for_its_stream() -> None:
--- a/tests/core/test_saturation.py
+++ b/tests/core/test_saturation.py
@@ -15,7 +15,7 @@
     WINDOW_S,
     Saturation,
 )
-from masticdrum.core.servedsoftware import STREAM_LIFE_S
+from masticdrum.core.servedsoftware import MIN_STREAM_LIFE_S
 from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt
 from tests.forwarding import Entry, get_start, pick
 
@@ -156,7 +156,7 @@
 def make_saturated_entry(seed: int = 1) -> Entry:
     """Return an entry that serves four prompts a second and has eight that wait."""
     entry = Entry(seed)
-    entry.now += STREAM_LIFE_S
+    entry.now += MIN_STREAM_LIFE_S
     entry.confirm()
     for _ in range(20):
         start = get_start(entry.send_request("stream"))
--- a/tests/shell/test_datagrams.py
+++ b/tests/shell/test_datagrams.py
@@ -55,7 +55,7 @@
 
 
 def test_messages_arrive_and_queries_name_their_sender() -> None:
-    query = OriginQuery(7, "r2", "engines")
+    query = OriginQuery(7, "r2", "engines", 30.0)
     reply = OriginReply(7, "r2", None, ("v1",), True)
     queried, replied = exchange([query, reply])
     assert isinstance(queried, OriginQueried)
