Let the stand-in of the store be restored from a copy

A whole-path test with real processes: the newer configuration stays in force, the registration is written again, and the kinds are listed a bounded number of times until after the second list.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -8,9 +8,13 @@
 import httpcore
 import pytest
 
+from masticdrum.core.restores import REWRITE_S
+from masticdrum.platform.entry import WATCHED
 from tests.platform.fleet import HOST, KEY, Fleet, make_config
 from tests.processes.deployment import request
 
+AGENT_KINDS = 2  # that an agent watches
+MORE_PAGES = 2  # of the list of four servers, at the entry and at the agent
 MAX_DRAWS = 40  # that all miss one of two equally loaded engines once in 10**12 runs
 
 
@@ -224,3 +228,38 @@
     assert fleet.running["agent"].wait(timeout=10) == 2
     assert "grace_s: -1.0 is not above 0" in fleet.read_logs()
     assert HOST not in fleet.read_logs()
+
+
+# Guards against processes that list a restored store's kinds without a pause, take its
+# older configuration for news, or leave it without their registrations (CONFIG).
+def test_a_restored_store_is_listed_a_few_times_and_written_again(
+    fleet: Fleet,
+) -> None:
+    fleet.start_agent()
+    members = ["entry"]
+
+    def list_members() -> list[str]:
+        shown = fleet.control("store")["names"]
+        return shown.get("masticdrum-members", [])
+
+    fleet.wait_until(lambda: list_members() == members, "registration")
+    fleet.delete("masticdrum-members", "entry")
+    fleet.control("store", do="save")
+    fleet.put("config", "main", make_config(5, ["new-key"]))
+    fleet.wait_until(
+        lambda: fleet.ask("/look/7", "r1", key="new-key").status == 200, "new key"
+    )
+    fleet.control("store", do="restore")
+    fleet.wait_until(lambda: '"store_restored"' in fleet.read_logs(), "restore")
+    assert fleet.ask("/look/7", "r2", key="new-key").status == 200
+    assert fleet.ask("/look/7", "r3", key=KEY).status == 401
+    fleet.put("config", "main", make_config(5, ["new-key"]))
+    fleet.wait_until(lambda: list_members() == members, "registration again")
+    time.sleep(1.0)
+    before = fleet.control("store")["lists"]
+    time.sleep(REWRITE_S + 1.0)
+    kinds = len(WATCHED) + AGENT_KINDS
+    pages = kinds + MORE_PAGES
+    assert 0 < fleet.control("store")["lists"] - before <= pages
+    assert fleet.ask("/look/7", "r4", key="new-key").status == 200
+    assert fleet.ask("/look/7", "r5", key=KEY).status == 401
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -1,5 +1,6 @@
 """A stand-in for the users' platform store: objects by kind, lists and watches."""
 
+from copy import deepcopy
 from typing import Any
 
 import msgspec
@@ -29,7 +30,9 @@
     """The store as an app.
 
     The action ``forget`` drops the history, so that a watch from an earlier revision
-    gets 410.
+    gets 410. ``save`` takes a copy, and ``restore`` brings everything back as it was
+    then: what was confirmed since is lost, its revisions are given out again, and the
+    era in all answers rises by one.
     """
 
     def __init__(self, faults: MetadataFaults | None = None) -> None:
@@ -39,7 +42,28 @@
         self.revision = FIRST_REVISION
         self.dropped_revision = 0
         self.changed = trio.Event()
+        self.era = 1
+        self.lists = 0
+        self.saved = (deepcopy(self.objects), self.revision)
         self.actions["forget"] = self.drop_history
+        self.actions["save"] = self.save
+        self.actions["restore"] = self.restore
+
+    def show(self) -> dict[str, Any]:
+        names = {kind: sorted(objects) for kind, objects in self.objects.items()}
+        return super().show() | {"names": names, "lists": self.lists}
+
+    def save(self) -> None:
+        """Take a copy of all objects."""
+        self.saved = (deepcopy(self.objects), self.revision)
+
+    def restore(self) -> None:
+        """Bring the copy back."""
+        objects, self.revision = self.saved
+        self.objects = deepcopy(objects)
+        self.history = [row for row in self.history if row[0] <= self.revision]
+        self.era += 1
+        self._notify_watchers()
 
     def drop_history(self) -> None:
         """Drop the history of events."""
@@ -48,6 +72,11 @@
         self._notify_watchers()
 
     async def answer(self, request: Request) -> Reply:
+        reply = await self._execute(request)
+        reply.headers = {**reply.headers, "store-era": str(self.era)}
+        return reply
+
+    async def _execute(self, request: Request) -> Reply:
         parts = request.path.strip("/").split("/")
         if parts[:2] != ["v1", "objects"] or not 3 <= len(parts) <= 4:
             return make_json_reply({"error": "no such call"}, 404)
@@ -67,6 +96,7 @@
     async def _read_kind(self, kind: str, query: dict[str, str]) -> Reply:
         if "watch" in query:
             return await self._watch(kind, int(query["watch"]), int(query["waitMs"]))
+        self.lists += 1
         names = sorted(self.objects.get(kind, {}))
         names = [name for name in names if name > query.get("after", "")]
         items = [self.objects[kind][name] for name in names[:PAGE_SIZE]]
@@ -75,13 +105,16 @@
 
     async def _watch(self, kind: str, since: int, wait_ms: int) -> Reply:
         with trio.move_on_after(wait_ms / 1000):
-            while since >= self.dropped_revision and not self._list_events(kind, since):
+            while self._is_known(since) and not self._list_events(kind, since):
                 await self.changed.wait()
-        if since < self.dropped_revision:
+        if not self._is_known(since):
             return make_json_reply({"error": "gone"}, 410)
         events = self._list_events(kind, since)
         return make_json_reply({"events": events, "asOf": self.revision})
 
+    def _is_known(self, revision: int) -> bool:
+        return self.dropped_revision <= revision <= self.revision
+
     def _list_events(self, kind: str, since: int) -> list[dict[str, Any]]:
         return [
             {"object": stored, "deleted": deleted}
