--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -204,11 +204,9 @@
     @property
     def stream_life_s(self) -> float:
         """How long ago a stream that is taken up may have begun, in seconds."""
-        return (
-            compute_stream_life(())
-            if self.index is None
-            else (self.index.stream_life_s)
-        )
+        if self.index is None:
+            return compute_stream_life(())
+        return self.index.stream_life_s
 
     def has_watched_software(self, now: float, life_s: float) -> bool:
         """Return whether no software version can have left unseen within a time."""
