Don't let a restored store confirm a configuration that it doesn't hold

What callers could see: a key that was taken away works on (CONFIG). Cause: the lease on the configuration is renewed by each watch of it that waits in vain. After a restore such a watch says only that the older configuration in the copy hasn't changed, or that there is none, while a newer one than ours may have been confirmed before the outage. Evidence: test_a_restored_store_with_an_older_configuration_confirms_nothing and test_a_store_without_a_configuration_confirms_none failed before. Change: an older configuration, or none, renews nothing until one at least as new is read. Why it works: the lease then ends revoke_s after the last read of a store that was not behind.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -3,7 +3,8 @@
 Within one incarnation the configuration only grows newer: an older one is never
 installed. A request that needs a key may only be sent while the lease on the
 configuration lasts. The lease is counted from the latest time at which the
-configuration was confirmed to hold.
+configuration was confirmed to hold. A store that came back from a copy and holds an
+older configuration confirms nothing: a newer one than this may have been lost too.
 """
 
 from collections.abc import Iterable, Iterator
@@ -81,6 +82,7 @@
         "bounds",
         "by_service",
         "index",
+        "is_store_behind",
         "known",
         "leaving",
         "lease_until",
@@ -98,6 +100,7 @@
         self.bounds = bounds
         self.index: DirectoryIndex | None = None
         self.lease_until = 0.0
+        self.is_store_behind = False
         self.known: dict[str, KnownUpstream] = {}
         self.by_service: dict[str, dict[str, KnownUpstream]] = {}
         self.any_cold_until = 0.0
@@ -232,7 +235,8 @@
 ) -> list[Log]:
     """Apply one event and return what is to be logged."""
     if isinstance(event, DirectoryConfirmed):
-        _extend_lease(cluster_state, event.last_confirmed_at)
+        if not cluster_state.is_store_behind:
+            _extend_lease(cluster_state, event.last_confirmed_at)
         return []
     if isinstance(event, StoreRestored):
         cluster_state.restores.record_restore(now)
@@ -274,7 +278,8 @@
 
 def _apply_directory(cluster_state: ClusterState, event: DirectoryRead) -> list[Log]:
     directory = event.directory
-    if directory.version < cluster_state.version:
+    cluster_state.is_store_behind = directory.version < cluster_state.version
+    if cluster_state.is_store_behind:
         facts = _describe_versions(cluster_state, directory)
         return [Log(LogNumber.DIRECTORY_IGNORED, facts=facts)]
     _extend_lease(cluster_state, event.last_confirmed_at)
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -50,6 +50,7 @@
 MIN_PAUSE_S = 0.1  # after a failed read
 MAX_PAUSE_S = 0.8  # so that a store that returns is noticed within a second
 CONFIRM_MARGIN_S = 0.05  # for clock drift over one wait
+DIRECTORY_NAME = "main"  # the one object that is used of its kind
 Submit = Callable[[ClusterEvent], None]
 
 
@@ -155,9 +156,7 @@
         self._requested_at = requested_at
         self._record_read()
         if not changes.events:
-            if self._watched.source is Source.DIRECTORY:
-                waited_s = min(wait_s, read_clock() - requested_at) - CONFIRM_MARGIN_S
-                self._submit(DirectoryConfirmed(requested_at + max(0.0, waited_s)))
+            self._confirm_directory(requested_at, wait_s)
             return
         self._removed.clear()
         for change in changes.events:
@@ -166,6 +165,15 @@
         self._report_changes(requested_at)
         await trio.sleep(self._watched.gap_s)
 
+    def _confirm_directory(self, requested_at: float, wait_s: float) -> None:
+        """Report that the configuration has not changed, if the store holds one."""
+        if self._watched.source is not Source.DIRECTORY:
+            return
+        if DIRECTORY_NAME not in self._objects:
+            return
+        waited_s = min(wait_s, read_clock() - requested_at) - CONFIRM_MARGIN_S
+        self._submit(DirectoryConfirmed(requested_at + max(0.0, waited_s)))
+
     def _check_era(self) -> None:
         """Raise ``HistoryGone`` if a restore demands another list.
 
@@ -250,13 +258,13 @@
                 pass
 
     def _report_directory(self, requested_at: float) -> None:
-        stored = self._objects.get("main")
+        stored = self._objects.get(DIRECTORY_NAME)
         if stored is None:
             return
         try:
             directory = read_directory(stored.spec)
         except msgspec.MsgspecError as error:
-            self._log_unreadable("main", error)
+            self._log_unreadable(DIRECTORY_NAME, error)
             return
         self._submit(DirectoryRead(directory, requested_at))
 
--- a/tests/core/test_beliefs.py
+++ b/tests/core/test_beliefs.py
@@ -5,6 +5,7 @@
 from masticdrum.core.restores import REWRITE_S
 from masticdrum.model.cluster_events import (
     DataCentresDrained,
+    DirectoryRead,
     Member,
     MembersListed,
     Source,
@@ -18,7 +19,15 @@
 )
 from masticdrum.model.directory import Upstream
 from masticdrum.model.exchange import StartAttempt
-from tests.forwarding import BOUNDS, MODEL, UPSTREAMS, Entry, make_upstream, pick
+from tests.forwarding import (
+    BOUNDS,
+    MODEL,
+    UPSTREAMS,
+    Entry,
+    make_directory,
+    make_upstream,
+    pick,
+)
 
 
 def test_upstreams_that_expire_in_an_outage_are_used_until_they_can_register() -> None:
@@ -124,6 +133,24 @@
     assert entry.state.count_peer_entries() == 2
 
 
+# Guards against keys that work on after they were revoked, since a restored store that
+# holds an older configuration still confirms the one in force (CONFIG).
+def test_a_restored_store_with_an_older_configuration_confirms_nothing() -> None:
+    entry = Entry()
+    cluster_state = entry.state.cluster_state
+    entry.handle_event(DirectoryRead(make_directory(7), entry.now))
+    entry.handle_event(StoreRestored(2, 1))
+    entry.handle_event(DirectoryRead(make_directory(3), entry.now))
+    entry.now += BOUNDS.cluster_state.revoke_s
+    entry.confirm()
+    assert not cluster_state.is_leased(entry.now)
+    entry.handle_event(DirectoryRead(make_directory(7), entry.now))
+    assert cluster_state.is_leased(entry.now)
+    entry.now += BOUNDS.cluster_state.revoke_s
+    entry.confirm()
+    assert cluster_state.is_leased(entry.now) and cluster_state.version == 7
+
+
 def make_desk(sequence: int, **changes: object) -> Upstream:
     return make_upstream("desk-1", born=7, sequence=sequence, **changes)
 
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -13,6 +13,7 @@
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
+    DirectoryConfirmed,
     UpstreamChanged,
     WeightsNamed,
 )
@@ -21,6 +22,7 @@
 from masticdrum.platform.watchers import (
     AGENT_UPSTREAMS,
     DATA_CENTRES,
+    DIRECTORY,
     UPSTREAMS,
     WEIGHTS,
     KindWatcher,
@@ -181,6 +183,16 @@
     assert [round(at) for at in lists] == [0, 1, 1 + REWRITE_S]
 
 
+# Guards against keys that work on after they were revoked, since a restored store that
+# has forgotten the configuration still confirms it (CONFIG).
+def test_a_store_without_a_configuration_confirms_none() -> None:
+    submitted, calls = watch_kind(DIRECTORY, [], [])
+    assert ("watch", False) in calls
+    assert not [event for event in submitted if isinstance(event, DirectoryConfirmed)]
+    submitted, _ = watch_kind(DIRECTORY, [make_object("main", {"version": 2})], [])
+    assert [event for event in submitted if isinstance(event, DirectoryConfirmed)]
+
+
 def test_a_data_centre_that_is_put_back_is_named_as_removed() -> None:
     submitted, _ = watch_kind(DATA_CENTRES, [make_object("north", {})], [])
     assert submitted == [DataCentresDrained(frozenset({"north"}))]
