Keep a pause that an upstream asked for when its registration lapses

Cause: pauses were forgotten with the registration, unlike what is known of leaving upstreams. Evidence: test_a_pause_outlasts_a_registration_that_lapses failed before. Change: a pause is forgotten when it has ended; at most 4,096 are kept. Why it works: it belongs to an incarnation, which its start names, not to a registration.

--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -136,6 +136,7 @@
     if isinstance(event, StoreRestored):
         state.suspicion.republish(now)
     _forget_removed_upstreams(state)
+    state.pauses.forget_ended(now)
     effects: list[ExchangeEffect] = [*logs]
     if isinstance(event, UpstreamsListed | UpstreamChanged | UpstreamGone):
         effects += review_versions(state, now)
@@ -152,9 +153,6 @@
     for name in state.limits.list_upstreams():
         if name not in known:
             state.limits.forget(name)
-    for name in state.pauses.list_upstreams():
-        if name not in known:
-            state.pauses.forget(name)
 
 
 def _report_lease_change(state: ExchangeState, now: float) -> list[ExchangeEffect]:
--- a/masticdrum/core/upstreampauses.py
+++ b/masticdrum/core/upstreampauses.py
@@ -4,12 +4,15 @@
 also if an answer to an earlier request shows that it serves.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from msgspec import Struct
 
 from masticdrum.model.directory import Upstream
 
+MAX_PAUSES = 4096
+
 
 class Pause(Struct, frozen=True):
     """Until when an incarnation of an upstream wants nothing, in seconds."""
@@ -19,12 +22,15 @@
 
 
 class UpstreamPauses:
-    """The pauses that upstreams have asked for, by upstream."""
+    """The pauses that upstreams have asked for, by upstream; bounded in number.
+
+    They outlast registrations, since one that lapsed may come back.
+    """
 
     __slots__ = ("_pauses",)
 
     def __init__(self) -> None:
-        self._pauses: dict[str, Pause] = {}
+        self._pauses: OrderedDict[str, Pause] = OrderedDict()
 
     @property
     def is_empty(self) -> bool:
@@ -37,6 +43,9 @@
         if known is not None and known.born == born and until <= known.until:
             return False
         self._pauses[upstream] = Pause(born, until)
+        self._pauses.move_to_end(upstream)
+        if len(self._pauses) > MAX_PAUSES:
+            self._pauses.popitem(last=False)
         return True
 
     def is_paused(self, upstream: Upstream, now: float) -> bool:
@@ -51,13 +60,10 @@
         end = min((self._find_end(u, now) for u in upstreams), default=now)
         return end if end > now else None
 
-    def forget(self, upstream: str) -> None:
-        """Forget an upstream that is gone."""
-        self._pauses.pop(upstream, None)
-
-    def list_upstreams(self) -> list[str]:
-        """List the upstreams that have asked for a pause."""
-        return list(self._pauses)
+    def forget_ended(self, now: float) -> None:
+        """Forget the pauses that have ended."""
+        for upstream in [u for u, p in self._pauses.items() if now >= p.until]:
+            del self._pauses[upstream]
 
     def _find_end(self, upstream: Upstream, now: float) -> float:
         known = self._pauses.get(upstream.name)
--- a/tests/core/test_upstreampauses.py
+++ b/tests/core/test_upstreampauses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from masticdrum.model.cluster_events import UpstreamChanged
+from masticdrum.model.cluster_events import UpstreamChanged, UpstreamGone
 from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt
 from tests.forwarding import UPSTREAMS, Entry, get_start, make_upstream, pick
 
@@ -96,6 +96,29 @@
     assert get_start(world.entry.send_request("idempotent")).upstream == "desk-2"
 
 
+# Guards against requests to an upstream that wants none, after its registration lapsed
+# and came back, as in an outage of the store (BUDGET).
+def test_a_pause_outlasts_a_registration_that_lapses() -> None:
+    entry = Entry(upstreams=UPSTREAMS[:1])
+    start = get_start(entry.send_request("idempotent"))
+    entry.end(start, AttemptEnd.REJECTED, 503, pause_s=PAUSE_S)
+    entry.handle_event(UpstreamGone(start.upstream))
+    entry.handle_event(UpstreamChanged(UPSTREAMS[0]))
+    entry.now += PAUSE_S - 0.1
+    assert pick(entry.send_request("idempotent"), Refuse)
+    entry.now += 0.2
+    assert get_start(entry.send_request("idempotent"))
+
+
+def test_pauses_that_have_ended_are_forgotten() -> None:
+    entry = Entry(upstreams=UPSTREAMS[:1])
+    start = get_start(entry.send_request("idempotent"))
+    entry.end(start, AttemptEnd.REJECTED, 503, pause_s=PAUSE_S)
+    entry.now += PAUSE_S
+    entry.handle_event(UpstreamGone(start.upstream))
+    assert entry.state.pauses.is_empty
+
+
 def test_a_503_of_another_upstream_at_the_address_pauses_nothing() -> None:
     entry = Entry(upstreams=UPSTREAMS[:1])
     start = get_start(entry.send_request("idempotent"))
