Announce which configuration is in force, so that a new process knows of it

What callers could see: a process that starts after a restore serves by the configuration in the copy until the operator has written again: a key that was taken away works, a route that was added is unknown (CONFIG). Cause: a new process doesn't know that the store has lost anything, and other processes know the newer version but don't say so. Change: members name the version that they have, and announce themselves at once after a restore. A process that has just started with an older one has no lease until it reads one at least as new; a process that serves only doesn't extend its lease. Why it works: versions only rise, so that a version which any process had was confirmed. Open: if no process is left that knew the newer version, nobody can announce it.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -4,7 +4,9 @@
 installed. A request that needs a key may only be sent while the lease on the
 configuration lasts. The lease is counted from the latest time at which the
 configuration was confirmed to hold. A store that came back from a copy and holds an
-older configuration confirms nothing: a newer one than this may have been lost too.
+older configuration confirms nothing: a newer one than this may have been lost too. A
+process that has just started doesn't know that the store has lost any, but other
+processes announce which version they have.
 """
 
 from collections.abc import Iterable, Iterator
@@ -15,7 +17,7 @@
 from masticdrum.core.directory import DirectoryIndex
 from masticdrum.core.leavingupstreams import LeavingUpstreams
 from masticdrum.core.rendezvous import Ranking
-from masticdrum.core.restores import Restores, is_outdated
+from masticdrum.core.restores import REWRITE_S, Restores, is_outdated
 from masticdrum.core.servedsoftware import ServedSoftware, compute_stream_life
 from masticdrum.model.cluster_events import (
     ClusterEvent,
@@ -82,12 +84,14 @@
         "bounds",
         "by_service",
         "index",
-        "is_store_behind",
         "known",
         "leaving",
         "lease_until",
         "lost",
         "members",
+        "newest_version",
+        "read_version",
+        "started_at",
         "drained",
         "reregister_until",
         "restores",
@@ -100,7 +104,9 @@
         self.bounds = bounds
         self.index: DirectoryIndex | None = None
         self.lease_until = 0.0
-        self.is_store_behind = False
+        self.read_version = 0  # of the configuration, by the store's last answer
+        self.newest_version = 0  # that was ever in force here or at another process
+        self.started_at: float | None = None  # when the first configuration was read
         self.known: dict[str, KnownUpstream] = {}
         self.by_service: dict[str, dict[str, KnownUpstream]] = {}
         self.any_cold_until = 0.0
@@ -235,8 +241,7 @@
 ) -> list[Log]:
     """Apply one event and return what is to be logged."""
     if isinstance(event, DirectoryConfirmed):
-        if not cluster_state.is_store_behind:
-            _extend_lease(cluster_state, event.last_confirmed_at)
+        _extend_lease(cluster_state, event.last_confirmed_at)
         return []
     if isinstance(event, StoreRestored):
         cluster_state.restores.record_restore(now)
@@ -252,7 +257,7 @@
 ) -> list[Log]:
     match event:
         case DirectoryRead():
-            return _apply_directory(cluster_state, event)
+            return _apply_directory(cluster_state, event, now)
         case UpstreamsListed():
             return _apply_upstream_list(cluster_state, event, now)
         case UpstreamChanged():
@@ -276,10 +281,15 @@
             return []
 
 
-def _apply_directory(cluster_state: ClusterState, event: DirectoryRead) -> list[Log]:
+def _apply_directory(
+    cluster_state: ClusterState, event: DirectoryRead, now: float
+) -> list[Log]:
     directory = event.directory
-    cluster_state.is_store_behind = directory.version < cluster_state.version
-    if cluster_state.is_store_behind:
+    if cluster_state.started_at is None:
+        cluster_state.started_at = now
+    cluster_state.read_version = directory.version
+    _record_version(cluster_state, directory.version)
+    if directory.version < cluster_state.version:
         facts = _describe_versions(cluster_state, directory)
         return [Log(LogNumber.DIRECTORY_IGNORED, facts=facts)]
     _extend_lease(cluster_state, event.last_confirmed_at)
@@ -294,12 +304,19 @@
     return {
         "version": directory.version,
         "before": cluster_state.version,
+        "newest": cluster_state.newest_version,
         "routes": len(directory.routes),
         "workspaces": len(directory.workspaces),
     }
 
 
+def _record_version(cluster_state: ClusterState, version: int) -> None:
+    cluster_state.newest_version = max(cluster_state.newest_version, version)
+
+
 def _extend_lease(cluster_state: ClusterState, confirmed_at: float) -> None:
+    if cluster_state.read_version < cluster_state.newest_version:
+        return
     until = confirmed_at + cluster_state.bounds.revoke_s - LEASE_MARGIN_S
     cluster_state.lease_until = max(cluster_state.lease_until, until)
 
@@ -458,6 +475,7 @@
         listed = {member.name for member in members}
         members += tuple(member for member in before if member.name not in listed)
     cluster_state.members = members
+    _compare_versions(cluster_state, now)
     if len(before) == len(members):
         return []
     facts: Facts = {
@@ -468,6 +486,17 @@
     return [Log(LogNumber.MEMBERS_CHANGED, facts=facts)]
 
 
+def _compare_versions(cluster_state: ClusterState, now: float) -> None:
+    """End the lease of a process that has started with an outdated configuration."""
+    for member in cluster_state.members or ():
+        _record_version(cluster_state, member.directory)
+    started_at = cluster_state.started_at
+    if started_at is None or now >= started_at + REWRITE_S:
+        return
+    if cluster_state.read_version < cluster_state.newest_version:
+        cluster_state.lease_until = min(cluster_state.lease_until, now)
+
+
 def _apply_reachability(
     cluster_state: ClusterState, event: SourceLost | SourceRegained, now: float
 ) -> list[Log]:
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -80,7 +80,8 @@
 class Member(Struct, frozen=True):
     """A process of the system; ``address`` is empty if it accepts no links.
 
-    ``beat`` is its heartbeat counter.
+    ``beat`` is its heartbeat counter, ``directory`` the version of the configuration
+    that was in force there when it announced itself.
     """
 
     name: str
@@ -88,6 +89,7 @@
     data_centre: str
     address: str = ""
     beat: int = 0
+    directory: int = 0
 
 
 class MembersListed(Struct, frozen=True):
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -48,6 +48,7 @@
     meters: Metrics,
     choose: ChoosePolls,
     crash_reports: Latest[CrashReport],
+    read_version: Callable[[], int],
 ) -> list[Callable[[], Awaitable[None]]]:
     """Return the functions that keep the entry's view of the platform current."""
 
@@ -56,7 +57,9 @@
 
     store = Store(settings.store, count_call, submit)
     member = Member(settings.name, ROLE, settings.data_centre)
-    runs: list[Callable[[], Awaitable[None]]] = [lambda: announce(store, member)]
+    runs: list[Callable[[], Awaitable[None]]] = [
+        lambda: announce(store, member, read_version)
+    ]
     for watched in WATCHED:
         runs.append(KindWatcher(watched, store, submit, Random()).run)
     runs.append(CrashReportWriter(store, settings.name, crash_reports, Random()).run)
--- a/masticdrum/platform/members.py
+++ b/masticdrum/platform/members.py
@@ -1,7 +1,10 @@
 """Registers a process as a member in the store."""
 
+from collections.abc import Callable
+
 import msgspec
 import trio
+from msgspec.structs import replace
 
 from masticdrum.model.cluster_events import Member
 from masticdrum.model.platform import ObjectGet, ObjectPut, ObjectStatus
@@ -13,16 +16,20 @@
 RETRY_S = 0.5
 
 
-async def announce(store: Store, member: Member) -> None:
+async def announce(
+    store: Store, member: Member, read_version: Callable[[], int]
+) -> None:
     """Write a process's own registration at each heartbeat; runs for ever.
 
-    A store that was restored may have lost it, so it is written again at once.
+    ``read_version`` returns the version of the configuration in force. A store that was
+    restored may have lost the registration, so it is written again at once.
     """
     beat = 0
     while True:
         beat += 1
         restored = store.restored
-        written = await write_member(store, msgspec.structs.replace(member, beat=beat))
+        current = replace(member, beat=beat, directory=read_version())
+        written = await write_member(store, current)
         with trio.move_on_after(HEARTBEAT_S if written else RETRY_S):
             await restored.wait()
 
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -63,7 +63,7 @@
 Submit = Callable[[ClusterEvent | PrefixesReported | PrefixStoreLost], None]
 ChoosePolls = Callable[[], list[StorePolls]]
 MakePlatformTasks = Callable[
-    [Submit, Metrics, ChoosePolls, Latest[CrashReport]],
+    [Submit, Metrics, ChoosePolls, Latest[CrashReport], Callable[[], int]],
     list[Callable[[], Awaitable[None]]],
 ]
 
@@ -257,6 +257,7 @@
             process.meters,
             process.state.list_polls,
             process.crash_report,
+            lambda: process.state.cluster_state.version,
         ):
             nursery.start_soon(run)
         await process.server.serve(
--- a/tests/core/test_beliefs.py
+++ b/tests/core/test_beliefs.py
@@ -1,6 +1,9 @@
 """What a process knows while the platform is lost and returns."""
 
+import pytest
+
 from masticdrum.core.clusterstate import REREGISTER_S
+from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.outlierdetection import EJECT_AFTER_FAILURES, OutlierDetector
 from masticdrum.core.restores import REWRITE_S
 from masticdrum.model.cluster_events import (
@@ -18,7 +21,8 @@
     WeightsNamed,
 )
 from masticdrum.model.directory import Upstream
-from masticdrum.model.exchange import StartAttempt
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.exchange import Refuse, StartAttempt
 from tests.forwarding import (
     BOUNDS,
     MODEL,
@@ -151,6 +155,47 @@
     assert cluster_state.is_leased(entry.now) and cluster_state.version == 7
 
 
+def list_versions(*versions: int) -> MembersListed:
+    members = (
+        Member(f"entry-{version}", "entry", "north", directory=version)
+        for version in versions
+    )
+    return MembersListed(tuple(members))
+
+
+# Guards against a process that starts after a restore and serves by the configuration
+# in the copy, with revoked keys and without routes that were added (CONFIG).
+@pytest.mark.parametrize("members_first", [True, False])
+def test_a_process_that_starts_with_an_outdated_configuration_has_no_lease(
+    members_first: bool,
+) -> None:
+    entry = Entry()
+    state = entry.state = ExchangeState("entry-2", "entry", BOUNDS, 1)
+    read = DirectoryRead(make_directory(3), entry.now)
+    for event in (
+        [list_versions(7), read] if members_first else [read, list_versions(7)]
+    ):
+        entry.handle_event(event)
+    assert not state.cluster_state.is_leased(entry.now)
+    entry.confirm()
+    (refuse,) = pick(entry.send_request("idempotent"), Refuse)
+    assert (refuse.kind, refuse.status) == (ErrorKind.TABLES_STALE, 503)
+    entry.handle_event(DirectoryRead(make_directory(7), entry.now))
+    assert state.cluster_state.is_leased(entry.now)
+
+
+def test_a_process_that_serves_keeps_its_lease_when_others_read_sooner() -> None:
+    entry = Entry()
+    entry.now += REWRITE_S
+    entry.confirm()
+    entry.handle_event(list_versions(7))
+    assert entry.state.cluster_state.is_leased(entry.now)
+    until = entry.state.cluster_state.lease_until
+    entry.now += 1.0
+    entry.confirm()
+    assert entry.state.cluster_state.lease_until == until
+
+
 def make_desk(sequence: int, **changes: object) -> Upstream:
     return make_upstream("desk-1", born=7, sequence=sequence, **changes)
 
--- a/tests/platform/test_members.py
+++ b/tests/platform/test_members.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import msgspec
 import trio
 from trio.testing import MockClock
 
@@ -18,10 +19,13 @@
     def __init__(self) -> None:
         self.restored = trio.Event()
         self.writes: list[float] = []
+        self.members: list[Member] = []
 
     async def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
         await trio.sleep(0.01)
         self.writes.append(trio.current_time())
+        if isinstance(call, ObjectPut):
+            self.members.append(msgspec.json.decode(call.body, type=Member))
         return ObjectAnswer(call.call, ObjectStatus.OK, 1)
 
     def restore(self) -> None:
@@ -37,12 +41,14 @@
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(announce, given, Member("entry-1", "entry", "north"))
+            member = Member("entry-1", "entry", "north")
+            nursery.start_soon(announce, given, member, lambda: 7)
             await trio.sleep(RESTORED_AT_S)
             began = trio.current_time()
             store.restore()
             await trio.sleep(1.0)
             assert [at for at in store.writes if at >= began]
+            assert {stored.directory for stored in store.members} == {7}
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
