Record in the store which software versions serve, or did lately

The class: knowledge that lies only in processes is gone when they all start anew. Change: entries keep one object with the versions of each service and when they left, read it when they start or were cut off, and compare it when a version comes or leaves. After a restore it counts once an entry that knew all versions has completed it.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -219,8 +219,16 @@
 
     def has_watched_software(self, now: float, life_s: float) -> bool:
         """Return whether no software version can have left unseen within a time."""
-        lost_at = self.lost.get(Source.UPSTREAMS, now)
-        return now < lost_at + OUTAGE_S and self.software.has_watched_long(now, life_s)
+        watched_long = self.software.has_watched_long(now, life_s)
+        return watched_long and self.reads_upstreams(now)
+
+    def reads_upstreams(self, now: float) -> bool:
+        """Return whether registrations are read, but for a short while."""
+        return self.compute_outage(Source.UPSTREAMS, now) < OUTAGE_S
+
+    def compute_outage(self, source: Source, now: float) -> float:
+        """Return for how long a source could not be read, in seconds."""
+        return now - self.lost.get(source, now)
 
     def count_members(self, role: str) -> int:
         """Count the processes of a role that share limits, including this one."""
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -12,6 +12,7 @@
 from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.saturation import Saturation
+from masticdrum.core.softwarerecords import SoftwareRecords
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.storepolls import StorePolls, choose_polls
 from masticdrum.core.streamorigins import StreamOrigins
@@ -160,7 +161,8 @@
     ``role`` is the role by which it finds its peer entries. ``open`` is the work that
     this entry has open at each upstream, ``heard_at`` when it last began or ended an
     answer. ``has_agents`` states whether agents can be told and asked where streams
-    began. ``mixed`` are the services of which several software versions serve or did
+    began. ``reviewed_changes`` is up to which change of software versions their record
+    was compared. ``mixed`` are the services of which several versions serve or did
     lately, ``unsent_origins`` the streams, by service and request, that agents have to
     be told of since. ``clock_offset`` is what has to be added to its clock for the time
     of day, in seconds.
@@ -185,6 +187,8 @@
         self.pauses = UpstreamPauses()
         self.origins = StreamOrigins()
         self.has_agents = True
+        self.software_records = SoftwareRecords(self.random)
+        self.reviewed_changes = 0
         self.mixed: set[str] = set()
         self.unsent_origins: deque[tuple[str, str]] = deque()
         self.timers: Timers[TimerName] = Timers()
@@ -228,6 +232,21 @@
             self._member_count = len(names) if listed else len(names) + 1
         return Place(self._rank, self._member_count, now + self.clock_offset)
 
+    def list_software(self, service: str, now: float) -> set[str]:
+        """List the versions at which open streams of a service may have begun."""
+        life_s = self.cluster_state.stream_life_s
+        seen = self.cluster_state.software.list_versions(service, now, life_s)
+        unix_now = now + self.clock_offset
+        return seen | self.software_records.list_versions(service, unix_now, life_s)
+
+    def knows_software(self, now: float) -> bool:
+        """Return whether those are all versions at which streams may have begun."""
+        cluster_state = self.cluster_state
+        if cluster_state.has_watched_software(now, cluster_state.stream_life_s):
+            return True
+        is_complete = self.software_records.is_complete
+        return is_complete and cluster_state.reads_upstreams(now)
+
     def list_polls(self) -> list[StorePolls]:
         """List the KV cache stores that this entry polls, and how often."""
         cluster_state = self.cluster_state
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -15,6 +15,11 @@
 )
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.resumption import review_versions, send_records
+from masticdrum.core.softwarereview import (
+    handle_record_answer,
+    record_cluster_event,
+    review_software,
+)
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.model.cluster_events import (
     ClusterEvent,
@@ -37,6 +42,7 @@
     Ticked,
 )
 from masticdrum.model.origins import OriginReply
+from masticdrum.model.platform import ObjectAnswer
 from masticdrum.model.telemetry import Log, LogNumber
 
 STOP = "stop"
@@ -52,6 +58,7 @@
     | PrefixesReported
     | PrefixStoreLost
     | OriginReply
+    | ObjectAnswer
     | ClusterEvent
 )
 
@@ -96,8 +103,11 @@
         case StopRequested():
             return _begin_stop(state, event, now)
         case Ticked():
-            return [*review_crashes(state, now), *send_records(state, now)]
-        case CrashReportsListed() | CrashReportChanged() | OriginReply():
+            effects = [*review_crashes(state, now), *send_records(state, now)]
+            return effects + review_software(state, now)
+        case (
+            CrashReportsListed() | CrashReportChanged() | OriginReply() | ObjectAnswer()
+        ):
             return _handle_peer_event(state, event, now)
         case PrefixesReported() | PrefixStoreLost():
             return _handle_prefix_event(state, event, now)
@@ -107,12 +117,14 @@
 
 def _handle_peer_event(
     state: ExchangeState,
-    event: CrashReportsListed | CrashReportChanged | OriginReply,
+    event: CrashReportsListed | CrashReportChanged | OriginReply | ObjectAnswer,
     now: float,
 ) -> list[ExchangeEffect]:
     """Handle what other processes of this system know."""
     if isinstance(event, OriginReply):
         return use_origin_reply(state, event, now)
+    if isinstance(event, ObjectAnswer):
+        return handle_record_answer(state, event, now)
     return [*apply_crash_event(state, event, now)]
 
 
@@ -135,6 +147,7 @@
         state.weights_at[event.model] = now
     if isinstance(event, StoreRestored):
         state.suspicion.republish(now)
+    record_cluster_event(state, event, now)
     _forget_removed_upstreams(state)
     state.pauses.forget_ended(now)
     effects: list[ExchangeEffect] = [*logs]
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -43,13 +43,12 @@
     """Find the version that began an exchange's stream, or query the agents for it."""
     if exchange.last_event is None:
         return Resumption.ALLOWED, []
-    cluster_state = state.cluster_state
-    life_s = cluster_state.stream_life_s
+    life_s = state.cluster_state.stream_life_s
     known = state.origins.find(exchange.resumes, now)
     if known is not None:
         return _allow(exchange, known, "own record")
-    versions = cluster_state.software.list_versions(exchange.service, now, life_s)
-    if len(versions) <= 1 and cluster_state.has_watched_software(now, life_s):
+    versions = state.list_software(exchange.service, now)
+    if len(versions) <= 1 and state.knows_software(now):
         return _allow(exchange, next(iter(versions), None), "only version")
     addresses = _list_queried(state, exchange)
     if not addresses:
@@ -106,9 +105,7 @@
         return []
     service = exchange.service
     state.origins.record(request, exchange.software, now, service)
-    cluster_state = state.cluster_state
-    watched = cluster_state.has_watched_software(now, cluster_state.stream_life_s)
-    if service in state.mixed or not watched:
+    if service in state.mixed or not state.knows_software(now):
         return _send_record(state, service, OriginRecord(request, exchange.software))
     return []
 
@@ -121,7 +118,7 @@
     effects: list[ExchangeEffect] = []
     life_s = state.cluster_state.stream_life_s
     for service in state.cluster_state.by_service:
-        versions = state.cluster_state.software.list_versions(service, now, life_s)
+        versions = state.list_software(service, now)
         if len(versions) <= 1:
             state.mixed.discard(service)
         elif service not in state.mixed:
--- a/masticdrum/core/servedsoftware.py
+++ b/masticdrum/core/servedsoftware.py
@@ -27,18 +27,21 @@
     """The versions of each service, from the registrations of its upstreams.
 
     ``since`` is from when on each registration was read, or None before the first list.
+    ``changes`` counts the versions that have come or left.
     """
 
-    __slots__ = ("_left", "_registered", "since")
+    __slots__ = ("_left", "_registered", "changes", "since")
 
     def __init__(self) -> None:
         self.since: float | None = None
+        self.changes = 0
         self._registered: dict[str, dict[str, int]] = {}
         self._left: dict[str, dict[str, float]] = {}
 
     def add(self, upstream: Upstream) -> None:
         """Count an upstream that is registered."""
         counts = self._registered.setdefault(upstream.service, {})
+        self.changes += upstream.software not in counts
         counts[upstream.software] = counts.get(upstream.software, 0) + 1
 
     def remove(self, upstream: Upstream, now: float) -> None:
@@ -47,8 +50,13 @@
         counts[upstream.software] -= 1
         if not counts[upstream.software]:
             del counts[upstream.software]
+            self.changes += 1
         self._left.setdefault(upstream.service, {})[upstream.software] = now
 
+    def list_services(self) -> set[str]:
+        """List the services whose upstreams are registered, or were."""
+        return {*self._registered, *self._left}
+
     def list_registered(self, service: str) -> list[str]:
         """List the versions that registered upstreams run."""
         return sorted(self._registered.get(service, ()))
--- /dev/null
+++ b/masticdrum/core/softwarereview.py
@@ -0,0 +1,61 @@
+"""Keeps the record of software versions in line with what an entry sees."""
+
+from masticdrum.core.clusterstate import OUTAGE_S
+from masticdrum.core.exchangestate import ExchangeState
+from masticdrum.core.resumption import review_versions
+from masticdrum.model.cluster_events import (
+    ClusterEvent,
+    Source,
+    SourceRegained,
+    StoreRestored,
+)
+from masticdrum.model.exchange import ExchangeEffect
+from masticdrum.model.platform import ObjectAnswer
+from masticdrum.model.telemetry import Facts, Log, LogNumber
+
+
+def record_cluster_event(state: ExchangeState, event: ClusterEvent, now: float) -> None:
+    """Request a review of the record if an event may have outdated it."""
+    records = state.software_records
+    changes = state.cluster_state.software.changes
+    if changes != state.reviewed_changes:
+        state.reviewed_changes = changes
+        records.request_review(now)
+    if isinstance(event, StoreRestored):
+        records.record_restore(event.era, _find_complete_at(state, now), now)
+    if not isinstance(event, SourceRegained):
+        return
+    if event.source is Source.UPSTREAMS and event.lost_s > OUTAGE_S:
+        records.record_interruption(now)
+
+
+def review_software(state: ExchangeState, now: float) -> list[ExchangeEffect]:
+    """Make the call to the platform that the record needs now, if any."""
+    unix_now = now + state.clock_offset
+    call = state.software_records.next_call(state.cluster_state.software, now, unix_now)
+    return [] if call is None else [call]
+
+
+def handle_record_answer(
+    state: ExchangeState, answer: ObjectAnswer, now: float
+) -> list[ExchangeEffect]:
+    """Use the platform's answer to a call for the record."""
+    records = state.software_records
+    if not records.handle_answer(answer, now, state.cluster_state.stream_life_s):
+        return []
+    facts: Facts = {"complete": records.is_complete, **records.describe()}
+    log = Log(LogNumber.SOFTWARE_RECORDED, detail=answer.status.value, facts=facts)
+    return [log, *review_versions(state, now), *review_software(state, now)]
+
+
+def _find_complete_at(state: ExchangeState, now: float) -> float:
+    """Return from when on an entry knows all versions after a restore, in seconds.
+
+    No version comes and leaves within the time for which a registration is kept.
+    """
+    cluster_state = state.cluster_state
+    outage_s = cluster_state.compute_outage(Source.UPSTREAMS, now)
+    was_complete = state.software_records.is_complete
+    if was_complete and outage_s < cluster_state.bounds.unregister_s:
+        return now
+    return now + cluster_state.stream_life_s
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -12,6 +12,7 @@
 from masticdrum.model.crashes import PublishCrashReport
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.origins import SendToAgents
+from masticdrum.model.platform import ObjectGet, ObjectPut
 from masticdrum.model.telemetry import Count, Log, Observe
 
 
@@ -235,6 +236,8 @@
     | Refuse
     | PublishCrashReport
     | SendToAgents
+    | ObjectGet
+    | ObjectPut
     | ExitProcess
     | Log
     | Count
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -70,6 +70,7 @@
     STREAM_TAKEN_UP = 87
     UPSTREAM_PAUSED = 88
     SOFTWARE_MIXED = 89
+    SOFTWARE_RECORDED = 90
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -11,7 +11,6 @@
 from returns.result import Failure
 
 from masticdrum.model.cluster_events import Member
-from masticdrum.model.crashes import CrashReport
 from masticdrum.model.settings import ForwardSettings
 from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
 from masticdrum.platform.cachestores import CacheEventPoller
@@ -33,37 +32,37 @@
     check_option,
     unwrap_or_exit,
 )
-from masticdrum.programs.forwarder import ROLE, ChoosePolls, Submit, run_forwarder
+from masticdrum.programs.forwarder import ROLE, PlatformPorts, run_forwarder
 from masticdrum.shell.jsonlogging import configure_bounded_logging, write_event
-from masticdrum.shell.latest import Latest
-from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.settings import load_settings
 
 WATCHED = (DIRECTORY, UPSTREAMS, DATA_CENTRES, WEIGHTS, MEMBERS, CRASHES)
 
 
 def follow(
-    settings: ForwardSettings,
-    submit: Submit,
-    meters: Metrics,
-    choose: ChoosePolls,
-    crash_reports: Latest[CrashReport],
-    read_version: Callable[[], int],
+    settings: ForwardSettings, ports: PlatformPorts
 ) -> list[Callable[[], Awaitable[None]]]:
     """Return the functions that keep the entry's view of the platform current."""
 
     def count_call(how: str) -> None:
-        meters.count(Count(Counter.PLATFORM_CALLS, how))
+        ports.meters.count(Count(Counter.PLATFORM_CALLS, how))
 
-    store = Store(settings.store, count_call, submit)
+    store = Store(settings.store, count_call, ports.submit)
     member = Member(settings.name, ROLE, settings.data_centre)
+
+    async def execute_calls() -> None:
+        while True:
+            ports.submit(await store.execute(await ports.store_calls.wait()))
+
     runs: list[Callable[[], Awaitable[None]]] = [
-        lambda: announce(store, member, read_version)
+        lambda: announce(store, member, ports.read_version),
+        execute_calls,
     ]
     for watched in WATCHED:
-        runs.append(KindWatcher(watched, store, submit, Random()).run)
-    runs.append(CrashReportWriter(store, settings.name, crash_reports, Random()).run)
-    return [*runs, CacheEventPoller(submit, choose, count_call).run]
+        runs.append(KindWatcher(watched, store, ports.submit, Random()).run)
+    reports = ports.crash_reports
+    runs.append(CrashReportWriter(store, settings.name, reports, Random()).run)
+    return [*runs, CacheEventPoller(ports.submit, ports.choose_polls, count_call).run]
 
 
 @click.command()
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 import trio
+from msgspec import Struct
 
 from masticdrum.core.clusterstate import ClusterBounds
 from masticdrum.core.coldstartpacing import ColdStartBounds
@@ -35,6 +36,7 @@
     Ticked,
 )
 from masticdrum.model.origins import OriginReply, SendToAgents
+from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
 from masticdrum.model.settings import ForwardSettings
 from masticdrum.model.telemetry import Count, Log, LogNumber, Observe
 from masticdrum.shell.callerserver import CallerServer
@@ -60,12 +62,28 @@
 # Heartbeats after which an upstream that has crashed is registered no more: three
 # without one, and time for the news.
 UNREGISTER_HEARTBEATS = 5
-Submit = Callable[[ClusterEvent | PrefixesReported | PrefixStoreLost], None]
-ChoosePolls = Callable[[], list[StorePolls]]
-MakePlatformTasks = Callable[
-    [Submit, Metrics, ChoosePolls, Latest[CrashReport], Callable[[], int]],
-    list[Callable[[], Awaitable[None]]],
+Submit = Callable[
+    [ClusterEvent | PrefixesReported | PrefixStoreLost | ObjectAnswer], None
 ]
+ChoosePolls = Callable[[], list[StorePolls]]
+
+
+class PlatformPorts(Struct, frozen=True):
+    """What an entry's platform tasks take from it and give to it.
+
+    ``store_calls`` are calls on the system's own objects, whose answers are submitted;
+    ``read_version`` returns the version of the configuration in force.
+    """
+
+    submit: Submit
+    meters: Metrics
+    choose_polls: ChoosePolls
+    crash_reports: Latest[CrashReport]
+    store_calls: Latest[ObjectGet | ObjectPut]
+    read_version: Callable[[], int]
+
+
+MakePlatformTasks = Callable[[PlatformPorts], list[Callable[[], Awaitable[None]]]]
 
 
 class ForwarderProcess:
@@ -78,6 +96,8 @@
         self.meters = Metrics()
         self.ended = trio.Event()
         self.crash_report: Latest[CrashReport] = Latest()
+        # Only the record of software versions makes calls, one at a time.
+        self.store_call: Latest[ObjectGet | ObjectPut] = Latest()
         self.datagrams: DatagramSocket | None = None
         if settings.datagrams is not None:
             self.datagrams = DatagramSocket(settings.datagrams, self.meters)
@@ -174,12 +194,17 @@
                 carry_out_telemetry(self.meters, effect)
             case PublishCrashReport():
                 self.crash_report.set(effect.report)
+            case ObjectGet() | ObjectPut():
+                self.store_call.set(effect)
             case SendToAgents():
-                if self.datagrams is not None:
-                    self.datagrams.send_to_hosts(effect.addresses, effect.message)
+                self._send_to_agents(effect)
             case ExitProcess():
                 self.ended.set()
 
+    def _send_to_agents(self, effect: SendToAgents) -> None:
+        if self.datagrams is not None:
+            self.datagrams.send_to_hosts(effect.addresses, effect.message)
+
     def submit_reply(self, event: DatagramEvent) -> None:
         """Submit an agent's reply; entries take nothing else."""
         if isinstance(event, OriginReply):
@@ -252,13 +277,15 @@
         nursery.start_soon(process.tick)
         if process.datagrams is not None:
             nursery.start_soon(process.datagrams.receive, process.submit_reply)
-        for run in make_platform_tasks(
+        ports = PlatformPorts(
             process.loop.submit,
             process.meters,
             process.state.list_polls,
             process.crash_report,
+            process.store_call,
             lambda: process.state.cluster_state.version,
-        ):
+        )
+        for run in make_platform_tasks(ports):
             nursery.start_soon(run)
         await process.server.serve(
             until=process.ended.wait,
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -24,6 +24,7 @@
 from masticdrum.core.retrywindow import RetryWindow
 from masticdrum.core.saturation import Queue, Saturation
 from masticdrum.core.servedsoftware import ServedSoftware
+from masticdrum.core.softwarerecords import SoftwareRecords
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.upstreampauses import UpstreamPauses
 from masticdrum.model.exchange import Execution
@@ -205,6 +206,11 @@
     patch.setattr(ServedSoftware, "has_watched_long", lambda *given: True)
 
 
+def trust_an_unread_record(patch: Patch) -> None:
+    """Take the record of versions for complete before it was read again."""
+    patch.setattr(SoftwareRecords, "is_complete", True)
+
+
 def end_streams_with_any_answer(patch: Patch) -> None:
     """Take any answer for the rest of a stream."""
     patch.setattr(exchanges, "_answers_stream_otherwise", lambda *given: False)
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -16,6 +16,7 @@
     test_requestlimits,
     test_resumption,
     test_saturation,
+    test_softwarerecords,
     test_upstreamlists,
     test_upstreampauses,
 )
@@ -125,6 +126,13 @@
         forwardmutants.trust_the_only_version,
         test_resumption.test_an_entry_that_has_just_started_does_not_trust_the_only_version,
     ),
+    (
+        forwardmutants.trust_an_unread_record,
+        partial(
+            test_softwarerecords.test_an_entry_that_was_cut_off_reads_what_it_has_missed,
+            came=True,
+        ),
+    ),
     (
         forwardmutants.end_streams_with_any_answer,
         partial(
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -105,6 +105,21 @@
     assert (unknown.status, b"origin_unknown" in unknown.content) == (503, True)
 
 
+# Guards against the refusal of all streams that are taken up at an entry that has just
+# started, by callers that don't name where they began, while one version serves.
+def test_a_stream_goes_on_at_a_new_entry_while_one_version_serves(
+    fleet: Fleet,
+) -> None:
+    for name in ("engine-1", "engine-2"):
+        fleet.control(name, events=6)
+    restart_entry(fleet, fleet.ports["datagrams"])
+    rest = b"".join(b"id: %d\ndata: piece\n\n" % n for n in range(3, 7))
+    fleet.wait_until(
+        lambda: fleet.ask("/stream/7", "t", **{"Last-Event-Id": "2"}).content == rest,
+        "the rest of a stream",
+    )
+
+
 def restart_entry(fleet: Fleet, port: int) -> None:
     """Kill the entry and start it with datagrams, at another address than agents."""
     killed = fleet.running.pop("entry")
