Read the record of software versions at once after a start, and use it as late as possible

Cause: an entry that starts waits up to 0.2 s before it reads the record, and a search among agents that ends meanwhile doesn't look at the record again. Evidence: test_a_stream_goes_on_if_the_record_is_read_while_agents_are_queried failed before. Change: the first read isn't spread over time, and a search that ends uses what is known then.

--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -112,7 +112,7 @@
     exchange = state.exchanges.get(handle)
     if exchange is None:
         return []
-    verdict, effects = finish_search(state, exchange)
+    verdict, effects = finish_search(state, exchange, now)
     return [*effects, *_proceed(state, exchange, verdict, now)]
 
 
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -76,20 +76,22 @@
     search.is_complete |= reply.is_complete
     if search.unanswered > 0:
         return Resumption.SEARCHING, []
-    return finish_search(state, exchange)
+    return finish_search(state, exchange, now)
 
 
 def finish_search(
-    state: ExchangeState, exchange: Exchange
+    state: ExchangeState, exchange: Exchange, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
     """Decide on a stream of which no agent has said where it began."""
     search = exchange.search
     if search is None:
         return Resumption.SEARCHING, []
     _end_search(state, exchange)
-    if search.is_complete and len(search.versions) <= 1:
-        return _allow(exchange, next(iter(search.versions), None), "only version")
-    return _refuse(exchange, search.versions)
+    versions = search.versions | state.list_software(exchange.service, now)
+    is_complete = search.is_complete or state.knows_software(now)
+    if is_complete and len(versions) <= 1:
+        return _allow(exchange, next(iter(versions), None), "only version")
+    return _refuse(exchange, versions)
 
 
 def record_origin(
--- a/masticdrum/core/softwarerecords.py
+++ b/masticdrum/core/softwarerecords.py
@@ -104,8 +104,9 @@
 
     def request_review(self, now: float) -> None:
         """Compare the record with what this entry sees, soon."""
+        spread_s = self._random.uniform(0.0, SPREAD_S) if self._is_read else 0.0
         self._must_read = True
-        self._due_at = min(self._due_at, now + self._random.uniform(0.0, SPREAD_S))
+        self._due_at = min(self._due_at, now + spread_s)
 
     def record_interruption(self, now: float) -> None:
         """Read the record again, since versions may have come and gone unseen."""
--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -181,6 +181,17 @@
     assert world.platform.writes == 1
 
 
+# Guards against the refusal of streams that are taken up before the record was read.
+def test_a_stream_goes_on_if_the_record_is_read_while_agents_are_queried() -> None:
+    world = World(2, make_engine("engines-1", "v1"))
+    entry = world.restart(0)
+    entry.confirm()
+    entry.send_request("stream", last_event=4)
+    started = len(pick(entry.effects, StartAttempt))
+    world.run(2 * SEARCH_S)
+    assert len(pick(entry.effects, StartAttempt)) == started + 1
+
+
 # Guards against streams joined from two versions by an entry that has started after the
 # first one has left (ORDER).
 def test_a_new_entry_knows_the_version_that_has_left() -> None:
