--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -2,11 +2,7 @@
 
 Within one incarnation the configuration only grows newer: an older one is never
 installed. A request that needs a key may only be sent while the lease on the
-configuration lasts. The lease is counted from the latest time at which the
-configuration was confirmed to hold. A store that came back from a copy and holds an
-older configuration confirms nothing: a newer one than this may have been lost too. A
-process that has just started doesn't know that the store has lost any, but other
-processes announce which version they have.
+configuration lasts (``directorylease.py``).
 """
 
 from collections.abc import Iterable, Iterator
@@ -15,9 +11,10 @@
 from msgspec.structs import replace
 
 from masticdrum.core.directory import DirectoryIndex
+from masticdrum.core.directorylease import DirectoryLease
 from masticdrum.core.leavingupstreams import LeavingUpstreams
 from masticdrum.core.rendezvous import Ranking
-from masticdrum.core.restores import REWRITE_S, Restores, is_outdated
+from masticdrum.core.restores import Restores, is_outdated
 from masticdrum.core.servedsoftware import ServedSoftware, compute_stream_life
 from masticdrum.model.cluster_events import (
     ClusterEvent,
@@ -39,9 +36,6 @@
 from masticdrum.model.directory import Directory, ForwardService, Upstream
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
-LEASE_MARGIN_S = (
-    0.6  # for a request's transit to its upstream, its queueing and clock drift
-)
 REREGISTER_S = 2.0  # time for upstreams to register again after an outage
 OUTAGE_S = 1.0  # shorter gaps in reading expire no registration
 
@@ -86,12 +80,9 @@
         "index",
         "known",
         "leaving",
-        "lease_until",
+        "lease",
         "lost",
         "members",
-        "newest_version",
-        "read_version",
-        "started_at",
         "drained",
         "reregister_until",
         "restores",
@@ -103,10 +94,7 @@
     def __init__(self, bounds: ClusterBounds) -> None:
         self.bounds = bounds
         self.index: DirectoryIndex | None = None
-        self.lease_until = 0.0
-        self.read_version = 0  # of the configuration, by the store's last answer
-        self.newest_version = 0  # that was ever in force here or at another process
-        self.started_at: float | None = None  # when the first configuration was read
+        self.lease = DirectoryLease()
         self.known: dict[str, KnownUpstream] = {}
         self.by_service: dict[str, dict[str, KnownUpstream]] = {}
         self.any_cold_until = 0.0
@@ -130,7 +118,7 @@
 
     def is_leased(self, now: float) -> bool:
         """Return whether requests with keys may be sent now."""
-        return now < self.lease_until
+        return self.lease.is_held(now)
 
     def list_usable_upstreams(self, service: str, now: float) -> list[KnownUpstream]:
         """List the upstreams of a service that may get new work.
@@ -249,7 +237,8 @@
 ) -> list[Log]:
     """Apply one event and return what is to be logged."""
     if isinstance(event, DirectoryConfirmed):
-        _extend_lease(cluster_state, event.last_confirmed_at)
+        revoke_s = cluster_state.bounds.revoke_s
+        cluster_state.lease.extend(event.last_confirmed_at, revoke_s)
         return []
     if isinstance(event, StoreRestored):
         cluster_state.restores.record_restore(now)
@@ -293,14 +282,12 @@
     cluster_state: ClusterState, event: DirectoryRead, now: float
 ) -> list[Log]:
     directory = event.directory
-    if cluster_state.started_at is None:
-        cluster_state.started_at = now
-    cluster_state.read_version = directory.version
-    _record_version(cluster_state, directory.version)
+    revoke_s = cluster_state.bounds.revoke_s
+    confirmed_at = event.last_confirmed_at
+    cluster_state.lease.record_read(directory.version, confirmed_at, revoke_s, now)
     if directory.version < cluster_state.version:
         facts = _describe_versions(cluster_state, directory)
         return [Log(LogNumber.DIRECTORY_IGNORED, facts=facts)]
-    _extend_lease(cluster_state, event.last_confirmed_at)
     if directory.version == cluster_state.version:
         return []
     facts = _describe_versions(cluster_state, directory)
@@ -312,23 +299,12 @@
     return {
         "version": directory.version,
         "before": cluster_state.version,
-        "newest": cluster_state.newest_version,
+        "newest": cluster_state.lease.newest_version,
         "routes": len(directory.routes),
         "workspaces": len(directory.workspaces),
     }
 
 
-def _record_version(cluster_state: ClusterState, version: int) -> None:
-    cluster_state.newest_version = max(cluster_state.newest_version, version)
-
-
-def _extend_lease(cluster_state: ClusterState, confirmed_at: float) -> None:
-    if cluster_state.read_version < cluster_state.newest_version:
-        return
-    until = confirmed_at + cluster_state.bounds.revoke_s - LEASE_MARGIN_S
-    cluster_state.lease_until = max(cluster_state.lease_until, until)
-
-
 def _apply_upstream_list(
     cluster_state: ClusterState, event: UpstreamsListed, now: float
 ) -> list[Log]:
@@ -483,7 +459,7 @@
         listed = {member.name for member in members}
         members += tuple(member for member in before if member.name not in listed)
     cluster_state.members = members
-    _compare_versions(cluster_state, now)
+    cluster_state.lease.compare((member.directory for member in members), now)
     if len(before) == len(members):
         return []
     facts: Facts = {
@@ -494,17 +470,6 @@
     return [Log(LogNumber.MEMBERS_CHANGED, facts=facts)]
 
 
-def _compare_versions(cluster_state: ClusterState, now: float) -> None:
-    """End the lease of a process that has started with an outdated configuration."""
-    for member in cluster_state.members or ():
-        _record_version(cluster_state, member.directory)
-    started_at = cluster_state.started_at
-    if started_at is None or now >= started_at + REWRITE_S:
-        return
-    if cluster_state.read_version < cluster_state.newest_version:
-        cluster_state.lease_until = min(cluster_state.lease_until, now)
-
-
 def _apply_reachability(
     cluster_state: ClusterState, event: SourceLost | SourceRegained, now: float
 ) -> list[Log]:
--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -113,7 +113,7 @@
         "expected_s": round(exchange.expected_s, 3),
         "after_s": round(now - exchange.arrived, 3),
         "version": state.cluster_state.version,
-        "lease_s": round(state.cluster_state.lease_until - now, 3),
+        "lease_s": round(state.cluster_state.lease.until - now, 3),
     }
 
 
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -199,7 +199,7 @@
             "host": event.host,
             "path": event.path,
             "version": state.cluster_state.version,
-            "lease_s": round(state.cluster_state.lease_until - now, 3),
+            "lease_s": round(state.cluster_state.lease.until - now, 3),
         },
     )
     refuse = Refuse(event.handle, kind, status, wait_s)
@@ -253,7 +253,7 @@
             "candidates": len(candidates),
             "left_s": round(exchange.deadline - now, 3),
             "version": state.cluster_state.version,
-            "lease_s": round(state.cluster_state.lease_until - now, 3),
+            "lease_s": round(state.cluster_state.lease.until - now, 3),
         },
     )
     return [describe_attempt(state, exchange, choice, now), log]
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -174,7 +174,7 @@
         return []
     state.leased = leased
     number = LogNumber.LEASE_REGAINED if leased else LogNumber.LEASE_LAPSED
-    left_s = round(state.cluster_state.lease_until - now, 3)
+    left_s = round(state.cluster_state.lease.until - now, 3)
     facts = {"version": state.cluster_state.version, "lease_s": left_s}
     return [Log(number, facts={**facts})]
 
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -222,7 +222,7 @@
         facts = {
             "ready": ready,
             "version": cluster_state.version,
-            "lease_s": round(cluster_state.lease_until - now, 3),
+            "lease_s": round(cluster_state.lease.until - now, 3),
             "upstreams": len(cluster_state.known),
         }
         write_event(Log(LogNumber.READINESS_CHANGED, facts={**facts}))
@@ -233,7 +233,7 @@
             "name": self.settings.name,
             "data_centre": self.settings.data_centre,
             "version": cluster_state.version,
-            "lease_s": cluster_state.lease_until - read_clock(),
+            "lease_s": cluster_state.lease.until - read_clock(),
             "upstreams": len(cluster_state.known),
             "fellows": self.state.count_peer_entries(),
             "open": len(self.state.exchanges),
--- a/tests/core/test_beliefs.py
+++ b/tests/core/test_beliefs.py
@@ -190,10 +190,10 @@
     entry.confirm()
     entry.handle_event(list_versions(7))
     assert entry.state.cluster_state.is_leased(entry.now)
-    until = entry.state.cluster_state.lease_until
+    until = entry.state.cluster_state.lease.until
     entry.now += 1.0
     entry.confirm()
-    assert entry.state.cluster_state.lease_until == until
+    assert entry.state.cluster_state.lease.until == until
 
 
 def make_desk(sequence: int, **changes: object) -> Upstream:
