Read the tables anew after the platform may have come back from a copy

What callers could see: an edit that was accepted is in force nowhere, as a data centre that was taken out gets requests (CONFIG). Cause: a watch waits for a version above the last one that was read. An object API that comes back from an older copy gives versions out again, so that the edit is below that. Change: after a lost or refused read the next watch takes whatever version there is; a watch that ends without a change names the version that stands (ETag of the 304), and a lower one counts alike. Why it works: a watch that goes on across the restore learns the lower version when it ends, after which an edit is read at once. Open: versions given out again up to exactly the one that a watch had reached, without a broken connection, are noticed only by the slow poll.

--- a/masticdrum/core/tablesync.py
+++ b/masticdrum/core/tablesync.py
@@ -245,12 +245,17 @@
         match answer.status:
             case ObjectStatus.OK:
                 return self._handle_tables(call, answer, now)
+            case ObjectStatus.UNCHANGED if 0 < answer.version < self._version:
+                self._version = 0  # the platform came back from an older copy
+                return []
             case ObjectStatus.UNCHANGED:
                 self._confirm_by_platform(call)
                 return []
             case ObjectStatus.MISSING:
                 return []
             case _:
+                # It may come back from an older copy and give versions out again.
+                self._version = 0
                 text = f"{TABLES_PATH}: {answer.status.value}"
                 return [Log(LogNumber.PLATFORM_FAILED, detail=text)]
 
--- a/masticdrum/shell/objectclient.py
+++ b/masticdrum/shell/objectclient.py
@@ -81,6 +81,8 @@
         )
         # Any other status, such as a gateway's, leaves open whether a write happened.
         status = STATUSES.get(response.status, ObjectStatus.LOST)
+        if status is ObjectStatus.UNCHANGED:
+            return ObjectAnswer(call.call, status, read_version(response.headers))
         if status is not ObjectStatus.OK:
             return ObjectAnswer(call.call, status)
         if isinstance(call, ObjectList):
--- a/tests/core/test_tablesync.py
+++ b/tests/core/test_tablesync.py
@@ -71,6 +71,26 @@
     check_in_force(world)
 
 
+# Guards against an edit that is accepted but never in force, since the platform came
+# back from an older copy and gives it a version that watches had reached (CONFIG).
+@pytest.mark.parametrize("lost_edits", [1, 2, 3])
+@pytest.mark.parametrize("breaks_watches", [True, False])
+def test_edit_after_the_platform_came_back_from_a_copy(
+    lost_edits: int, breaks_watches: bool
+) -> None:
+    world = make_world()
+    copied, older = world.objects.copy(), world.tables
+    for number in range(lost_edits):
+        world.edit(f"dc-{number % 2}")
+        check_in_force(world)
+    floor = world.tables.serial
+    world.restore(copied, older, breaks_watches)
+    world.run(1.0 if breaks_watches else IN_FORCE_S)
+    world.edit("dc-2", floor=floor)
+    assert world.tables.serial == floor + 1
+    check_in_force(world)
+
+
 def test_edit_reaches_idle_agents_where_no_entry_is() -> None:
     world = make_world(entries=2, agents=12, centres=4)
     world.calls.clear()
--- a/tests/standins/objects.py
+++ b/tests/standins/objects.py
@@ -78,6 +78,17 @@
                 answer = self.list(call.prefix, call.after, now)
         return replace(answer, call=call.call)
 
+    def copy(self) -> tuple[int, dict[str, tuple[int, bytes]], list[str]]:
+        """Return a copy of all objects, for ``restore``."""
+        return self.version, dict(self._objects), list(self._names)
+
+    def restore(
+        self, copied: tuple[int, dict[str, tuple[int, bytes]], list[str]]
+    ) -> None:
+        """Go back to a copy; versions are given out again."""
+        self.version, objects, names = copied
+        self._objects, self._names = dict(objects), list(names)
+
     def get(self, path: str, known: int, now: float) -> ObjectAnswer:
         """Read an object; ``UNCHANGED`` if its version is at most ``known``."""
         if not self.admit_read(now):
@@ -207,6 +218,8 @@
 
 def make_reply(answer: ObjectAnswer, method: str = "GET", expected: int = 0) -> Reply:
     """Make the HTTP reply for an answer of the table."""
+    if answer.status is ObjectStatus.UNCHANGED:
+        return Reply(304, b"", {"etag": f'"{answer.version}"'})
     if answer.status is not ObjectStatus.OK:
         return Reply(STATUSES[answer.status])
     if method == "DELETE":
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -89,6 +89,7 @@
         await caller.call("PUT", "/objects/a", b"one", If_None_Match="*")
         answer = await caller.call("GET", "/objects/a?known=1&wait=0.01")
         assert answer.status == 304
+        assert dict(answer.headers)[b"etag"] == b'"1"'
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch, caller)
             await trio.testing.wait_all_tasks_blocked(0.05)
--- a/tests/syncworld.py
+++ b/tests/syncworld.py
@@ -124,20 +124,33 @@
         self.driver.crash(name)
         self.driver.at(self.driver.now + down_s, lambda: self.start(name))
 
-    def edit(self, out: str | None = None, push: bool = False) -> bool:
-        """Edit the tables as an operator; return whether the platform accepted it."""
+    def edit(self, out: str | None = None, push: bool = False, floor: int = 0) -> bool:
+        """Edit the tables as an operator; return whether the platform accepted it.
+
+        The new serial is above ``floor``.
+        """
         if self.faults.outage:
             return False
         centres = [
             replace(row, out=row.name == out) for row in self.tables.data_centres
         ]
         self._write(
-            prepare_edit(self.tables, replace(self.tables, data_centres=centres))
+            prepare_edit(self.tables, replace(self.tables, data_centres=centres), floor)
         )
         if push:
             self._push_hello()
         return True
 
+    def restore(self, copied: Any, tables: Tables, breaks_watches: bool) -> None:
+        """Bring a copy of the objects back; open watches break or go on."""
+        self.objects.restore(copied)
+        self.tables = tables
+        if breaks_watches:
+            waiting, self.watches = self.watches, []
+            for watch in waiting:
+                lost = ObjectAnswer(watch.call.call, ObjectStatus.LOST)
+                self._answer(watch.process, lost)
+
     def silence_links(self, name: str) -> None:
         """Drop all further messages on the links that a process has open."""
         self.silent |= {link for link, ends in self.links.items() if name in ends}
@@ -276,10 +289,10 @@
         if not any(other is watch for other in self.watches):
             return
         self.watches = [other for other in self.watches if other is not watch]
-        status = ObjectStatus.UNCHANGED
+        answer = self.objects.peek(TABLES_PATH, watch.call.known)
         if self.faults.outage:
-            status = ObjectStatus.REJECTED
-        self._answer(watch.process, ObjectAnswer(watch.call.call, status))
+            answer = ObjectAnswer("", ObjectStatus.REJECTED)
+        self._answer(watch.process, replace(answer, call=watch.call.call))
 
     def _answer(self, name: str, answer: ObjectAnswer) -> None:
         if self.rng.random() < self.faults.lost_answers:
