Reproduce a key that runs twice after the object API came back from a copy

Entries that forward commits to each other, or that read the record before, replay the reply. Of the product's own interface only.

--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -1,6 +1,7 @@
 """Non-idempotent calls run at most once, and "not run" holds when reported."""
 
 from collections.abc import Callable
+from copy import deepcopy
 
 import pytest
 from hypothesis import given, settings
@@ -86,6 +87,24 @@
     assert count_executions(world) == [1]
 
 
+# Guards against a call that runs again under its key, since the platform came back from
+# an older copy without the key's record.
+def test_a_key_runs_once_though_the_platform_came_back_from_a_copy() -> None:
+    world = World(2)
+    copied: dict[str, object] = {}
+    steps = [
+        (1.0, lambda: world.act(call_at(0.0, 2, workspace=1))),
+        (3.0, lambda: copied.update(deepcopy(vars(world.objects)))),
+        (4.0, lambda: world.act(call_at(0.0, 0))),
+        (8.0, lambda: vars(world.objects).update(copied)),
+        (8.5, lambda: world.act(call_at(0.0, 1))),
+    ]
+    for at, step in steps:
+        world.schedule(START + at, step)
+    world.run_until(START + 60.0)
+    assert count_executions(world) == [1, 1]
+
+
 @pytest.mark.parametrize(
     ("seed", "expected"),
     [
