Keep where a stream began at one agent beside another version

Cause: both agents that kept where a stream began stood beside engines of its version, which in a release leave together, and their agents with them. Change: one of the two agents stands beside an engine of another version, where one stays. The test that expected both beside the stream's version now expects one beside each. Why it works: a record is lost only if engines of both versions leave with their agents. The number of datagrams stays.

--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -158,14 +158,30 @@
 def _list_recorders(
     state: ExchangeState, service: str, record: OriginRecord
 ) -> tuple[str, ...]:
-    """List the upstreams whose agents keep where a stream of a service began."""
+    """List the upstreams whose agents keep where a stream of a service began.
+
+    One runs the stream's version and one another, since all of a version may leave
+    together, and with them their agents.
+    """
     if not state.has_agents:
         return ()
-    ranked = list(_rank(state, service, record.software, record.request))
     known = state.cluster_state.known
-    staying = [name for name in ranked if not known[name].upstream.leaving]
-    names = (staying or ranked)[:COPIES]
-    return tuple(known[name].upstream.address for name in names)
+
+    def rank_staying(version: str) -> list[str]:
+        ranked = _rank(state, service, version, record.request)
+        return [name for name in ranked if not known[name].upstream.leaving]
+
+    own = rank_staying(record.software)
+    others = [
+        name
+        for version in state.cluster_state.software.list_registered(service)
+        if version != record.software
+        for name in rank_staying(version)[:1]
+    ]
+    names = [*own[:1], *others[:1], *own[1:], *others[1:]]
+    if not names:
+        names = list(_rank(state, service, record.software, record.request))
+    return tuple(known[name].upstream.address for name in names[:COPIES])
 
 
 def _list_queried(state: ExchangeState, exchange: Exchange) -> tuple[str, ...]:
--- a/masticdrum/model/origins.py
+++ b/masticdrum/model/origins.py
@@ -1,8 +1,8 @@
 """What entries and agents tell each other of where streams began; one datagram each.
 
 Agents keep which version of the upstreams' software began a stream, for the entry to
-which its caller comes back. An agent keeps it for upstreams of the same version as its
-own, so that it is lost only with the upstreams that could go on with the stream.
+which its caller comes back. One of them stands beside an upstream of that version, and
+one beside an upstream of another, since all of one version may leave together.
 """
 
 from msgspec import Struct
--- a/tests/core/test_resumption.py
+++ b/tests/core/test_resumption.py
@@ -223,18 +223,41 @@
         assert find_software(second, entry_that_knows) == "v1"
 
 
-def test_a_few_agents_beside_the_version_of_a_stream_keep_where_it_began() -> None:
+def test_an_agent_beside_each_of_two_versions_keeps_where_a_stream_began() -> None:
     entry = make_entry(*OLD, *NEW)
     start = start_at_old(entry)
     entry.begin(start)
     (sent,) = pick(entry.stream(start, 4), SendToAgents)
-    assert set(sent.addresses) == {upstream.address for upstream in OLD}
+    for upstreams in (OLD, NEW):
+        assert len({u.address for u in upstreams} & set(sent.addresses)) == 1
     assert len(sent.addresses) <= COPIES
     (query,) = pick(take_up(entry, "elsewhere"), SendToAgents)
     assert len(query.addresses) == len(set(query.addresses))
     assert len(query.addresses) <= 2 * QUERIED_PER_VERSION
 
 
+# Guards against streams that are refused though their version serves, since the agents
+# that kept where they began stood beside engines that have left (LOST).
+@pytest.mark.parametrize("staying", range(4))
+def test_where_streams_began_outlasts_most_upstreams_of_their_version(
+    staying: int,
+) -> None:
+    old = (*OLD, make_engine("engines-11", "v1"), make_engine("engines-12", "v1"))
+    for number in range(20):
+        agents = Agents(*old, *NEW)
+        first = make_entry(*old, *NEW)
+        start = start_at_old(first, number)
+        first.begin(start)
+        agents.deliver(first, first.stream(start, 4))
+        request = first.state.exchanges[start.handle].request
+        for upstream in old:
+            if upstream is not old[staying]:
+                del agents.states[upstream.address]
+        second = restart_entry(first.now + 1.0, old[staying], *NEW)
+        again = get_start(take_up(second, request, agents, number))
+        assert find_software(second, again) == "v1"
+
+
 # Guards against a datagram for each stream on ordinary days: at size that is over the
 # bytes that control may cost a node.
 def test_agents_are_told_nothing_while_one_version_serves() -> None:
