Log on which weights a prompt is to run, and since when newer are wanted

No line of an entry told on which weights an attempt was to run, nor since when these had been superseded as far as the entry knows, so that the hypotheses about prompts begun on replaced weights could only be told apart by the other side. The start of an attempt now names both, and weights_named the version before and how long ago it may have been named.

--- a/masticdrum/core/attemptlog.py
+++ b/masticdrum/core/attemptlog.py
@@ -1,6 +1,7 @@
-"""Logs how an attempt at an upstream ended."""
+"""Logs how an attempt at an upstream started, and how it ended."""
 
-from masticdrum.core.exchangestate import Attempt, Exchange
+from masticdrum.core.exchangestate import Attempt, Exchange, ExchangeState
+from masticdrum.model.directory import Upstream
 from masticdrum.model.exchange import (
     AttemptEnd,
     AttemptEnded,
@@ -10,6 +11,39 @@
 from masticdrum.model.telemetry import Count, Counter, Facts, Log, LogNumber
 
 
+def log_start(
+    state: ExchangeState,
+    exchange: Exchange,
+    upstream: Upstream,
+    load: int,
+    candidates: int,
+    now: float,
+) -> Log:
+    """Return the log of an attempt's start.
+
+    ``load`` is the work that was open at the upstream before, ``candidates`` how many
+    upstreams could have got it.
+    """
+    return Log(
+        LogNumber.EXCHANGE_SENT,
+        request=exchange.request,
+        attempt=str(state.attempts),
+        facts={
+            "route": exchange.route.name,
+            "upstream": upstream.name,
+            "software": upstream.software,
+            "after_event": -1 if exchange.last_event is None else exchange.last_event,
+            "resumes": exchange.resumes,
+            "open": load,
+            "candidates": candidates,
+            "left_s": round(exchange.deadline - now, 3),
+            "version": state.cluster_state.version,
+            "lease_s": round(state.cluster_state.lease.until - now, 3),
+            **_describe_weights(state, exchange, upstream, now),
+        },
+    )
+
+
 def log_end(
     exchange: Exchange,
     attempt: Attempt,
@@ -39,6 +73,25 @@
     return [counted, log]
 
 
+def _describe_weights(
+    state: ExchangeState, exchange: Exchange, upstream: Upstream, now: float
+) -> Facts:
+    """Describe on which weights a prompt is to run, and since when newer are wanted."""
+    if exchange.prompt is None:
+        return {}
+    model = exchange.prompt.model
+    weights = upstream.weights.get(model, 0)
+    newest = state.cluster_state.weights.get(model, 0)
+    facts: Facts = {"weights": weights, "newest": newest}
+    superseded_at = state.cluster_state.find_superseded_at(model, weights)
+    if superseded_at is None:
+        return facts
+    # Unknown for what was superseded before this process read the newer version.
+    known = superseded_at > float("-inf")
+    facts["superseded_s"] = round(now - superseded_at, 3) if known else "unknown"
+    return facts
+
+
 def _describe_prompt(exchange: Exchange, attempt: Attempt, now: float) -> Facts:
     """Describe what distinguishes a request that ran at an upstream's crash."""
     facts: Facts = {}
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -38,6 +38,7 @@
 
 REREGISTER_S = 2.0  # time for upstreams to register again after an outage
 OUTAGE_S = 1.0  # shorter gaps in reading expire no registration
+MAX_LOGGED_S = 9999.0  # of a time that isn't known
 
 
 class ClusterBounds(Struct, frozen=True):
@@ -264,7 +265,7 @@
         case DataCentresDrained():
             return _apply_drained_data_centres(cluster_state, event, now)
         case WeightsNamed():
-            return _apply_weights(cluster_state, event)
+            return _apply_weights(cluster_state, event, now)
         case MembersListed():
             return _apply_members(cluster_state, event, now)
         case SourceLost() | SourceRegained():
@@ -438,14 +439,19 @@
     return [Log(LogNumber.DATA_CENTRES_CHANGED, facts={"out": sorted(names)})]
 
 
-def _apply_weights(cluster_state: ClusterState, event: WeightsNamed) -> list[Log]:
-    if event.version <= cluster_state.weights.get(event.model, 0):
+def _apply_weights(
+    cluster_state: ClusterState, event: WeightsNamed, now: float
+) -> list[Log]:
+    before = cluster_state.weights.get(event.model, 0)
+    if event.version <= before:
         return []
     cluster_state.superseded[event.model, event.version - 1] = event.not_before
     cluster_state.weights[event.model] = event.version
     facts: Facts = {
         "model": event.model,
         "version": event.version,
+        "before": before,
+        "named_within_s": round(min(now - event.not_before, MAX_LOGGED_S), 3),
     }
     return [Log(LogNumber.WEIGHTS_NAMED, facts=facts)]
 
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -8,7 +8,7 @@
 from msgspec.structs import replace
 
 from masticdrum.core.attemptends import END_RULES
-from masticdrum.core.attemptlog import log_end
+from masticdrum.core.attemptlog import log_end, log_start
 from masticdrum.core.attemptstart import describe_attempt
 from masticdrum.core.candidatelist import is_cold, list_candidates
 from masticdrum.core.clusterstate import apply_leaving
@@ -239,23 +239,7 @@
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
-    log = Log(
-        LogNumber.EXCHANGE_SENT,
-        request=exchange.request,
-        attempt=str(state.attempts),
-        facts={
-            "route": exchange.route.name,
-            "upstream": upstream.name,
-            "software": upstream.software,
-            "after_event": -1 if exchange.last_event is None else exchange.last_event,
-            "resumes": exchange.resumes,
-            "open": load,
-            "candidates": len(candidates),
-            "left_s": round(exchange.deadline - now, 3),
-            "version": state.cluster_state.version,
-            "lease_s": round(state.cluster_state.lease.until - now, 3),
-        },
-    )
+    log = log_start(state, exchange, upstream, load, len(candidates), now)
     return [describe_attempt(state, exchange, choice, now), log]
 
 
