Give an order again once the engine that took it has restarted

Cause: an order was executed until its weights were loaded or 15 s had passed, whatever run of the engine the reports came from.

Change: the report's `born` tells the run. An order is given to a run that is registered and reports, and ends when a report is from another. Copies without an answer are remembered: a run of another name refuses them, the same run has counted on by then, and to a later run of the same name nothing is ordered until they are 15 s old.

tests/platform/test_engine.py: the report in it has `born` now, which is checked too.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -16,6 +16,7 @@
     KnownUpstream,
     apply_cluster_event,
 )
+from masticdrum.core.ordercopies import EngineRun, OrderCopies
 from masticdrum.core.orders import Orders
 from masticdrum.core.permits import PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
@@ -46,9 +47,13 @@
 
 
 class EngineReported(Struct, frozen=True):
-    """The engine's report: the loaded version of each model's weights."""
+    """The engine's report: the loaded version of each model's weights.
+
+    ``born`` identifies the engine's run and is zero if the engine doesn't tell.
+    """
 
     weights: dict[str, int]
+    born: int = 0
 
 
 EngineControllerEvent = (
@@ -69,7 +74,8 @@
 class EngineControllerState:
     """What one engine controller knows of its engine, which serves at ``upstream``.
 
-    ``incarnation`` distinguishes this process from its earlier ones.
+    ``incarnation`` distinguishes this process from its earlier ones. ``ordered_run`` is
+    the run of the engine to which the last order was given.
     """
 
     def __init__(self, name: str, incarnation: str, upstream: str, seed: int) -> None:
@@ -80,6 +86,9 @@
             f"{name}/{incarnation}", seed, PERMIT_BOUNDS, holder_prefix=f"{name}/"
         )
         self.orders = Orders(permits, ORDER_RETRY_S)
+        self.copies = OrderCopies()
+        self.ordered_run = EngineRun("", 0)
+        self.born = 0
         self.origins = StreamOrigins()
         self.weights: dict[str, int] = {}
         self.stopping = False
@@ -118,6 +127,7 @@
     match event:
         case EngineReported():
             state.weights = event.weights
+            state.born = event.born
         case OrderAnswered():
             effects += _handle_order_answer(state, event, now)
         case ObjectAnswer():
@@ -176,13 +186,15 @@
 ) -> list[EngineControllerEffect]:
     own = state.find_own_engine()
     wanted, loaded = find_outdated_weights(state)
-    if state.stopping or own is None or own.upstream.leaving:
+    run = _find_orderable_run(state, own, now)
+    if state.stopping or run is None:
         wanted = ""
     permits = state.orders.permits
     permits.bounds = _compute_permit_bounds(state, own)
     effects: list[EngineControllerEffect] = []
     order = state.orders.decide(wanted, loaded, now)
-    if order is not None:
+    if order is not None and run is not None:
+        state.ordered_run = run
         effects.append(order)
         facts: Facts = {
             "target": order.target,
@@ -196,6 +208,18 @@
     return effects
 
 
+def _find_orderable_run(
+    state: EngineControllerState, own: KnownUpstream | None, now: float
+) -> EngineRun | None:
+    """Return the run of the engine that may be ordered: registered and reporting."""
+    if own is None or own.upstream.leaving:
+        return None
+    run = EngineRun(own.upstream.name, own.upstream.born)
+    if not run.is_born_at(state.born) or state.copies.may_reach(run, now):
+        return None
+    return run
+
+
 def _compute_permit_bounds(
     state: EngineControllerState, own: KnownUpstream | None
 ) -> PermitBounds:
@@ -224,6 +248,8 @@
     state: EngineControllerState, answer: OrderAnswered, now: float
 ) -> list[EngineControllerEffect]:
     state.orders.handle_answer(answer, now)
+    if answer.unanswered_at is not None:
+        state.copies.record(state.ordered_run, answer.unanswered_at)
     outcome = "done" if answer.done else "failed"
     facts: Facts = {
         "done": answer.done,
--- a/masticdrum/core/orderexecution.py
+++ b/masticdrum/core/orderexecution.py
@@ -2,13 +2,15 @@
 
 An order without an answer may still be executed seconds later. It is sent again under
 the same fencing number, and only while the engine's report shows that none was accepted
-since, so that at most one of the copies takes effect.
+since, so that at most one of the copies takes effect. It ends with the engine's run:
+an order that the engine had accepted is gone with it.
 """
 
 from enum import StrEnum
 
 from msgspec import Struct
 
+from masticdrum.core.ordercopies import EngineRun
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered, RunsAtLoad
 
 # Covers a load that waits for runs to finish, and an order that is executed late.
@@ -27,12 +29,14 @@
 class EngineView(Struct, frozen=True):
     """What the engine's report states: loaded weights by model, and open orders.
 
-    ``accepted`` counts the orders that this incarnation of the engine has accepted.
+    ``accepted`` counts the orders that this run of the engine has accepted; ``born``
+    identifies the run and is zero if the engine doesn't tell.
     """
 
     weights: dict[str, int]
     busy: bool
     accepted: int
+    born: int = 0
 
 
 class SendOrder(Struct, frozen=True):
@@ -46,7 +50,7 @@
 
 
 class OrderExecution:
-    """The execution of one order to load ``version`` of ``model``."""
+    """The execution of one order to ``run`` to load ``version`` of ``model``."""
 
     __slots__ = (
         "_accepted",
@@ -54,25 +58,32 @@
         "_deadline",
         "_model",
         "_order",
+        "_run",
         "_runs",
+        "_sent_at",
+        "_unanswered_at",
         "_version",
     )
 
     def __init__(
         self,
         order: IssueOrder,
+        run: EngineRun,
         model: str,
         version: int,
         runs: RunsAtLoad,
         now: float,
     ) -> None:
         self._order = order
+        self._run = run
         self._runs = runs
         self._model = model
         self._version = version
         self._deadline = now + ORDER_TIMEOUT_S
         self._accepted = False
         self._detail = "no answer"
+        self._sent_at = now
+        self._unanswered_at: float | None = None
 
     def decide(
         self, view: EngineView | None, now: float
@@ -85,6 +96,8 @@
             return self._finish(False, self._detail)
         if view is None:
             return None
+        if not self._run.is_born_at(view.born):
+            return self._finish(False, "the engine restarted")
         if view.weights.get(self._model, 0) >= self._version and not view.busy:
             return self._finish(True, "")
         if view.busy:
@@ -94,6 +107,7 @@
             self._accepted = False
             return None
         fence = self._order.fence
+        self._sent_at = now
         return SendOrder(self._model, self._version, fence, view.accepted, self._runs)
 
     def handle_reply(self, reply: OrderReply, detail: str) -> OrderAnswered | None:
@@ -101,9 +115,12 @@
         if reply is OrderReply.REFUSED:
             return self._finish(False, detail)
         self._accepted = reply is OrderReply.ACCEPTED
+        if reply is OrderReply.NONE:
+            self._unanswered_at = self._sent_at
         if reply is not OrderReply.NONE:
             self._detail = detail
         return None
 
     def _finish(self, done: bool, detail: str) -> OrderAnswered:
-        return OrderAnswered(self._order.order, done, detail=detail)
+        order, unanswered_at = self._order.order, self._unanswered_at
+        return OrderAnswered(order, done, detail=detail, unanswered_at=unanswered_at)
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -144,12 +144,14 @@
     """The upstream answered an order.
 
     If ``settled`` is False, no answer came and the upstream may still execute it.
+    ``unanswered_at`` is when a copy was last sent that got no answer, in seconds.
     """
 
     order: str
     done: bool
     settled: bool = True
     detail: str = ""
+    unanswered_at: float | None = None
 
 
 AgentEvent = (
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -8,6 +8,7 @@
 from msgspec import Struct, field
 
 from masticdrum.core.enginecontroller import EngineReported, read_weights
+from masticdrum.core.ordercopies import EngineRun
 from masticdrum.core.orderexecution import (
     EngineView,
     OrderExecution,
@@ -40,16 +41,20 @@
 
 
 class EngineReport(Struct):
-    """The engine's report; ``sequence`` counts the orders that it accepted."""
+    """The engine's report; ``sequence`` counts the orders that it accepted.
+
+    ``born`` is the Unix millisecond of its start, zero if it is missing.
+    """
 
     models: list[WireWeights] = field(default_factory=list)
     busy: bool = False
     sequence: int = 0
+    born: int = 0
 
     def describe(self) -> EngineView:
         """Convert the report to this project's types."""
         weights = {model.name: model.version for model in self.models}
-        return EngineView(weights, self.busy, self.sequence)
+        return EngineView(weights, self.busy, self.sequence, self.born)
 
 
 class OrderBody(Struct):
@@ -92,19 +97,20 @@
             self._reachability.record_failure(str(error))
             return None
         self._reachability.record_success()
-        self._submit(EngineReported(report.describe().weights))
+        self._submit(EngineReported(report.describe().weights, report.born))
         return report
 
-    async def order(self, order: IssueOrder, instance: str) -> None:
-        """Execute an order at the engine until it ends, and submit the result."""
+    async def order(self, order: IssueOrder, run: EngineRun) -> None:
+        """Execute an order to a run of the engine and submit how it ended."""
         model, version = read_weights(order.target)
-        execution = OrderExecution(order, model, version, self._runs, read_clock())
+        now = read_clock()
+        execution = OrderExecution(order, run, model, version, self._runs, now)
         while True:
             report = await self.read_report()
             view = None if report is None else report.describe()
             step = execution.decide(view, read_clock())
             if isinstance(step, SendOrder):
-                step = execution.handle_reply(*await self._send_order(step, instance))
+                step = execution.handle_reply(*await self._send_order(step, run.name))
             if isinstance(step, OrderAnswered):
                 self._submit(step)
                 return
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -12,6 +12,7 @@
     EngineControllerState,
     reduce_engine_controller,
 )
+from masticdrum.core.ordercopies import EngineRun
 from masticdrum.model.agent_events import IssueOrder
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import OriginReply, SendOriginReply
@@ -44,8 +45,8 @@
     async def read_report(self) -> object:
         """Read the engine's report and submit what it states."""
 
-    async def order(self, order: IssueOrder, instance: str) -> None:
-        """Send an order to the engine and submit its outcome."""
+    async def order(self, order: IssueOrder, run: EngineRun) -> None:
+        """Send an order to a run of the engine and submit its outcome."""
 
 
 class PermitStore(Protocol):
@@ -129,9 +130,8 @@
             case ObjectGet() | ObjectPut():
                 self._nursery.start_soon(self._execute_call, effect)
             case IssueOrder():
-                own = self.state.find_own_engine()
-                instance = "" if own is None else own.upstream.name
-                self._nursery.start_soon(self.engine.order, effect, instance)
+                run = self.state.ordered_run
+                self._nursery.start_soon(self.engine.order, effect, run)
             case Log() | Count():
                 carry_out_telemetry(self.meters, effect)
             case SendOriginReply():
--- a/tests/core/test_ordercourse.py
+++ b/tests/core/test_ordercourse.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from masticdrum.core.ordercopies import EngineRun
 from masticdrum.core.orderexecution import (
     ORDER_TIMEOUT_S,
     EngineView,
@@ -14,17 +15,20 @@
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered, RunsAtLoad
 
 MODEL = "m1"
+RUN = EngineRun("i-1", 1000)
 SENT = SendOrder(MODEL, 2, 7, 4, RunsAtLoad.CONTINUE)
 FIXED = settings(derandomize=True, max_examples=300, deadline=None)
 
 
 def make_execution(not_after: float = 60.0) -> OrderExecution:
     order = IssueOrder("o1", "load", "m1@2", 7, not_after)
-    return OrderExecution(order, MODEL, 2, RunsAtLoad.CONTINUE, 10.0)
+    return OrderExecution(order, RUN, MODEL, 2, RunsAtLoad.CONTINUE, 10.0)
 
 
-def view(version: int = 1, busy: bool = False, accepted: int = 4) -> EngineView:
-    return EngineView({MODEL: version}, busy, accepted)
+def view(
+    version: int = 1, busy: bool = False, accepted: int = 4, born: int = RUN.born
+) -> EngineView:
+    return EngineView({MODEL: version}, busy, accepted, born)
 
 
 def test_an_order_is_sent_with_the_reported_count_and_done_once_loaded() -> None:
@@ -52,6 +56,27 @@
     assert isinstance(execution.decide(view(), 10.4), SendOrder)
 
 
+# Guards against waiting for an order that the engine had accepted before it restarted.
+def test_an_accepted_order_ends_with_the_run_of_the_engine() -> None:
+    execution = make_execution()
+    execution.decide(view(), 10.0)
+    execution.handle_reply(OrderReply.ACCEPTED, "status 202")
+    assert execution.decide(None, 10.5) is None
+    ended = execution.decide(view(accepted=0, born=2000), 12.0)
+    assert ended == OrderAnswered("o1", done=False, detail="the engine restarted")
+
+
+# Guards against forgetting that a copy may still be carried out when an order ends.
+def test_an_order_tells_when_a_copy_without_an_answer_was_sent() -> None:
+    execution = make_execution()
+    execution.decide(view(), 10.0)
+    execution.handle_reply(OrderReply.NONE, "lost")
+    execution.decide(view(), 10.3)
+    execution.handle_reply(OrderReply.ACCEPTED, "status 202")
+    ended = execution.decide(view(2, accepted=5), 11.2)
+    assert ended == OrderAnswered("o1", done=True, unanswered_at=10.0)
+
+
 def test_a_refused_order_ends_at_once() -> None:
     execution = make_execution()
     execution.decide(view(), 10.0)
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -11,7 +11,8 @@
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.platform.engine import Engine
 
-REPORT = json.dumps({"models": [{"name": "m1", "version": 3}]}).encode()
+BORN = 1767225600000
+REPORT = json.dumps({"models": [{"name": "m1", "version": 3}], "born": BORN}).encode()
 
 
 @asynccontextmanager
@@ -50,4 +51,4 @@
     lost, regained, reported = submitted
     assert isinstance(lost, SourceLost) and lost.source is Source.ENGINE
     assert isinstance(regained, SourceRegained)
-    assert reported == EngineReported({"m1": 3})
+    assert reported == EngineReported({"m1": 3}, BORN)
