Order a further version as soon as the engine reports the one before

Cause: after a load nothing was ordered for 5 s, the time within which a report may be older than the load.

Evidence, on the code before: test_adviser.py prints "assert ['m1@2'] == ['m1@2', 'm1@3']" and, for a second model of the engine, "assert ['m1@2'] == ['m1@2', 'm2@5']".

Change: the pause holds for the version that was ordered, so that an older report orders nothing again, and for all versions until a report shows the ordered one. A single copy without an answer isn't open once the weights are loaded, since it was the one carried out.

The product's own agent shares the rule: while its report may be older than the load it waits as before (tests/core/test_permits.py).

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -165,6 +165,11 @@
     return model, int(version)
 
 
+def _is_loaded(state: EngineControllerState, target: str) -> bool:
+    model, version = read_weights(target)
+    return state.weights.get(model, 0) >= version
+
+
 def _answer_origin_query(
     state: EngineControllerState, event: OriginQueried, now: float
 ) -> SendOriginReply:
@@ -192,6 +197,8 @@
     permits = state.orders.permits
     permits.bounds = _compute_permit_bounds(state, own)
     effects: list[EngineControllerEffect] = []
+    if state.orders.unconfirmed and _is_loaded(state, state.orders.target):
+        state.orders.confirm()
     order = state.orders.decide(wanted, loaded, now)
     if order is not None and run is not None:
         state.ordered_run = run
--- a/masticdrum/core/orderexecution.py
+++ b/masticdrum/core/orderexecution.py
@@ -61,8 +61,10 @@
         "_run",
         "_runs",
         "_sent_at",
+        "_unanswered",
         "_unanswered_at",
         "_version",
+        "_was_accepted",
     )
 
     def __init__(
@@ -81,8 +83,10 @@
         self._version = version
         self._deadline = now + ORDER_TIMEOUT_S
         self._accepted = False
+        self._was_accepted = False
         self._detail = "no answer"
         self._sent_at = now
+        self._unanswered = 0
         self._unanswered_at: float | None = None
 
     def decide(
@@ -99,6 +103,7 @@
         if not self._run.is_born_at(view.born):
             return self._finish(False, "the engine restarted")
         if view.weights.get(self._model, 0) >= self._version and not view.busy:
+            self._discount_executed_copy()
             return self._finish(True, "")
         if view.busy:
             return None
@@ -116,11 +121,18 @@
             return self._finish(False, detail)
         self._accepted = reply is OrderReply.ACCEPTED
         if reply is OrderReply.NONE:
+            self._unanswered += 1
             self._unanswered_at = self._sent_at
+        self._was_accepted |= self._accepted
         if reply is not OrderReply.NONE:
             self._detail = detail
         return None
 
+    def _discount_executed_copy(self) -> None:
+        # The engine executed one copy: one without an answer, if none was answered.
+        if self._unanswered == 1 and not self._was_accepted:
+            self._unanswered_at = None
+
     def _finish(self, done: bool, detail: str) -> OrderAnswered:
         order, unanswered_at = self._order.order, self._unanswered_at
         return OrderAnswered(order, done, detail=detail, unanswered_at=unanswered_at)
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -144,7 +144,8 @@
     """The upstream answered an order.
 
     If ``settled`` is False, no answer came and the upstream may still execute it.
-    ``unanswered_at`` is when a copy was last sent that got no answer, in seconds.
+    ``unanswered_at`` is when a copy was last sent that may still be executed, in
+    seconds, or None.
     """
 
     order: str
--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -111,6 +111,58 @@
     assert second.fence > first.fence
 
 
+# Guards against a further version that waits 5 s after the load of the one before.
+def test_a_further_version_is_ordered_once_the_report_shows_the_one_before() -> None:
+    agent = Agent()
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.wait(1.5)
+    agent.handle_event(EngineReported({MODEL: 2}))
+    agent.handle_event(OrderAnswered(agent.orders[0].order, done=True))
+    agent.wait(1.0)
+    agent.handle_event(WeightsNamed(MODEL, 3))
+    agent.wait(0.2)
+    assert [order.target for order in agent.orders] == [f"{MODEL}@2", f"{MODEL}@3"]
+
+
+# Guards against a copy that undoes a newer order once the engine has restarted.
+def test_a_further_version_waits_while_copies_of_the_order_before_are_open() -> None:
+    agent = Agent()
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.wait(1.5)
+    agent.handle_event(EngineReported({MODEL: 2}))
+    order = agent.orders[0].order
+    agent.handle_event(OrderAnswered(order, done=True, unanswered_at=agent.now))
+    agent.handle_event(WeightsNamed(MODEL, 3))
+    agent.wait(4.5)
+    assert len(agent.orders) == 1
+    agent.wait(0.8)
+    assert agent.orders[-1].target == f"{MODEL}@3"
+
+
+def test_a_report_older_than_a_load_orders_nothing_again() -> None:
+    agent = Agent()
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.handle_event(EngineReported({MODEL: 2}))
+    agent.handle_event(OrderAnswered(agent.orders[0].order, done=True))
+    agent.handle_event(EngineReported({MODEL: 1}))
+    agent.wait(4.0)
+    assert len(agent.orders) == 1
+    agent.wait(2.0)
+    assert len(agent.orders) == 2
+
+
+# Guards against a second model that waits for the load of the first one.
+def test_the_weights_of_another_model_are_ordered_after_a_load() -> None:
+    agent = Agent()
+    agent.handle_event(EngineReported({MODEL: 1, "m2": 1}))
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.handle_event(WeightsNamed("m2", 5))
+    agent.handle_event(EngineReported({MODEL: 2, "m2": 1}))
+    agent.handle_event(OrderAnswered(agent.orders[0].order, done=True))
+    agent.wait(0.2)
+    assert [order.target for order in agent.orders] == [f"{MODEL}@2", "m2@5"]
+
+
 def test_a_lease_of_an_earlier_incarnation_blocks_nobody() -> None:
     leases = {"side-1/a/3": Lease(4), "side-2/x/1": Lease(5), "side-3/y/1": Lease(6)}
     agent = Agent(incarnation="b", table=PermitTable(6, leases))
--- a/tests/core/test_ordercourse.py
+++ b/tests/core/test_ordercourse.py
@@ -77,6 +77,17 @@
     assert ended == OrderAnswered("o1", done=True, unanswered_at=10.0)
 
 
+def test_the_only_copy_without_an_answer_was_executed_once_the_weights_are_loaded() -> (
+    None
+):
+    execution = make_execution()
+    execution.decide(view(), 10.0)
+    execution.handle_reply(OrderReply.NONE, "lost")
+    assert execution.decide(view(busy=True, accepted=5), 10.3) is None
+    ended = execution.decide(view(2, accepted=5), 11.2)
+    assert ended == OrderAnswered("o1", done=True)
+
+
 def test_a_refused_order_ends_at_once() -> None:
     execution = make_execution()
     execution.decide(view(), 10.0)
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -296,6 +296,21 @@
     return write
 
 
+# Guards against a further version that waits though the one before is reported, and
+# against one that is ordered while the report may be older than the load.
+def test_a_further_version_waits_only_for_the_report_of_the_one_before() -> None:
+    agent, store = Orders(Permits("agent/1", 1)), OneAgentStore()
+    first = run_until_ordered(agent, store, 0.0)
+    agent.handle_answer(OrderAnswered(first.order, done=True), 10.0)
+    for step in range(20):
+        assert store.step(agent, "v3", 10.1 + step / 10) is None
+    assert agent.decide("v3", "v2", 12.2) is None
+    for step in range(20):
+        store.step(agent, "v3", 12.3 + step / 10)
+    assert agent.target == "v3"
+    assert agent.fence > first.fence
+
+
 def test_a_lease_that_lapsed_in_a_freeze_orders_nothing() -> None:
     agent = Orders(Permits("agent/1", 1))
     write = hold(agent, 0.0)
