Withdraw an order that was not sent yet once newer weights are named

An engine that stood still when its agent ordered version 2 was made to load version 2 after version 3 had been named, and then version 3: callers waited for two loads.

Cause: an order went on to its end whatever was named meanwhile.

Evidence, with the withdrawal taken out: test_engineruns.py prints "assert [2, 3] == [3]".

Change: the agent withdraws an open order whose weights have been replaced. It ends with the engine's next report unless a copy of it has been accepted or got no answer: such an order may still take effect, and the newest is ordered once it has ended. A version that is replaced while the agent waits for its permit was never ordered; a test shows that.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -20,7 +20,7 @@
 from masticdrum.core.orders import Orders
 from masticdrum.core.permits import PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
-from masticdrum.model.agent_events import IssueOrder, OrderAnswered
+from masticdrum.model.agent_events import IssueOrder, OrderAnswered, WithdrawOrder
 from masticdrum.model.cluster_events import ClusterEvent, StoreRestored
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import (
@@ -67,7 +67,14 @@
     | Ticked
 )
 EngineControllerEffect = (
-    IssueOrder | ObjectGet | ObjectPut | SendOriginReply | ExitProcess | Log | Count
+    IssueOrder
+    | WithdrawOrder
+    | ObjectGet
+    | ObjectPut
+    | SendOriginReply
+    | ExitProcess
+    | Log
+    | Count
 )
 
 
@@ -75,7 +82,8 @@
     """What one engine controller knows of its engine, which serves at ``upstream``.
 
     ``incarnation`` distinguishes this process from its earlier ones. ``ordered_run`` is
-    the run of the engine to which the last order was given.
+    the run of the engine to which the last order was given, ``withdrawn`` the last
+    order that newer weights replaced.
     """
 
     def __init__(self, name: str, incarnation: str, upstream: str, seed: int) -> None:
@@ -88,6 +96,7 @@
         self.orders = Orders(permits, ORDER_RETRY_S)
         self.copies = OrderCopies()
         self.ordered_run = EngineRun("", 0)
+        self.withdrawn = ""
         self.born = 0
         self.origins = StreamOrigins()
         self.weights: dict[str, int] = {}
@@ -209,12 +218,25 @@
             "fence": order.fence,
         }
         effects.append(Log(LogNumber.ORDER_GIVEN, detail=order.order, facts=facts))
+    effects += _withdraw_replaced_order(state)
     call = permits.plan_call(now)
     if call is not None:
         effects.append(call)
     return effects
 
 
+def _withdraw_replaced_order(state: EngineControllerState) -> list[WithdrawOrder]:
+    """Return the effect that ends an order whose weights have been replaced."""
+    orders = state.orders
+    if not orders.order or state.withdrawn == orders.order:
+        return []
+    model, version = read_weights(orders.target)
+    if state.cluster_state.weights.get(model, 0) <= version:
+        return []
+    state.withdrawn = orders.order
+    return [WithdrawOrder(orders.order)]
+
+
 def _find_orderable_run(
     state: EngineControllerState, own: KnownUpstream | None, now: float
 ) -> EngineRun | None:
--- a/masticdrum/core/orderexecution.py
+++ b/masticdrum/core/orderexecution.py
@@ -56,6 +56,7 @@
         "_accepted",
         "_detail",
         "_deadline",
+        "_is_withdrawn",
         "_model",
         "_order",
         "_run",
@@ -84,6 +85,7 @@
         self._deadline = now + ORDER_TIMEOUT_S
         self._accepted = False
         self._was_accepted = False
+        self._is_withdrawn = False
         self._detail = "no answer"
         self._sent_at = now
         self._unanswered = 0
@@ -107,14 +109,22 @@
             return self._finish(True, "")
         if view.busy:
             return None
-        if self._accepted or now >= self._order.not_after:
-            # The report is older than the acceptance, or from after a restart.
+        if self._accepted:
+            # The report is older than the acceptance.
             self._accepted = False
             return None
+        if self._is_withdrawn and not self._may_be_executed():
+            return self._finish(False, "withdrawn")
+        if now >= self._order.not_after:
+            return None
         fence = self._order.fence
         self._sent_at = now
         return SendOrder(self._model, self._version, fence, view.accepted, self._runs)
 
+    def withdraw(self) -> None:
+        """End the order with the next report if no copy of it can be executed."""
+        self._is_withdrawn = True
+
     def handle_reply(self, reply: OrderReply, detail: str) -> OrderAnswered | None:
         """Handle the engine's answer; returns how the order ended, if it did."""
         if reply is OrderReply.REFUSED:
@@ -128,6 +138,9 @@
             self._detail = detail
         return None
 
+    def _may_be_executed(self) -> bool:
+        return self._was_accepted or self._unanswered_at is not None
+
     def _discount_executed_copy(self) -> None:
         # The engine executed one copy: one without an answer, if none was answered.
         if self._unanswered == 1 and not self._was_accepted:
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -257,6 +257,12 @@
     not_after: float = float("inf")
 
 
+class WithdrawOrder(Struct, frozen=True):
+    """Ends an order, unless the upstream has accepted it or may still do so."""
+
+    order: str
+
+
 AgentEffect = (
     ReplyFrame
     | StartRun
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -15,7 +15,12 @@
     OrderReply,
     SendOrder,
 )
-from masticdrum.model.agent_events import IssueOrder, OrderAnswered, RunsAtLoad
+from masticdrum.model.agent_events import (
+    IssueOrder,
+    OrderAnswered,
+    RunsAtLoad,
+    WithdrawOrder,
+)
 from masticdrum.model.cluster_events import Source, SourceLost, SourceRegained
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.platform.objects import WireWeights
@@ -82,6 +87,7 @@
         self._url = f"http://{settings.upstream}"
         self._holder = settings.name
         self._runs = settings.runs_at_load
+        self._withdrawn = ""
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4, network_backend=UpstreamBackend()
         )
@@ -108,6 +114,8 @@
         while True:
             report = await self.read_report()
             view = None if report is None else report.describe()
+            if self._withdrawn == order.order:
+                execution.withdraw()
             step = execution.decide(view, read_clock())
             if isinstance(step, SendOrder):
                 step = execution.handle_reply(*await self._send_order(step, run.name))
@@ -116,6 +124,10 @@
                 return
             await trio.sleep(POLL_INTERVAL_S)
 
+    def withdraw(self, order: WithdrawOrder) -> None:
+        """End an order with the engine's next report if it can't be executed."""
+        self._withdrawn = order.order
+
     async def _send_order(
         self, order: SendOrder, instance: str
     ) -> tuple[OrderReply, str]:
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -13,7 +13,7 @@
     reduce_engine_controller,
 )
 from masticdrum.core.ordercopies import EngineRun
-from masticdrum.model.agent_events import IssueOrder
+from masticdrum.model.agent_events import IssueOrder, WithdrawOrder
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import OriginReply, SendOriginReply
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
@@ -48,6 +48,9 @@
     async def order(self, order: IssueOrder, run: EngineRun) -> None:
         """Send an order to a run of the engine and submit its outcome."""
 
+    def withdraw(self, order: WithdrawOrder) -> None:
+        """End an order that can't be executed any more."""
+
 
 class PermitStore(Protocol):
     """The calls of the platform's store that permits need."""
@@ -132,6 +135,8 @@
             case IssueOrder():
                 run = self.state.ordered_run
                 self._nursery.start_soon(self.engine.order, effect, run)
+            case WithdrawOrder():
+                self.engine.withdraw(effect)
             case Log() | Count():
                 carry_out_telemetry(self.meters, effect)
             case SendOriginReply():
--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -139,6 +139,17 @@
     assert agent.orders[-1].target == f"{MODEL}@3"
 
 
+def test_of_versions_named_while_a_permit_is_waited_for_the_newest_is_ordered() -> None:
+    agent = Agent(table=PermitTable(6, {"side-2/x/1": Lease(6)}))
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.wait(1.0)
+    agent.handle_event(WeightsNamed(MODEL, 3))
+    agent.wait(1.0)
+    assert not agent.orders
+    agent.wait(5.0)
+    assert [order.target for order in agent.orders] == [f"{MODEL}@3"]
+
+
 def test_a_report_older_than_a_load_orders_nothing_again() -> None:
     agent = Agent()
     agent.handle_event(WeightsNamed(MODEL, 2))
--- a/tests/core/test_engineruns.py
+++ b/tests/core/test_engineruns.py
@@ -49,6 +49,26 @@
     assert world.engine.version == 4
 
 
+# Guards against ordering weights that were replaced while the order was open.
+def test_an_order_that_was_not_sent_yet_gives_way_to_newer_weights() -> None:
+    world = OrderWorld(1)
+    world.at(1.0, lambda: world.pause(0.8))
+    world.at(1.0, lambda: world.name_weights(2))
+    world.at(1.5, lambda: world.name_weights(3))
+    world.run_until(5.0)
+    assert [version for _, version in world.given] == [2, 3]
+    assert [version for _, version in world.engine.accepted] == [3]
+    assert world.given[1][0] < 2.3
+
+
+def test_an_order_that_may_be_executed_is_not_withdrawn() -> None:
+    world = OrderWorld(1, ("lost",))
+    world.at(1.0, lambda: world.name_weights(2))
+    world.at(1.5, lambda: world.name_weights(3))
+    world.run_until(5.0)
+    assert [version for _, version in world.given] == [2]
+
+
 def test_only_copies_to_another_run_of_the_same_name_are_waited_for() -> None:
     copies = OrderCopies()
     copies.record(EngineRun("i-1", 10), 5.0)
--- a/tests/orderworld.py
+++ b/tests/orderworld.py
@@ -19,7 +19,12 @@
     SendOrder,
 )
 from masticdrum.core.permits import PermitTable
-from masticdrum.model.agent_events import IssueOrder, OrderAnswered, RunsAtLoad
+from masticdrum.model.agent_events import (
+    IssueOrder,
+    OrderAnswered,
+    RunsAtLoad,
+    WithdrawOrder,
+)
 from masticdrum.model.cluster_events import UpstreamsListed, WeightsNamed
 from masticdrum.model.exchange import Ticked
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut, ObjectStatus
@@ -111,6 +116,10 @@
         self.engine.restart(self.now, same_name, down_s)
         self.at(self.engine.up_at + self.random.uniform(0.0, 1.0), self.register)
 
+    def pause(self, seconds: float) -> None:
+        """Let the engine stand still; it answers nothing meanwhile."""
+        self.engine.up_at = self.now + seconds
+
     def register(self) -> None:
         name, born = self.engine.name, self.engine.born
         own = make_upstream(name, "engines", address=ADDRESS)
@@ -123,6 +132,8 @@
             for effect in reduce_engine_controller(self.state, queue.pop(0), self.now):
                 if isinstance(effect, IssueOrder):
                     self.start_order(effect)
+                if isinstance(effect, WithdrawOrder) and self.execution is not None:
+                    self.execution.withdraw()
                 if isinstance(effect, ObjectGet | ObjectPut):
                     queue.append(self.answer(effect))
 
