End an order that was never sent once its permit has lapsed

An agent that couldn't send its order within its lease, since its engine or itself stood still, waited up to 15 s with nothing on the way, and held a permit that others wanted.

Cause: an order ended only when its weights were loaded, when it was refused, or at 15 s.

Evidence, on the code before: test_engineruns.py's test prints "IndexError: list index out of range" (no order has ended 3 s after it was given).

Change: once the lease of an order is over it ends, unless a copy was accepted or got no answer. Nothing of it can be executed then, so that the permit protects nothing.

--- a/masticdrum/core/orderexecution.py
+++ b/masticdrum/core/orderexecution.py
@@ -100,6 +100,9 @@
         """
         if now >= self._deadline:
             return self._finish(False, self._detail)
+        has_lapsed = now >= self._order.not_after
+        if has_lapsed and not self._may_be_executed():
+            return self._finish(False, "the permit lapsed")
         if view is None:
             return None
         if not self._run.is_born_at(view.born):
@@ -115,7 +118,7 @@
             return None
         if self._is_withdrawn and not self._may_be_executed():
             return self._finish(False, "withdrawn")
-        if now >= self._order.not_after:
+        if has_lapsed:
             return None
         fence = self._order.fence
         self._sent_at = now
--- a/tests/core/test_engineruns.py
+++ b/tests/core/test_engineruns.py
@@ -61,6 +61,18 @@
     assert world.given[1][0] < 2.3
 
 
+# Guards against an agent that holds a permit for an order that it can't send any more.
+def test_an_order_that_was_never_sent_ends_with_its_lease() -> None:
+    world = OrderWorld(1)
+    world.at(1.0, lambda: world.pause(4.0))
+    world.at(1.0, lambda: world.name_weights(2))
+    world.run_until(4.0)
+    _, answer = world.ended[0]
+    assert answer.detail == "the permit lapsed"
+    world.run_until(7.0)
+    assert world.engine.version == 2
+
+
 def test_an_order_that_may_be_executed_is_not_withdrawn() -> None:
     world = OrderWorld(1, ("lost",))
     world.at(1.0, lambda: world.name_weights(2))
