Ask for no permit while the engine doesn't report

Cause: an agent ordered whatever its engine had reported last, however long ago.

Evidence, on the code before: test_adviser.py prints "assert not [IssueOrder(...)]".

Change: nothing is wanted while the engine's report can't be read, so that no permit is requested, and one that is held without an order is given back.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -21,7 +21,7 @@
 from masticdrum.core.permits import PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered, WithdrawOrder
-from masticdrum.model.cluster_events import ClusterEvent, StoreRestored
+from masticdrum.model.cluster_events import ClusterEvent, Source, StoreRestored
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import (
     OriginQueried,
@@ -243,6 +243,8 @@
     """Return the run of the engine that may be ordered: registered and reporting."""
     if own is None or own.upstream.leaving:
         return None
+    if Source.ENGINE in state.cluster_state.lost:
+        return None
     run = EngineRun(own.upstream.name, own.upstream.born)
     if not run.is_born_at(state.born) or state.copies.may_reach(run, now):
         return None
--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -9,7 +9,13 @@
 )
 from masticdrum.core.permits import Lease, PermitTable
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered
-from masticdrum.model.cluster_events import UpstreamsListed, WeightsNamed
+from masticdrum.model.cluster_events import (
+    Source,
+    SourceLost,
+    SourceRegained,
+    UpstreamsListed,
+    WeightsNamed,
+)
 from masticdrum.model.exchange import Ticked
 from masticdrum.model.platform import (
     ObjectAnswer,
@@ -199,6 +205,19 @@
     assert len(agent.orders) == 1, "leases that are not renewed are taken over"
 
 
+# Guards against a permit for an engine that doesn't answer, while others wait for one.
+def test_an_engine_that_does_not_report_gets_no_order() -> None:
+    agent = Agent()
+    agent.handle_event(SourceLost(Source.ENGINE, "refused"))
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.wait(3.0)
+    assert not agent.orders
+    assert not agent.table.leases
+    agent.handle_event(SourceRegained(Source.ENGINE, 3.0))
+    agent.wait(0.2)
+    assert len(agent.orders) == 1
+
+
 def test_draining_and_unregistered_engines_get_no_order() -> None:
     agent = Agent()
     agent.handle_event(UpstreamsListed(UPSTREAMS))
