--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -16,11 +16,12 @@
     KnownUpstream,
     apply_cluster_event,
 )
+from masticdrum.core.ordercopies import EngineRun, OrderCopies
 from masticdrum.core.orders import Orders
 from masticdrum.core.permits import PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
-from masticdrum.model.agent_events import IssueOrder, OrderAnswered
-from masticdrum.model.cluster_events import ClusterEvent, StoreRestored
+from masticdrum.model.agent_events import IssueOrder, OrderAnswered, WithdrawOrder
+from masticdrum.model.cluster_events import ClusterEvent, Source, StoreRestored
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import (
     OriginQueried,
@@ -46,9 +47,13 @@
 
 
 class EngineReported(Struct, frozen=True):
-    """The engine's report: the loaded version of each model's weights."""
+    """The engine's report: the loaded version of each model's weights.
+
+    ``born`` identifies the engine's run and is zero if the engine doesn't tell.
+    """
 
     weights: dict[str, int]
+    born: int = 0
 
 
 EngineControllerEvent = (
@@ -62,14 +67,23 @@
     | Ticked
 )
 EngineControllerEffect = (
-    IssueOrder | ObjectGet | ObjectPut | SendOriginReply | ExitProcess | Log | Count
+    IssueOrder
+    | WithdrawOrder
+    | ObjectGet
+    | ObjectPut
+    | SendOriginReply
+    | ExitProcess
+    | Log
+    | Count
 )
 
 
 class EngineControllerState:
     """What one engine controller knows of its engine, which serves at ``upstream``.
 
-    ``incarnation`` distinguishes this process from its earlier ones.
+    ``incarnation`` distinguishes this process from its earlier ones. ``ordered_run`` is
+    the run of the engine to which the last order was given, ``withdrawn`` the last
+    order that newer weights replaced.
     """
 
     def __init__(self, name: str, incarnation: str, upstream: str, seed: int) -> None:
@@ -80,6 +94,10 @@
             f"{name}/{incarnation}", seed, PERMIT_BOUNDS, holder_prefix=f"{name}/"
         )
         self.orders = Orders(permits, ORDER_RETRY_S)
+        self.copies = OrderCopies()
+        self.ordered_run = EngineRun("", 0)
+        self.withdrawn = ""
+        self.born = 0
         self.origins = StreamOrigins()
         self.weights: dict[str, int] = {}
         self.stopping = False
@@ -118,6 +136,7 @@
     match event:
         case EngineReported():
             state.weights = event.weights
+            state.born = event.born
         case OrderAnswered():
             effects += _handle_order_answer(state, event, now)
         case ObjectAnswer():
@@ -155,6 +174,11 @@
     return model, int(version)
 
 
+def _is_loaded(state: EngineControllerState, target: str) -> bool:
+    model, version = read_weights(target)
+    return state.weights.get(model, 0) >= version
+
+
 def _answer_origin_query(
     state: EngineControllerState, event: OriginQueried, now: float
 ) -> SendOriginReply:
@@ -176,13 +200,17 @@
 ) -> list[EngineControllerEffect]:
     own = state.find_own_engine()
     wanted, loaded = find_outdated_weights(state)
-    if state.stopping or own is None or own.upstream.leaving:
+    run = _find_orderable_run(state, own, now)
+    if state.stopping or run is None:
         wanted = ""
     permits = state.orders.permits
     permits.bounds = _compute_permit_bounds(state, own)
     effects: list[EngineControllerEffect] = []
+    if state.orders.unconfirmed and _is_loaded(state, state.orders.target):
+        state.orders.confirm()
     order = state.orders.decide(wanted, loaded, now)
-    if order is not None:
+    if order is not None and run is not None:
+        state.ordered_run = run
         effects.append(order)
         facts: Facts = {
             "target": order.target,
@@ -190,12 +218,39 @@
             "fence": order.fence,
         }
         effects.append(Log(LogNumber.ORDER_GIVEN, detail=order.order, facts=facts))
+    effects += _withdraw_replaced_order(state)
     call = permits.plan_call(now)
     if call is not None:
         effects.append(call)
     return effects
 
 
+def _withdraw_replaced_order(state: EngineControllerState) -> list[WithdrawOrder]:
+    """Return the effect that ends an order whose weights have been replaced."""
+    orders = state.orders
+    if not orders.order or state.withdrawn == orders.order:
+        return []
+    model, version = read_weights(orders.target)
+    if state.cluster_state.weights.get(model, 0) <= version:
+        return []
+    state.withdrawn = orders.order
+    return [WithdrawOrder(orders.order)]
+
+
+def _find_orderable_run(
+    state: EngineControllerState, own: KnownUpstream | None, now: float
+) -> EngineRun | None:
+    """Return the run of the engine that may be ordered: registered and reporting."""
+    if own is None or own.upstream.leaving:
+        return None
+    if Source.ENGINE in state.cluster_state.lost:
+        return None
+    run = EngineRun(own.upstream.name, own.upstream.born)
+    if not run.is_born_at(state.born) or state.copies.may_reach(run, now):
+        return None
+    return run
+
+
 def _compute_permit_bounds(
     state: EngineControllerState, own: KnownUpstream | None
 ) -> PermitBounds:
@@ -224,6 +279,8 @@
     state: EngineControllerState, answer: OrderAnswered, now: float
 ) -> list[EngineControllerEffect]:
     state.orders.handle_answer(answer, now)
+    if answer.unanswered_at is not None:
+        state.copies.record(state.ordered_run, answer.unanswered_at)
     outcome = "done" if answer.done else "failed"
     facts: Facts = {
         "done": answer.done,
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -144,12 +144,15 @@
     """The upstream answered an order.
 
     If ``settled`` is False, no answer came and the upstream may still execute it.
+    ``unanswered_at`` is when a copy was last sent that may still be executed, in
+    seconds, or None.
     """
 
     order: str
     done: bool
     settled: bool = True
     detail: str = ""
+    unanswered_at: float | None = None
 
 
 AgentEvent = (
@@ -254,6 +257,12 @@
     not_after: float = float("inf")
 
 
+class WithdrawOrder(Struct, frozen=True):
+    """Ends an order, unless the upstream has accepted it or may still do so."""
+
+    order: str
+
+
 AgentEffect = (
     ReplyFrame
     | StartRun
