Read an object that is nested deeply as one that can't be decoded

What callers saw: the processes that read the list of servers ended again and again (LOST), all at the same time, for as long as one entry was nested deeply.

Cause: the decoder raises RecursionError at some 1,000 levels, also in a field that nobody reads. That isn't an error of the decoder's own kind, and nothing caught it, so it ended the task that follows the list and with it the process. All kinds in the store, an engine's report and a cache store's events were read the same way.

Change: core/decoding.py turns every way to fail into Undecodable; the store's client and all readers of platform/ decode with it. The depth at which decoding fails depends on how deep the call is, so an object may be read at one place and fail at another: there is no place left at which that isn't expected.

A list with such an object is still given up as a whole and read again with pauses.

--- a/masticdrum/platform/cachestores.py
+++ b/masticdrum/platform/cachestores.py
@@ -7,6 +7,7 @@
 import trio
 from msgspec import Struct
 
+from masticdrum.core.decoding import read_json
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.core.storepolls import StorePolls
 from masticdrum.platform.store import StoreFailed, decode
@@ -32,6 +33,11 @@
     lost: bool = False
 
 
+def read_events(body: bytes) -> CacheEvents:
+    """Decode a store's answer; raises ``Undecodable``."""
+    return read_json(body, CacheEvents)
+
+
 class StoreBusy(Exception):
     """A store had too many calls open to accept another one."""
 
@@ -119,7 +125,7 @@
             raise StoreBusy
         if response.status != 200:
             raise StoreFailed(f"status {response.status}")
-        return decode(response.content, CacheEvents)
+        return decode(response.content, read_events)
 
 
 def build_report(name: str, answer: CacheEvents) -> PrefixesReported:
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -7,6 +7,7 @@
 import trio
 from msgspec import Struct, field
 
+from masticdrum.core.decoding import read_json
 from masticdrum.core.enginecontroller import EngineReported, read_weights
 from masticdrum.core.orderexecution import (
     EngineView,
@@ -52,6 +53,11 @@
         return EngineView(weights, self.busy, self.sequence)
 
 
+def read_report(body: bytes) -> EngineReport:
+    """Decode the engine's report; raises ``Undecodable``."""
+    return read_json(body, EngineReport)
+
+
 class OrderBody(Struct):
     """An order for new weights; ``expect`` is the report's ``sequence``."""
 
@@ -87,7 +93,7 @@
             status, body = await self._call("GET", "/v1/report", [], None)
             if status != 200:
                 raise StoreFailed(f"status {status}")
-            report = decode(body, EngineReport)
+            report = decode(body, read_report)
         except StoreFailed as error:
             self._reachability.record_failure(str(error))
             return None
--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -1,11 +1,11 @@
 """Decodes the store's objects into this project's types.
 
-An object that can't be decoded raises ``msgspec.MsgspecError``; nothing of it is used.
+An object that can't be decoded raises ``Undecodable``; nothing of it is used.
 """
 
-import msgspec
-from msgspec import UNSET, Raw, Struct, UnsetType, field
+from msgspec import UNSET, Struct, UnsetType, field
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.cluster_events import Member
 from masticdrum.model.crashes import CrashReport
 from masticdrum.model.directory import (
@@ -30,22 +30,6 @@
 STATES = {"ready": False, "draining": True}
 
 
-class Metadata(Struct):
-    """The store's own data about an object."""
-
-    name: str
-    revision: int = 0
-    deleting: bool = False
-
-
-class StoredObject(Struct):
-    """One object of the store; ``spec`` is decoded by kind."""
-
-    metadata: Metadata
-    spec: Raw = Raw(b"null")
-    status: Raw = Raw(b"null")
-
-
 class WireBackend(Struct):
     service: str
     weight: float = 1.0
@@ -138,7 +122,7 @@
 
 def read_directory(spec: bytes) -> Directory:
     """Decode the configuration."""
-    wire = msgspec.json.decode(spec, type=WireConfig)
+    wire = read_json(spec, WireConfig)
     tenants = [] if isinstance(wire.tenants, UnsetType) else wire.tenants
     limits = wire.limits
     return Directory(
@@ -198,10 +182,10 @@
 
 def read_upstream(name: str, spec: bytes) -> Upstream:
     """Decode a server's registration."""
-    wire = msgspec.json.decode(spec, type=WireServer)
+    wire = read_json(spec, WireServer)
     host, _, port = wire.address.rpartition(":")
     if wire.state not in STATES or not host or not port.isdigit():
-        raise msgspec.ValidationError(f"state {wire.state!r}, address {wire.address!r}")
+        raise Undecodable(f"state {wire.state!r}, address {wire.address!r}")
     return Upstream(
         name=name,
         service=wire.service,
@@ -219,15 +203,15 @@
 
 def read_named_weights(spec: bytes) -> tuple[str, int]:
     """Decode which version of a model is wanted."""
-    wire = msgspec.json.decode(spec, type=WireNamedWeights)
+    wire = read_json(spec, WireNamedWeights)
     return wire.model, wire.version
 
 
 def read_member(spec: bytes) -> Member:
     """Decode the registration of one of our own processes."""
-    return msgspec.json.decode(spec, type=Member)
+    return read_json(spec, Member)
 
 
 def read_crash_report(spec: bytes) -> CrashReport:
     """Decode the crash report of one of our own entries."""
-    return msgspec.json.decode(spec, type=CrashReport)
+    return read_json(spec, CrashReport)
--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -7,8 +7,9 @@
 import httpcore
 import msgspec
 import trio
-from msgspec import Raw, Struct
+from msgspec import Raw
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.platform import (
     ObjectAnswer,
@@ -16,7 +17,13 @@
     ObjectPut,
     ObjectStatus,
 )
-from masticdrum.platform.objects import StoredObject
+from masticdrum.platform.pages import (
+    Changes,
+    Page,
+    StoredObject,
+    read_changes,
+    read_page,
+)
 from masticdrum.shell.upstreamstream import UpstreamBackend
 
 T = TypeVar("T")
@@ -50,28 +57,6 @@
     """The store no longer has the changes since a watch's revision."""
 
 
-class Page(Struct):
-    """A page of a list."""
-
-    items: list[Raw]
-    asOf: int  # noqa: N815
-    hasMore: bool = False  # noqa: N815
-
-
-class Change(Struct):
-    """One event of a watch."""
-
-    object: Raw
-    deleted: bool = False
-
-
-class Changes(Struct):
-    """The answer to a watch."""
-
-    events: list[Change]
-    asOf: int  # noqa: N815
-
-
 class Store:
     """The client of the platform's store; ``address`` is ``IP:PORT``.
 
@@ -105,7 +90,7 @@
         status, body = await self._call("GET", kind, query)
         if status != 200:
             raise StoreFailed(f"list of {kind}: status {status}")
-        return decode(body, Page)
+        return decode(body, read_page)
 
     async def watch(
         self, kind: str, since: int, wait_s: float, *, stale: bool = False
@@ -128,7 +113,7 @@
             raise HistoryGone
         if status != 200:
             raise StoreFailed(f"watch of {kind}: status {status}")
-        return decode(body, Changes)
+        return decode(body, read_changes)
 
     async def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
         """Execute a call on one of our own objects; errors become its status."""
@@ -142,7 +127,7 @@
             how = STATUSES.get(status, ObjectStatus.LOST)
             if how is not ObjectStatus.OK:
                 return ObjectAnswer(call.call, how, era=self.era)
-            stored = decode(body, StoredObject)
+            stored = decode(body, read_own_object)
         except StoreFailed:
             return ObjectAnswer(call.call, ObjectStatus.LOST, era=self.era)
         return ObjectAnswer(
@@ -223,9 +208,14 @@
     return 0
 
 
-def decode(body: bytes, kind: type[T]) -> T:
+def read_own_object(body: bytes) -> StoredObject:
+    """Decode an object that this system writes itself; raises ``Undecodable``."""
+    return read_json(body, StoredObject)
+
+
+def decode(body: bytes, read: Callable[[bytes], T]) -> T:
     """Decode an answer; raises ``StoreFailed``."""
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        return read(body)
+    except Undecodable as error:
         raise StoreFailed(f"the answer can't be decoded: {error}") from error
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -4,10 +4,10 @@
 from contextlib import suppress
 from random import Random
 
-import msgspec
 import trio
 from msgspec import Raw, Struct
 
+from masticdrum.core.decoding import Undecodable
 from masticdrum.core.restores import REWRITE_S
 from masticdrum.model.cluster_events import (
     ClusterEvent,
@@ -29,13 +29,13 @@
 from masticdrum.model.directory import Upstream
 from masticdrum.model.telemetry import Log, LogNumber
 from masticdrum.platform.objects import (
-    StoredObject,
     read_crash_report,
     read_directory,
     read_member,
     read_named_weights,
     read_upstream,
 )
+from masticdrum.platform.pages import StoredObject, read_object
 from masticdrum.platform.store import (
     KIND_PREFIX,
     HistoryGone,
@@ -201,8 +201,8 @@
         read: list[StoredObject] = []
         for item in items:
             try:
-                read.append(msgspec.json.decode(item, type=StoredObject))
-            except msgspec.MsgspecError as error:
+                read.append(read_object(item))
+            except Undecodable as error:
                 self._log_unreadable("", error)
         return read
 
@@ -222,7 +222,7 @@
         for stored in objects:
             try:
                 reports.append(read_crash_report(stored.spec))
-            except msgspec.MsgspecError as error:
+            except Undecodable as error:
                 self._log_unreadable(stored.metadata.name, error)
         return reports
 
@@ -237,7 +237,7 @@
         name = stored.metadata.name
         try:
             return read_upstream(name, stored.spec)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             self._log_unreadable(name, error)
             return None
 
@@ -263,7 +263,7 @@
             return
         try:
             directory = read_directory(stored.spec)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             self._log_unreadable(DIRECTORY_NAME, error)
             return
         self._submit(DirectoryRead(directory, requested_at))
@@ -271,7 +271,7 @@
     def _report_weights(self, stored: StoredObject) -> None:
         try:
             model, version = read_named_weights(stored.spec)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             self._log_unreadable(stored.metadata.name, error)
             return
         self._submit(WeightsNamed(model, version, self._requested_at))
@@ -281,7 +281,7 @@
         for name, stored in self._objects.items():
             try:
                 members.append(read_member(stored.spec))
-            except msgspec.MsgspecError as error:
+            except Undecodable as error:
                 self._log_unreadable(name, error)
         self._submit(MembersListed(tuple(members)))
 
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -18,7 +18,8 @@
     WeightsNamed,
 )
 from masticdrum.platform import watchers
-from masticdrum.platform.store import Change, Changes, Page, WatchInterrupted
+from masticdrum.platform.pages import Change, Changes, Page
+from masticdrum.platform.store import WatchInterrupted
 from masticdrum.platform.watchers import (
     AGENT_UPSTREAMS,
     DATA_CENTRES,
