Read the other objects of a list or watch in which one can't be decoded

What callers saw: an entry that started never learned of any server, and one that ran followed its list no further (LOST), for as long as one entry was nested deeply, or held a number too large (1e400, which a writer in Python passes on as Infinity), half of a surrogate pair or a control character. A server whose entry was replaced by such a one stayed in use.

Cause: a page of a list, or a batch of changes, is decoded as one body. One odd part fails it all, and the same read is tried again for ever. An object that could be told apart but not decoded was left out with its name, so the one it replaced was kept.

Of an odd one at least the name is read, so it replaces what had that name, and the log names it.

--- a/tests/platform/test_oddobjects.py
+++ b/tests/platform/test_oddobjects.py
@@ -5,6 +5,8 @@
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     SourceLost,
+    UpstreamChanged,
+    UpstreamGone,
     UpstreamsListed,
 )
 from masticdrum.platform.watchers import (
@@ -24,6 +26,7 @@
     make_object,
     make_page,
     make_server,
+    record_logs,
 )
 
 KINDS = (CRASHES, DATA_CENTRES, DIRECTORY, MEMBERS, UPSTREAMS, WEIGHTS)
@@ -39,15 +42,55 @@
     return [upstream.name for upstream in event.upstreams]
 
 
-# Guards against a process that ends at an object of any kind that is nested deeply
-# (RecursionError), also in a field that nobody reads (LOST).
+# Guards against an entry that ends, or that never reads the list, since one
+# registration is nested deeply (RecursionError) or isn't valid JSON (LOST).
+@pytest.mark.parametrize("odd", ODD_OBJECTS.values(), ids=ODD_OBJECTS)
+def test_an_odd_registration_in_a_list_leaves_out_only_itself(
+    odd: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    logged = record_logs(monkeypatch, "masticdrum.platform.watchers")
+    page = make_page([SOUND, odd, make_server("i-c")])
+    events, calls = follow(UPSTREAMS, [page], [])
+    assert [list_names(event) for event in events] == [["i-b", "i-c"]]
+    assert calls == ["list", "watch"]
+    assert [log.facts["object"] for log in logged] == ["i-a"]
+    assert logged[0].detail
+
+
+# Guards against an entry that ends at, or asks again and again for, a change that is
+# nested deeply (RecursionError) or isn't valid JSON, and so never hears of later ones.
+@pytest.mark.parametrize("odd", ODD_OBJECTS.values(), ids=ODD_OBJECTS)
+def test_an_odd_registration_in_a_watch_leaves_out_only_itself(odd: bytes) -> None:
+    watches = [make_changes([SOUND, odd, make_server("i-c")])]
+    watches.append(make_changes([make_server("i-d")]))
+    events, calls = follow(UPSTREAMS, [make_page([])], watches)
+    changed = [e.upstream.name for e in events if isinstance(e, UpstreamChanged)]
+    assert changed == ["i-b", "i-c", "i-d"]
+    assert calls == ["list", "watch", "watch", "watch"]
+
+
+# Guards against a registration that stays in use after it was replaced by one that is
+# nested deeply (RecursionError) or isn't valid JSON.
+@pytest.mark.parametrize("odd", ODD_OBJECTS.values(), ids=ODD_OBJECTS)
+def test_a_registration_that_becomes_odd_is_gone_until_it_is_sound(odd: bytes) -> None:
+    sound = make_server("i-a")
+    watches = [make_changes([odd]), make_changes([sound]), make_changes([odd])]
+    watches.append(make_changes([odd], deleted=b"true"))
+    events, _ = follow(UPSTREAMS, [make_page([sound])], watches)
+    gone = UpstreamGone("i-a")
+    assert [event for event in events[1:] if event == gone] == [gone] * 3
+    assert isinstance(events[2], UpstreamChanged)
+
+
 @pytest.mark.parametrize("watched", KINDS, ids=lambda watched: watched.kind)
 @pytest.mark.parametrize("odd", ODD_OBJECTS.values(), ids=ODD_OBJECTS)
-def test_a_nested_object_doesnt_end_the_process_by_recursionerror(
+def test_an_odd_object_of_any_kind_ends_nothing(
     watched: WatchedKind, odd: bytes
 ) -> None:
-    _, calls = follow(watched, [make_page([odd]), make_page([])], [make_changes([odd])])
-    assert calls[-1] == "watch"
+    page = make_page([odd, make_object("i-b", b"{}")])
+    watches = [make_changes([odd]), make_changes([odd], deleted=b"true")]
+    _, calls = follow(watched, [page], watches)
+    assert calls == ["list", "watch", "watch", "watch"]
 
 
 # Guards against a process that ends at a list that is nested deeply (RecursionError),
