Pause when a page of a list names no object to go on from

What callers saw: nothing yet. A process that lists a kind would have called the store without a pause, at the price of each call, and learned of nothing.

Cause: the next page is asked for after the last name that was read. If no object of a page has a name that can be read, the same page is asked for again at once.

Change: such a page counts as one that can't be read: what was known holds, the log says why (source_lost), and the list is read again with pauses.

Result: fewer than 40 calls in 10 s, by the same test.

--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -129,11 +129,14 @@
                 since, era = page.asOf, self._store.era
             if self._store.era != era:
                 raise HistoryGone
+            before = after
             for stored in self._decode_objects(page.items):
                 objects[stored.metadata.name] = stored
                 after = stored.metadata.name
             if not page.hasMore or not page.items:
                 break
+            if after == before:
+                raise StoreFailed(f"no object after {after!r} has a name")
         self._objects, self._since = objects, since
         self._removed.clear()
         self._list_again_at = float("inf")
--- a/tests/platform/test_oddobjects.py
+++ b/tests/platform/test_oddobjects.py
@@ -19,6 +19,7 @@
     WatchedKind,
 )
 from tests.platform.oddobjects import (
+    NESTED,
     ODD_SPECS,
     ODD_VALUES,
     follow,
@@ -103,3 +104,72 @@
     events, calls = follow(UPSTREAMS, [body, make_page([SOUND])], [])
     assert calls == ["list", "list", "watch"]
     assert list_names(events[-1]) == ["i-b"]
+
+
+ODD_METADATA = {
+    "a revision of 70 bits": b'{"name":"i-a","revision":%d}' % 2**70,
+    "a negative revision": b'{"name":"i-a","revision":-1}',
+    "a revision of 5,000 digits": b'{"name":"i-a","revision":1%s}' % (b"0" * 5000),
+    "nested (RecursionError)": b'{"name":"i-a","labels":%s}' % NESTED,
+    "text for a flag": b'{"name":"i-a","deleting":"no"}',
+}
+NAMELESS = {
+    "no object": b"7",
+    "nested (RecursionError)": NESTED,
+    "an empty object": b"{}",
+    "null metadata": make_object("", b"{}", b"null"),
+    "no name": make_object("", b"{}", b"{}"),
+    "a number for a name": make_object("", b"{}", b'{"name":7}'),
+    "half a surrogate pair": make_object("", b"{}", b'{"name":"\\ud800"}'),
+}
+
+
+@pytest.mark.parametrize("metadata", ODD_METADATA.values(), ids=ODD_METADATA)
+def test_odd_metadata_names_no_server(metadata: bytes) -> None:
+    odd = make_object("", b'{"service":"desk"}', metadata)
+    page = make_page([SOUND, odd, make_server("i-c")])
+    events, _ = follow(UPSTREAMS, [page], [make_changes([make_server("i-a"), odd])])
+    assert list_names(events[0]) == ["i-b", "i-c"]
+    assert events[-1] == UpstreamGone("i-a")
+
+
+@pytest.mark.parametrize("odd", NAMELESS.values(), ids=NAMELESS)
+def test_an_object_without_a_name_is_left_out(
+    odd: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    logged = record_logs(monkeypatch, "masticdrum.platform.watchers")
+    page = make_page([SOUND, odd, make_server("i-c")])
+    watches = [make_changes([odd, make_server("i-d")])]
+    events, calls = follow(UPSTREAMS, [page], watches)
+    assert list_names(events[0]) == ["i-b", "i-c"]
+    assert isinstance(events[-1], UpstreamChanged)
+    assert events[-1].upstream.name == "i-d"
+    assert calls == ["list", "watch", "watch"]
+    assert len(logged) == 2
+
+
+# Guards against a page of a list that is read again and again without a pause, since
+# the object with which the next one begins has no name.
+@pytest.mark.parametrize("odd", NAMELESS.values(), ids=NAMELESS)
+def test_a_page_that_names_nothing_is_not_read_in_a_tight_loop(odd: bytes) -> None:
+    pages = [make_page([SOUND], more=b"true"), make_page([odd], more=b"true")]
+    _, calls = follow(UPSTREAMS, pages, [], for_s=10.0)
+    assert 10 < len(calls) < 40
+
+
+def test_the_next_page_begins_after_the_last_name() -> None:
+    pages = [make_page([SOUND, NAMELESS["no object"]], more=b"true")]
+    pages.append(make_page([make_server("i-c")]))
+    events, calls = follow(UPSTREAMS, pages, [])
+    assert list_names(events[0]) == ["i-b", "i-c"]
+    assert calls == ["list", "list", "watch"]
+
+
+@pytest.mark.parametrize("as_of", [b"-1", b"1e3", b'"7"', b"null", b"1" * 5000, NESTED])
+def test_an_odd_revision_of_a_list_or_watch_is_read_again_with_pauses(
+    as_of: bytes,
+) -> None:
+    pages = [make_page([SOUND], as_of), make_page([SOUND])]
+    events, calls = follow(UPSTREAMS, pages, [make_changes([SOUND], as_of=as_of)])
+    assert calls == ["list", "list", "watch", "list", "watch"]
+    assert list_names(events[-1]) == ["i-b"]
