Take no server from an entry whose address can't be connected to

What callers saw: an entry ended at its first request for a server whose port was out of range, and again after each start (LOST).

Cause: an address passed if something with only digits stood behind its last colon. Connecting to port 99999 raises OverflowError, to one of 5,000 digits or with a superscript ValueError, to a host with a NUL TypeError; only OSError was expected. A host name was looked up by the socket, which blocks the whole process for as long as the name service takes. An id that can't be sent in a header makes each request to its server fail. A cache store's address wasn't checked at all.

Change: a registration names a server only with an IPv4 address and a port from 1 to 65535, and an id of printable ASCII. A configuration with a cache store at another kind of address is refused as a whole. Both functions that connect raise OSError for other addresses, and look no name up.

--- a/masticdrum/core/addresses.py
+++ b/masticdrum/core/addresses.py
@@ -1,9 +1,11 @@
 """Checks of network addresses, which must have an IP address as host."""
 
-from ipaddress import ip_address
+import re
+from ipaddress import AddressValueError, IPv4Address, ip_address
 from urllib.parse import urlsplit
 
 HIGHEST_PORT = 65535
+PORT = re.compile(r"[0-9]{1,5}")
 
 
 def is_socket_address(text: str) -> bool:
@@ -11,6 +13,21 @@
     return is_address(f"tcp://{text}", "tcp")
 
 
+def is_ipv4_socket_address(text: str) -> bool:
+    """Return whether ``text`` is ``IP:PORT`` with an IPv4 address and nothing more."""
+    host, _, port = text.rpartition(":")
+    return PORT.fullmatch(port) is not None and is_ipv4_target(host, int(port))
+
+
+def is_ipv4_target(host: str, port: int) -> bool:
+    """Return whether a connection to a host and port needs no look-up of a name."""
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return 0 < port <= HIGHEST_PORT
+
+
 def is_address(text: str, scheme: str) -> bool:
     """Return whether ``text`` is ``SCHEME://IP:PORT`` and nothing more.
 
--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -5,6 +5,7 @@
 
 from msgspec import UNSET, Struct, UnsetType, field
 
+from masticdrum.core.addresses import is_ipv4_socket_address
 from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.cluster_events import Member
 from masticdrum.model.crashes import CrashReport
@@ -22,6 +23,7 @@
 )
 
 MS_PER_S = 1000
+MAX_QUOTED = 60  # characters of an odd value in a log line
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -172,6 +174,7 @@
         engine = EngineShape(wire.engine.slots, wire.engine.kvCapacityTokens, models)
     store = None
     if wire.kvStoreAddr:
+        check_address(wire.kvStoreAddr)
         store = StoreShape(
             wire.kvStoreAddr, wire.zone, wire.kvCapacityTokens, wire.maxConcurrency
         )
@@ -183,9 +186,11 @@
 def read_upstream(name: str, spec: bytes) -> Upstream:
     """Decode a server's registration."""
     wire = read_json(spec, WireServer)
-    host, _, port = wire.address.rpartition(":")
-    if wire.state not in STATES or not host or not port.isdigit():
-        raise Undecodable(f"state {wire.state!r}, address {wire.address!r}")
+    if not is_header_value(name):
+        raise Undecodable("its name can't be sent in a header")
+    if wire.state not in STATES:
+        raise Undecodable(f"the state is {wire.state[:MAX_QUOTED]!r}")
+    check_address(wire.address)
     return Upstream(
         name=name,
         service=wire.service,
@@ -201,6 +206,17 @@
     )
 
 
+def check_address(address: str) -> None:
+    """Raise ``Undecodable`` for what can't be connected to without a look-up."""
+    if not is_ipv4_socket_address(address):
+        raise Undecodable(f"the address is {address[:MAX_QUOTED]!r}, not IP:PORT")
+
+
+def is_header_value(text: str) -> bool:
+    """Return whether a header can have the text as its value, without a change."""
+    return bool(text) and text.isascii() and text.isprintable() and text == text.strip()
+
+
 def read_named_weights(spec: bytes) -> tuple[str, int]:
     """Decode which version of a model is wanted."""
     wire = read_json(spec, WireNamedWeights)
--- a/masticdrum/shell/tcpconnection.py
+++ b/masticdrum/shell/tcpconnection.py
@@ -5,12 +5,15 @@
 unless the peer accepts no more data.
 """
 
+import errno
 import socket
 import struct
 from contextlib import suppress
 
 import trio
 
+from masticdrum.core.addresses import is_ipv4_target
+
 RECEIVE_BYTES = 64 * 1024
 USER_TIMEOUT_MS = 1500  # three retransmissions on a link that loses packets
 KEEPALIVE_IDLE_S = 1
@@ -131,6 +134,7 @@
 
 async def open_tcp_connection(host: str, port: int) -> TcpConnection:
     """Connect to a numeric IPv4 address; raises ``OSError``."""
+    check_target(host, port)
     raw_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         raw_socket.setblocking(False)
@@ -148,6 +152,16 @@
     return TcpConnection(raw_socket)
 
 
+def check_target(host: str, port: int) -> None:
+    """Raise ``OSError`` for a host or port that would need a look-up or is no port.
+
+    ``socket`` would look a name up, which blocks the process, and raises other errors
+    for a port out of range.
+    """
+    if not is_ipv4_target(host, port):
+        raise OSError(errno.EINVAL, f"{host!r} port {port} is no IPv4 address")
+
+
 def set_liveness_options(raw_socket: socket.socket | trio.socket.SocketType) -> None:
     """Make the kernel close the connection if the peer's TCP doesn't respond."""
     raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/masticdrum/shell/upstreamstream.py
+++ b/masticdrum/shell/upstreamstream.py
@@ -15,7 +15,7 @@
 import httpcore
 import trio
 
-from masticdrum.shell.tcpconnection import set_liveness_options
+from masticdrum.shell.tcpconnection import check_target, set_liveness_options
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER of zero: close sends a reset
 
@@ -80,7 +80,8 @@
 
 
 async def connect(host: str, port: int) -> UpstreamStream:
-    """Open a connection; raises ``OSError``."""
+    """Open a connection to a numeric IPv4 address; raises ``OSError``."""
+    check_target(host, port)
     raw_socket = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         set_liveness_options(raw_socket)
--- a/tests/platform/test_oddobjects.py
+++ b/tests/platform/test_oddobjects.py
@@ -1,9 +1,11 @@
 """An odd object among those of a kind names nothing, and the others are followed."""
 
+import msgspec
 import pytest
 
 from masticdrum.model.cluster_events import (
     ClusterEvent,
+    DirectoryRead,
     SourceLost,
     UpstreamChanged,
     UpstreamGone,
@@ -173,3 +175,69 @@
     events, calls = follow(UPSTREAMS, pages, [make_changes([SOUND], as_of=as_of)])
     assert calls == ["list", "list", "watch", "list", "watch"]
     assert list_names(events[-1]) == ["i-b"]
+
+
+ODD_ADDRESSES = {
+    "no address": b'""',
+    "no port": b'"10.0.0.1"',
+    "an empty port": b'"10.0.0.1:"',
+    "no host": b'":80"',
+    "port zero": b'"10.0.0.1:0"',
+    "a negative port": b'"10.0.0.1:-80"',
+    "a port of 65536": b'"10.0.0.1:65536"',
+    "a port of 99999": b'"10.0.0.1:99999"',
+    "a port of 5,000 digits": b'"10.0.0.1:8%s"' % (b"0" * 5000),
+    "a superscript port": '"10.0.0.1:8²"'.encode(),
+    "an Arabic port": '"10.0.0.1:٨٠"'.encode(),
+    "a spaced port": b'"10.0.0.1: 80"',
+    "a path": b'"10.0.0.1:80/x"',
+    "a scheme": b'"http://10.0.0.1:80"',
+    "a host name": b'"desk.example:80"',
+    "a short host": b'"10.1:80"',
+    "a host out of range": b'"10.0.0.256:80"',
+    "an IPv6 address": b'"[::1]:80"',
+    "a NUL": b'"10.0.0.1\\u0000:80"',
+    "a line break": b'"10.0.0.1:80\\r\\n"',
+    "a number": b"80",
+    "null": b"null",
+}
+ODD_IDS = ["", " ", "i\r\nx: y", "i\x00", "i\u00e9", " i", "i "]
+
+
+# Guards against an entry that ends as it connects to a port out of range or of too many
+# digits, or that stands still while it looks a name up (LOST).
+@pytest.mark.parametrize("address", ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
+def test_an_address_that_cant_be_connected_to_names_no_server(
+    address: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    logged = record_logs(monkeypatch, "masticdrum.platform.watchers")
+    odd = make_server("i-a", address=address)
+    events, _ = follow(UPSTREAMS, [make_page([SOUND, odd])], [make_changes([odd])])
+    assert list_names(events[0]) == ["i-b"]
+    assert events[1:] == [UpstreamGone("i-a")]
+    assert len(logged[0].detail) <= 200
+
+
+@pytest.mark.parametrize("name", ODD_IDS)
+def test_an_id_that_cant_be_sent_in_a_header_names_no_server(name: str) -> None:
+    metadata = b'{"name":%s}' % msgspec.json.encode(name)
+    odd = make_server("i-a").replace(b'{"name":"i-a","revision":3}', metadata)
+    assert metadata in odd
+    events, _ = follow(UPSTREAMS, [make_page([SOUND, odd])], [])
+    assert list_names(events[0]) == ["i-b"]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
+def test_an_odd_address_of_a_cache_store_refuses_the_configuration(
+    address: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if address == b'""':
+        return  # means that the service is no store
+    logged = record_logs(monkeypatch, "masticdrum.platform.watchers")
+    service = b'{"name":"kept","kvStoreAddr":%s}' % address
+    config = make_object("main", b'{"version":2,"services":[%s]}' % service)
+    sound = make_object("main", b'{"version":1}')
+    events, _ = follow(DIRECTORY, [make_page([sound])], [make_changes([config])])
+    versions = [e.directory.version for e in events if isinstance(e, DirectoryRead)]
+    assert versions == [1]
+    assert logged[0].facts["object"] == "main"
