Take no server from an entry with a number out of range

What callers saw: a server with a huge number of slots was taken for the least loaded one, one with a huge coldRemainingMs for cold for ever; and an entry could end in its arithmetic.

Cause: whole numbers of up to 4,300 digits, negative ones and times of 1e308 ms passed. A float divided by a number of 400 digits raises OverflowError ("int too large to convert to float", printed by _compute_utilisation on the code before for a load of 3.0 and slots of 10**400).

Change: registrations, named weights and configurations are decoded with bounds. A negative coldRemainingMs is still no cold time, and missing fields keep their defaults.

--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -3,7 +3,9 @@
 An object that can't be decoded raises ``Undecodable``; nothing of it is used.
 """
 
-from msgspec import UNSET, Struct, UnsetType, field
+from typing import Annotated
+
+from msgspec import UNSET, Meta, Struct, UnsetType, field
 
 from masticdrum.core.addresses import is_ipv4_socket_address
 from masticdrum.core.decoding import Undecodable, read_json
@@ -29,12 +31,20 @@
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
+MAX_NUMBER = 2**53  # up to which each number is exact, and arithmetic is safe
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 24 * 3600 * 1000
+Whole = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+Real = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Slots = Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+ColdMs = Annotated[float, Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)]
 STATES = {"ready": False, "draining": True}
 
 
 class WireBackend(Struct):
     service: str
-    weight: float = 1.0
+    weight: Real = 1.0
 
 
 class WireRoute(Struct):
@@ -42,15 +52,15 @@
     hostname: str
     pathPrefix: str  # noqa: N815
     routeType: str  # noqa: N815
-    timeoutMs: float = 30_000  # noqa: N815
-    targetLatencyMs: float = 1000  # noqa: N815
-    maxAttempts: int = 1  # noqa: N815
-    priority: int = 0
+    timeoutMs: Real = 30_000  # noqa: N815
+    targetLatencyMs: Real = 1000  # noqa: N815
+    maxAttempts: Whole = 1  # noqa: N815
+    priority: Whole = 0
     service: str | None = None
     backends: list[WireBackend] = field(default_factory=list)
     public: bool = False
     resumable: bool = False
-    gapTargetMs: float = 0  # noqa: N815
+    gapTargetMs: Real = 0  # noqa: N815
 
 
 class WireModel(Struct):
@@ -58,39 +68,39 @@
 
 
 class WireEngine(Struct):
-    slots: int = 1
-    kvCapacityTokens: int = 0  # noqa: N815
+    slots: Whole = 1
+    kvCapacityTokens: Whole = 0  # noqa: N815
     models: list[WireModel] = field(default_factory=list)
 
 
 class WireService(Struct):
     name: str
-    maxConnections: int = 0  # noqa: N815
-    coldStartS: float = 0  # noqa: N815
-    coldPerS: float = 0  # noqa: N815
+    maxConnections: Whole = 0  # noqa: N815
+    coldStartS: Real = 0  # noqa: N815
+    coldPerS: Real = 0  # noqa: N815
     engine: WireEngine | None = None
     kvStoreAddr: str = ""  # noqa: N815
     zone: str = ""
-    kvCapacityTokens: int = 0  # noqa: N815
-    maxConcurrency: int = 0  # noqa: N815
+    kvCapacityTokens: Whole = 0  # noqa: N815
+    maxConcurrency: Whole = 0  # noqa: N815
 
 
 class WireTenant(Struct):
     name: str
     apiKeys: list[str] = field(default_factory=list)  # noqa: N815
-    priority: int | None = None
+    priority: Whole | None = None
     isolated: bool = False
 
 
 class WireLimits(Struct):
-    maxHeaderBytes: int = 16 * 1024  # noqa: N815
-    maxBodyBytes: int = 4 * 1024 * 1024  # noqa: N815
-    headerTimeoutMs: float = 3000  # noqa: N815
-    idleTimeoutMs: float = 15_000  # noqa: N815
+    maxHeaderBytes: Whole = 16 * 1024  # noqa: N815
+    maxBodyBytes: Whole = 4 * 1024 * 1024  # noqa: N815
+    headerTimeoutMs: Real = 3000  # noqa: N815
+    idleTimeoutMs: Real = 15_000  # noqa: N815
 
 
 class WireConfig(Struct):
-    version: int
+    version: Whole
     routes: list[WireRoute] = field(default_factory=list)
     services: list[WireService] = field(default_factory=list)
     limits: WireLimits = field(default_factory=WireLimits)
@@ -99,7 +109,7 @@
 
 class WireWeights(Struct):
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 class WireServer(Struct):
@@ -109,17 +119,17 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    coldRemainingMs: float = 0  # noqa: N815
-    born: int = 0
-    sequence: int = 0
+    slots: Slots = 1
+    coldRemainingMs: ColdMs = 0  # noqa: N815
+    born: Count = 0
+    sequence: Count = 0
     version: str = ""
     models: list[WireWeights] = field(default_factory=list)
 
 
 class WireNamedWeights(Struct):
     model: str
-    version: int
+    version: Count
 
 
 def read_directory(spec: bytes) -> Directory:
--- a/tests/platform/test_oddobjects.py
+++ b/tests/platform/test_oddobjects.py
@@ -10,6 +10,7 @@
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
+    WeightsNamed,
 )
 from masticdrum.platform.watchers import (
     CRASHES,
@@ -241,3 +242,70 @@
     versions = [e.directory.version for e in events if isinstance(e, DirectoryRead)]
     assert versions == [1]
     assert logged[0].facts["object"] == "main"
+
+
+HUGE = b"9" * 400
+ODD_NUMBERS = [
+    b"1" + b"0" * 5000,
+    HUGE,
+    b"-" + HUGE,
+    b"1e400",
+    b"true",
+    b"null",
+    b'"1"',
+]
+ODD_FIELDS = {
+    **{
+        f"{field} {number[:12].decode()} of {len(number)}": {field: number}
+        for field in ("slots", "coldRemainingMs", "born", "sequence")
+        for number in ODD_NUMBERS
+    },
+    "negative slots": {"slots": b"-1"},
+    "slots of 64 bits": {"slots": b"%d" % 2**63},
+    "slots with a fraction": {"slots": b"1.5"},
+    "cold for 1e308 ms": {"coldRemainingMs": b"1e308"},
+    "cold for -1e308 ms": {"coldRemainingMs": b"-1e308"},
+    "born before the epoch": {"born": b"-1"},
+    "born with 70 bits": {"born": b"%d" % 2**70},
+    "a negative sequence": {"sequence": b"-1"},
+    "huge weights": {"models": b'[{"name":"m1","version":%s}]' % HUGE},
+    "negative weights": {"models": b'[{"name":"m1","version":-2}]'},
+    "weights without a name": {"models": b'[{"version":2}]'},
+    "models that are none": {"models": b"[7]"},
+    "a number for its software": {"version": b"7"},
+    "a list for a service": {"service": b"[]"},
+    "an unknown state": {"state": b'"asleep"'},
+}
+
+
+# Guards against an entry that ends in its arithmetic on a number that is too large, or
+# that believes a server to be cold or free for ever (LOST).
+@pytest.mark.parametrize("fields", ODD_FIELDS.values(), ids=ODD_FIELDS)
+def test_an_odd_field_names_no_server(fields: dict[str, bytes]) -> None:
+    odd = make_server("i-a", **fields)
+    events, _ = follow(UPSTREAMS, [make_page([odd, SOUND])], [make_changes([odd])])
+    assert list_names(events[0]) == ["i-b"]
+    assert events[1:] == [UpstreamGone("i-a")]
+
+
+@pytest.mark.parametrize("version", [HUGE, b"-1", b"1.5", b"%d" % 2**64, b'"2"'])
+def test_an_odd_version_of_weights_is_not_wanted(version: bytes) -> None:
+    odd = make_object("m1", b'{"model":"m1","version":%s}' % version)
+    sound = make_object("m2", b'{"model":"m2","version":2}')
+    events, _ = follow(WEIGHTS, [make_page([odd, sound])], [make_changes([odd])])
+    assert {e.model for e in events if isinstance(e, WeightsNamed)} == {"m2"}
+
+
+@pytest.mark.parametrize(
+    "field", ["maxConnections", "coldStartS", "coldPerS", "maxConcurrency"]
+)
+@pytest.mark.parametrize("number", ODD_NUMBERS, ids=lambda number: number[:8].decode())
+def test_a_configuration_with_an_odd_number_is_refused(
+    field: str, number: bytes
+) -> None:
+    service = b'{"name":"desk","%s":%s}' % (field.encode(), number)
+    config = make_object("main", b'{"version":2,"services":[%s]}' % service)
+    sound = make_object("main", b'{"version":1}')
+    events, _ = follow(DIRECTORY, [make_page([sound])], [make_changes([config])])
+    versions = [e.directory.version for e in events if isinstance(e, DirectoryRead)]
+    assert versions == [1]
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -178,6 +178,73 @@
     assert fleet.ask("/look/7", "r1").status == 200
 
 
+def make_odd_entries(fleet: Fleet) -> dict[str, str]:
+    """Return entries for a server of the desk that is read, as undecoded texts."""
+    nested = "[" * 3000 + "]" * 3000
+    host = "127.0.0.1"
+    sound = f"{host}:{fleet.ports['desk-1']}"
+    many = "9" * 400
+    entries = [
+        {"more": nested},
+        {"more": "Infinity"},
+        {"more": '"\\ud800"'},
+        {"address": f'"{host}:99999"'},
+        {"address": f'"{host}:{"9" * 5000}"'},
+        {"address": f'"{host}:8²"'},
+        {"address": '"desk.example:80"'},
+        {"address": f'"{sound}"', "slots": many},
+        {"address": f'"{sound}"', "slots": "-1"},
+        {"address": f'"{sound}"', "coldRemainingMs": "1e308"},
+        {"address": f'"{sound}"', "born": many, "sequence": many},
+    ]
+    base = {"service": '"desk"', "zone": '"olten-a"', "state": '"ready"'}
+    base["address"] = f'"{host}:1"'
+    texts = {"nested": nested, "bare": "nothing"}
+    for number, entry in enumerate(entries):
+        members = ",".join(f'"{k}":{v}' for k, v in (base | entry).items())
+        texts[f"entry {number}"] = f"{{{members}}}"
+    return texts
+
+
+# Guards against an entry that ends, or follows the list no further, since one entry
+# among those of the servers is nested deeply (RecursionError), has a number too large
+# or a port out of range (LOST).
+def test_odd_entries_among_the_servers_dont_disturb_the_others(fleet: Fleet) -> None:
+    texts = make_odd_entries(fleet)
+    fleet.control("store", raw=texts)
+    asked = 0
+    for name in texts:
+        fleet.put("servers", "i-odd", f"raw:{name}")
+    fleet.wait_until(lambda: '"object_unreadable"' in fleet.read_logs(), "unreadable")
+    for number, name in enumerate(texts):
+        fleet.put("servers", f"i-odd-{number}", f"raw:{name}")
+    fleet.wait_until(
+        lambda: all(f'"i-odd-{n}"' in fleet.read_logs() for n in range(len(texts))),
+        "all of them",
+    )
+    for _ in range(20):
+        asked += 1
+        assert fleet.ask("/look/7", f"a{asked}").status == 200
+    restart_entry(fleet, fleet.ports["datagrams"])
+    for _ in range(20):
+        asked += 1
+        assert fleet.ask("/look/7", f"a{asked}").status == 200
+    fleet.register("desk-1", state="draining")
+    for name in ("entry 0", "entry 1", "entry 3", "entry 7"):
+        fleet.put("servers", "i-desk-1", f"raw:{name}")
+    fleet.put("servers", "i-desk-2", "raw:entry 1")
+    fleet.wait_until(lambda: fleet.ask("/look/7", "b1").status == 503, "both odd")
+    fleet.register("desk-2")
+    fleet.wait_until(lambda: fleet.ask("/look/7", "b2").status == 200, "one sound")
+    fleet.register("desk-1")
+    fleet.delete("servers", "i-odd")
+    for _ in range(5):
+        asked += 1
+        assert fleet.ask("/look/7", f"a{asked}").status == 200
+    assert fleet.running["entry"].poll() is None
+    assert "Traceback" not in fleet.read_logs()
+
+
 def test_a_store_that_forgets_its_history_is_listed_again(fleet: Fleet) -> None:
     fleet.control("store", do="forget")
     fleet.put("config", "main", make_config(9, ["new-key"]))
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -21,9 +21,14 @@
 
 
 class MetadataFaults(Faults):
-    """Faults; the next ``lost_writes`` writes take effect but get no answer."""
+    """Faults; the next ``lost_writes`` writes take effect but get no answer.
+
+    Where an object has the text ``raw:NAME``, answers have ``raw[NAME]`` as it is,
+    which needn't be JSON.
+    """
 
     lost_writes: int = 0
+    raw: dict[str, str] = {}
 
 
 class MetadataStore(StandIn):
@@ -74,6 +79,8 @@
     async def answer(self, request: Request) -> Reply:
         reply = await self._execute(request)
         reply.headers = {**reply.headers, "store-era": str(self.era)}
+        for name, text in self.faults.raw.items():
+            reply.body = reply.body.replace(f'"raw:{name}"'.encode(), text.encode())
         return reply
 
     async def _execute(self, request: Request) -> Reply:
