Drop a datagram that is nested deeply

What callers saw: nothing yet. Any process on the network could have ended an entry or an agent with one datagram of 1 KB, again after each start.

Cause: msgpack raises RecursionError, which isn't an error of its own kind, for values that are nested deeply, also behind the fields that are read.

Change: datagrams are decoded by core/decoding.py, and such a one is dropped and counted as unreadable.

Two thousand generated datagrams are a message or undecodable.

--- a/masticdrum/shell/datagrams.py
+++ b/masticdrum/shell/datagrams.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from masticdrum.core.decoding import Undecodable, read_msgpack
 from masticdrum.model.origins import (
     OriginMessage,
     OriginQueried,
@@ -65,8 +66,8 @@
 
     def _decode(self, data: bytes, peer: Address) -> DatagramEvent | None:
         try:
-            message = self._decoder.decode(data)
-        except msgspec.MsgspecError:
+            message = read_msgpack(data, self._decoder)
+        except Undecodable:
             self._metrics.count(Count(Counter.FRAMES_DROPPED, "unreadable"))
             return None
         if isinstance(message, OriginQuery):
--- a/tests/shell/test_datagrams.py
+++ b/tests/shell/test_datagrams.py
@@ -1,10 +1,15 @@
 """Datagrams between processes arrive, or are dropped and counted."""
 
 import socket
+from contextlib import suppress
 
 import msgspec
+import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from masticdrum.core.decoding import Undecodable, read_msgpack
 from masticdrum.model.origins import (
     OriginMessage,
     OriginQueried,
@@ -73,5 +78,27 @@
     )
 
 
+# Guards against processes that end at a datagram that is nested deeply
+# (RecursionError), which anyone on the network can send (LOST).
+@pytest.mark.parametrize(
+    "start", [b"", b"\x94\xa6record\xa2r2\xa2v2", b"\x81\xa4type"], ids=repr
+)
+@pytest.mark.parametrize("levels", [500, 1000, 2000, 4000])
+def test_a_nested_datagram_doesnt_end_the_process_by_recursionerror(
+    start: bytes, levels: int
+) -> None:
+    nested = start + b"\x91" * levels + b"\xc0"
+    expected = [OriginRecord("r2", "v2")] if b"record" in start and levels < 900 else []
+    assert exchange([nested]) == expected
+
+
+@given(st.binary(max_size=60) | st.binary(max_size=40).map(b"\x93\xa6record".__add__))
+@settings(derandomize=True, max_examples=2000)
+def test_any_bytes_are_a_message_or_undecodable(data: bytes) -> None:
+    decoder = msgspec.msgpack.Decoder(OriginMessage)
+    with suppress(Undecodable):
+        assert isinstance(read_msgpack(data, decoder), OriginMessage)
+
+
 def test_messages_that_are_too_long_are_not_sent() -> None:
     assert exchange([OriginRecord("r" * MAX_DATAGRAM_BYTES, "v2")]) == []
