Wait for a sound table of permits instead of ending at an odd one

What callers saw: an agent that wanted a permit ended, again and again, for as long as the stored table of permits could not be decoded or had a number out of range.

Cause: the table was decoded without any handling of failures, and its fencing numbers had no bounds; a negative one, or one of 70 bits, granted permits.

Evidence: test_a_table_of_permits_that_is_odd_grants_none_until_it_is_sound on the code before printed "Expected `object`, got `array`", "Input data was truncated", "maximum recursion depth exceeded while deserializing an object" and, for the odd fences, "assert IssueOrder(...) is None".

Change: an odd table grants nothing. It is read again with growing pauses, and its fault is logged once (object_unreadable). It isn't replaced, since its leases and its last fencing number would be lost; an operator removes or corrects it.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -17,7 +17,7 @@
     apply_cluster_event,
 )
 from masticdrum.core.orders import Orders
-from masticdrum.core.permits import PermitBounds, Permits
+from masticdrum.core.permits import PERMITS_PATH, PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered
 from masticdrum.model.cluster_events import ClusterEvent, StoreRestored
@@ -211,13 +211,18 @@
     state: EngineControllerState, answer: ObjectAnswer, now: float
 ) -> list[EngineControllerEffect]:
     permits = state.orders.permits
-    before = permits.describe()
+    before, fault = permits.describe(), permits.fault
     permits.handle_answer(answer, now)
     facts = permits.describe()
-    if facts == before:
-        return []
-    facts["ordered_fence"] = state.orders.fence
-    return [Log(LogNumber.PERMIT_CHANGED, detail=answer.status.value, facts=facts)]
+    logs: list[EngineControllerEffect] = []
+    if permits.fault not in ("", fault):
+        named: Facts = {"object": PERMITS_PATH}
+        logs.append(Log(LogNumber.OBJECT_UNREADABLE, detail=permits.fault, facts=named))
+    if facts != before:
+        facts["ordered_fence"] = state.orders.fence
+        detail = answer.status.value
+        logs.append(Log(LogNumber.PERMIT_CHANGED, detail=detail, facts=facts))
+    return logs
 
 
 def _handle_order_answer(
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -17,10 +17,12 @@
 
 from enum import StrEnum
 from random import Random
+from typing import Annotated
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.platform import (
     ObjectAnswer,
     ObjectGet,
@@ -39,13 +41,14 @@
 MAX_POLL_S = 10.0
 FIRST_ERA = 1  # in it nothing has been lost yet
 FENCES_PER_ERA = 2**32
+Number = Annotated[int, Meta(ge=0, le=2**62)]  # leaves room to count on in 64 bits
 
 
 class Lease(Struct):
     """One permit in use; its holder changes ``renewals`` for as long as it is alive."""
 
-    fence: int
-    renewals: int = 0
+    fence: Number
+    renewals: Number = 0
 
 
 class PermitTable(Struct):
@@ -54,9 +57,9 @@
     ``era`` is the one in which the table was last known to hold all leases.
     """
 
-    fence: int = 0
+    fence: Number = 0
     leases: dict[str, Lease] = field(default_factory=dict)
-    era: int = 0
+    era: Number = 0
 
 
 class Sighting(Struct):
@@ -92,7 +95,8 @@
 
     ``holder_prefix`` is the common prefix of the holder names of all incarnations of
     this agent. The earlier ones are over, so their leases are taken over at once. It is
-    empty if incarnations can't be recognised.
+    empty if incarnations can't be recognised. ``fault`` is why the table could not be
+    decoded when it was last read, or empty.
     """
 
     __slots__ = (
@@ -118,6 +122,7 @@
         "bounds",
         "holder",
         "desired",
+        "fault",
     )
 
     def __init__(
@@ -131,6 +136,7 @@
         self.bounds = PermitBounds() if bounds is None else bounds
         self.holder = holder
         self.desired = DesiredState.NONE
+        self.fault = ""
         self._random = Random(seed)
         self._calls = 0
         self._era = 0
@@ -228,8 +234,7 @@
             case ObjectStatus.OK if wrote:
                 self._install(answer.version, self._proposed, now)
             case ObjectStatus.OK:
-                table = msgspec.json.decode(answer.body, type=PermitTable)
-                self._install(answer.version, table, now)
+                self._install_read(answer, now)
             case ObjectStatus.MISSING:
                 self._install(0, PermitTable(), now)
             case ObjectStatus.CONFLICT:
@@ -238,6 +243,20 @@
                 self._version = -1
                 self._back_off(now)
 
+    def _install_read(self, answer: ObjectAnswer, now: float) -> None:
+        """Use a table that was read, or none if it can't be decoded.
+
+        It is not replaced: its leases and its last fencing number would be lost.
+        """
+        try:
+            table = read_json(answer.body, PermitTable)
+        except Undecodable as error:
+            self.fault = str(error)
+            self._back_off(now)
+            return
+        self.fault = ""
+        self._install(answer.version, table, now)
+
     def _install(self, version: int, table: PermitTable, now: float) -> None:
         self._version = version
         self._table = table
--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -17,6 +17,7 @@
     ObjectPut,
     ObjectStatus,
 )
+from masticdrum.model.telemetry import Log, LogNumber
 from tests.forwarding import MODEL, UPSTREAMS, make_upstream
 
 OWN = make_upstream("engines-9", "engines", address="10.9.0.1:80")
@@ -33,6 +34,8 @@
         self.revision = 0 if table is None else 7
         self.table = table or PermitTable()
         self.orders: list[IssueOrder] = []
+        self.logged: list[Log] = []
+        self.body: bytes | None = None  # in place of the table
         self.handle_event(UpstreamsListed((*UPSTREAMS, OWN)))
         self.handle_event(EngineReported({MODEL: 1}))
 
@@ -42,6 +45,8 @@
             for effect in reduce_engine_controller(self.state, queue.pop(0), self.now):
                 if isinstance(effect, IssueOrder):
                     self.orders.append(effect)
+                if isinstance(effect, Log):
+                    self.logged.append(effect)
                 if isinstance(effect, ObjectGet | ObjectPut):
                     queue.append(self.answer(effect))
 
@@ -53,7 +58,7 @@
                 return ObjectAnswer(call.call, ObjectStatus.CONFLICT)
             self.revision += 1
             self.table = msgspec.json.decode(call.body, type=PermitTable)
-        body = msgspec.json.encode(self.table)
+        body = self.body or msgspec.json.encode(self.table)
         return ObjectAnswer(call.call, ObjectStatus.OK, self.revision, body)
 
     def wait(self, seconds: float) -> None:
@@ -63,6 +68,20 @@
             self.handle_event(Ticked())
 
 
+def test_an_odd_table_of_permits_is_logged_once() -> None:
+    agent = Agent(table=PermitTable(7))
+    agent.body = b'{"fence":-1}'
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.wait(60.0)
+    assert not agent.orders
+    (log,) = [e for e in agent.logged if e.number is LogNumber.OBJECT_UNREADABLE]
+    assert log.facts == {"object": "permits/weights"}
+    assert log.detail == "Expected `int` >= 0 - at `$.fence`"
+    agent.body = None
+    agent.wait(60.0)
+    assert len(agent.orders) == 1
+
+
 def test_new_weights_are_ordered_once_and_the_permit_is_given_back() -> None:
     agent = Agent()
     agent.wait(1.0)
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -317,6 +317,40 @@
     assert order.not_after == permits.LEASE_S - permits.MARGIN_S
 
 
+ODD_TABLES = {
+    "nested (RecursionError)": b'{"more":%s}' % (b"[" * 2000 + b"]" * 2000),
+    "no JSON": b"{",
+    "a list": b"[]",
+    "null": b"null",
+    "no bytes": b"",
+    "a negative fence": b'{"fence":-1}',
+    "a fence of 70 bits": b'{"fence":%d}' % 2**70,
+    "a fence of 5,000 digits": b'{"fence":1%s}' % (b"0" * 5000),
+    "a lease without a fence": b'{"leases":{"agent/2":{}}}',
+    "leases that are none": b'{"leases":{"agent/2":7}}',
+}
+
+
+# Guards against agents that end, again and again, as they read a table of permits that
+# isn't one (LOST), or that replace it and load beside the holders of its leases.
+@pytest.mark.parametrize("body", ODD_TABLES.values(), ids=ODD_TABLES)
+def test_a_table_of_permits_that_is_odd_grants_none_until_it_is_sound(
+    body: bytes,
+) -> None:
+    agent, store = Orders(Permits("agent/1", 1)), OneAgentStore()
+    store.version, store.body = 5, body
+    calls = 0
+    for step in range(600):
+        calls += not agent.permits.is_idle and step / 10 >= agent.permits._next_call_at
+        assert store.step(agent, "v2", step / 10) is None
+    assert agent.permits.fault
+    assert store.version == 5
+    assert calls < 30
+    store.body = b'{"fence":7}'
+    assert run_until_ordered(agent, store, 60.0).fence == 8
+    assert not agent.permits.fault
+
+
 def test_nothing_is_ordered_if_the_version_is_loaded_or_unknown() -> None:
     agent = Orders(Permits("agent/1", 1))
     assert agent.decide("v1", "v1", 0.0) is None
