--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -1,11 +1,14 @@
 """Decodes the store's objects into this project's types.
 
-An object that can't be decoded raises ``msgspec.MsgspecError``; nothing of it is used.
+An object that can't be decoded raises ``Undecodable``; nothing of it is used.
 """
 
-import msgspec
-from msgspec import UNSET, Raw, Struct, UnsetType, field
+from typing import Annotated
 
+from msgspec import UNSET, Meta, Struct, UnsetType, field
+
+from masticdrum.core.addresses import is_ipv4_socket_address
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.cluster_events import Member
 from masticdrum.model.crashes import CrashReport
 from masticdrum.model.directory import (
@@ -22,33 +25,26 @@
 )
 
 MS_PER_S = 1000
+MAX_QUOTED = 60  # characters of an odd value in a log line
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
+MAX_NUMBER = 2**53  # up to which each number is exact, and arithmetic is safe
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 24 * 3600 * 1000
+Whole = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+Real = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Slots = Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+ColdMs = Annotated[float, Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)]
 STATES = {"ready": False, "draining": True}
 
 
-class Metadata(Struct):
-    """The store's own data about an object."""
-
-    name: str
-    revision: int = 0
-    deleting: bool = False
-
-
-class StoredObject(Struct):
-    """One object of the store; ``spec`` is decoded by kind."""
-
-    metadata: Metadata
-    spec: Raw = Raw(b"null")
-    status: Raw = Raw(b"null")
-
-
 class WireBackend(Struct):
     service: str
-    weight: float = 1.0
+    weight: Real = 1.0
 
 
 class WireRoute(Struct):
@@ -56,15 +52,15 @@
     hostname: str
     pathPrefix: str  # noqa: N815
     routeType: str  # noqa: N815
-    timeoutMs: float = 30_000  # noqa: N815
-    targetLatencyMs: float = 1000  # noqa: N815
-    maxAttempts: int = 1  # noqa: N815
-    priority: int = 0
+    timeoutMs: Real = 30_000  # noqa: N815
+    targetLatencyMs: Real = 1000  # noqa: N815
+    maxAttempts: Whole = 1  # noqa: N815
+    priority: Whole = 0
     service: str | None = None
     backends: list[WireBackend] = field(default_factory=list)
     public: bool = False
     resumable: bool = False
-    gapTargetMs: float = 0  # noqa: N815
+    gapTargetMs: Real = 0  # noqa: N815
 
 
 class WireModel(Struct):
@@ -72,39 +68,39 @@
 
 
 class WireEngine(Struct):
-    slots: int = 1
-    kvCapacityTokens: int = 0  # noqa: N815
+    slots: Whole = 1
+    kvCapacityTokens: Whole = 0  # noqa: N815
     models: list[WireModel] = field(default_factory=list)
 
 
 class WireService(Struct):
     name: str
-    maxConnections: int = 0  # noqa: N815
-    coldStartS: float = 0  # noqa: N815
-    coldPerS: float = 0  # noqa: N815
+    maxConnections: Whole = 0  # noqa: N815
+    coldStartS: Real = 0  # noqa: N815
+    coldPerS: Real = 0  # noqa: N815
     engine: WireEngine | None = None
     kvStoreAddr: str = ""  # noqa: N815
     zone: str = ""
-    kvCapacityTokens: int = 0  # noqa: N815
-    maxConcurrency: int = 0  # noqa: N815
+    kvCapacityTokens: Whole = 0  # noqa: N815
+    maxConcurrency: Whole = 0  # noqa: N815
 
 
 class WireTenant(Struct):
     name: str
     apiKeys: list[str] = field(default_factory=list)  # noqa: N815
-    priority: int | None = None
+    priority: Whole | None = None
     isolated: bool = False
 
 
 class WireLimits(Struct):
-    maxHeaderBytes: int = 16 * 1024  # noqa: N815
-    maxBodyBytes: int = 4 * 1024 * 1024  # noqa: N815
-    headerTimeoutMs: float = 3000  # noqa: N815
-    idleTimeoutMs: float = 15_000  # noqa: N815
+    maxHeaderBytes: Whole = 16 * 1024  # noqa: N815
+    maxBodyBytes: Whole = 4 * 1024 * 1024  # noqa: N815
+    headerTimeoutMs: Real = 3000  # noqa: N815
+    idleTimeoutMs: Real = 15_000  # noqa: N815
 
 
 class WireConfig(Struct):
-    version: int
+    version: Whole
     routes: list[WireRoute] = field(default_factory=list)
     services: list[WireService] = field(default_factory=list)
     limits: WireLimits = field(default_factory=WireLimits)
@@ -113,7 +109,7 @@
 
 class WireWeights(Struct):
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 class WireServer(Struct):
@@ -123,22 +119,22 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    coldRemainingMs: float = 0  # noqa: N815
-    born: int = 0
-    sequence: int = 0
+    slots: Slots = 1
+    coldRemainingMs: ColdMs = 0  # noqa: N815
+    born: Count = 0
+    sequence: Count = 0
     version: str = ""
     models: list[WireWeights] = field(default_factory=list)
 
 
 class WireNamedWeights(Struct):
     model: str
-    version: int
+    version: Count
 
 
 def read_directory(spec: bytes) -> Directory:
     """Decode the configuration."""
-    wire = msgspec.json.decode(spec, type=WireConfig)
+    wire = read_json(spec, WireConfig)
     tenants = [] if isinstance(wire.tenants, UnsetType) else wire.tenants
     limits = wire.limits
     return Directory(
@@ -188,6 +184,7 @@
         engine = EngineShape(wire.engine.slots, wire.engine.kvCapacityTokens, models)
     store = None
     if wire.kvStoreAddr:
+        check_address(wire.kvStoreAddr)
         store = StoreShape(
             wire.kvStoreAddr, wire.zone, wire.kvCapacityTokens, wire.maxConcurrency
         )
@@ -198,10 +195,12 @@
 
 def read_upstream(name: str, spec: bytes) -> Upstream:
     """Decode a server's registration."""
-    wire = msgspec.json.decode(spec, type=WireServer)
-    host, _, port = wire.address.rpartition(":")
-    if wire.state not in STATES or not host or not port.isdigit():
-        raise msgspec.ValidationError(f"state {wire.state!r}, address {wire.address!r}")
+    wire = read_json(spec, WireServer)
+    if not is_header_value(name):
+        raise Undecodable("its name can't be sent in a header")
+    if wire.state not in STATES:
+        raise Undecodable(f"the state is {wire.state[:MAX_QUOTED]!r}")
+    check_address(wire.address)
     return Upstream(
         name=name,
         service=wire.service,
@@ -217,17 +216,28 @@
     )
 
 
+def check_address(address: str) -> None:
+    """Raise ``Undecodable`` for what can't be connected to without a look-up."""
+    if not is_ipv4_socket_address(address):
+        raise Undecodable(f"the address is {address[:MAX_QUOTED]!r}, not IP:PORT")
+
+
+def is_header_value(text: str) -> bool:
+    """Return whether a header can have the text as its value, without a change."""
+    return bool(text) and text.isascii() and text.isprintable() and text == text.strip()
+
+
 def read_named_weights(spec: bytes) -> tuple[str, int]:
     """Decode which version of a model is wanted."""
-    wire = msgspec.json.decode(spec, type=WireNamedWeights)
+    wire = read_json(spec, WireNamedWeights)
     return wire.model, wire.version
 
 
 def read_member(spec: bytes) -> Member:
     """Decode the registration of one of our own processes."""
-    return msgspec.json.decode(spec, type=Member)
+    return read_json(spec, Member)
 
 
 def read_crash_report(spec: bytes) -> CrashReport:
     """Decode the crash report of one of our own entries."""
-    return msgspec.json.decode(spec, type=CrashReport)
+    return read_json(spec, CrashReport)
