Take a stream that closes before its first event for broken off

An answer without a length or chunks ends with its connection, and a stream that ended with no event open counted as whole, also one that had none yet.

An end that only the connection's close states counts from the first event on. Elsewhere it is a length or the last chunk that says that there are none.

--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -27,6 +27,7 @@
     AnswerCutOff,
     AnswerGarbled,
     AnswerHead,
+    BodyPart,
     UpstreamConnection,
 )
 from masticdrum.shell.upstreampool import UpstreamConnectionPool
@@ -244,8 +245,8 @@
             connection.close()
             detail = f"mid-stream {error!r}"
             return forwarder.make_ended(AttemptEnd.LOST, detail=detail)
-        if not forwarder.is_whole:
-            detail = "the stream ended within an event"
+        if not forwarder.is_whole(part):
+            detail = "the stream ended within an event, or closed before the first"
             return forwarder.make_ended(AttemptEnd.TRUNCATED, detail=detail)
         return forwarder.make_ended(AttemptEnd.ANSWERED, verified=True)
 
@@ -328,10 +329,12 @@
         self._splitter = EventSplitter()
         self._has_events = False
 
-    @property
-    def is_whole(self) -> bool:
-        """Whether the stream so far ends with a complete event."""
-        return self._splitter.is_whole
+    def is_whole(self, last: BodyPart) -> bool:
+        """Return whether the stream ends with a complete event.
+
+        One without any is whole only if more than a close says that it has ended.
+        """
+        return self._splitter.is_whole and (self._has_events or not last.is_closed)
 
     @property
     def is_garbled(self) -> bool:
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -30,10 +30,14 @@
 
 
 class BodyPart(Struct, frozen=True):
-    """A part of an answer's body; ``is_last`` means that the body is complete."""
+    """A part of an answer's body; ``is_last`` means that the body is complete.
+
+    With ``is_closed`` only the end of the connection says so.
+    """
 
     data: bytes
     is_last: bool
+    is_closed: bool = False
 
 
 class UpstreamConnection:
@@ -104,7 +108,9 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return BodyPart(b"".join(parts), is_last=True)
+                # The end of a body with a length or chunks is read before a close.
+                _, is_closed = self._http.trailing_data
+                return BodyPart(b"".join(parts), is_last=True, is_closed=is_closed)
             elif event is h11.NEED_DATA:
                 return make_part(parts) if parts else None
             else:
