Reset a broken stream to a caller that knows no chunks

Callers of HTTP/1.0 got broken streams as complete ones (ORDER): their answers have neither a length nor chunks and end with the connection, and that was closed in the same way whether the stream had ended or not.

While such an answer is open its socket is set to close with a reset, so that the kernel does so too if the process is killed. Only once the whole answer has been accepted is that taken back.

--- a/masticdrum/shell/callerconnection.py
+++ b/masticdrum/shell/callerconnection.py
@@ -26,6 +26,7 @@
 # After a freeze of the machine, closes arrive one round trip late.
 STALL_DISCONNECT_S = 0.03
 NEVER = float("inf")
+CONTENT_LENGTH = b"content-length"
 
 
 class IncomingRequest(Struct):
@@ -94,6 +95,7 @@
         "_http",
         "_is_fresh",
         "_is_stopping",
+        "_is_unframed",
         "_nursery",
         "_phase",
         "_request",
@@ -121,6 +123,7 @@
         self._flushed: trio.Event | None = None
         self._is_stopping = False
         self._is_fresh = True
+        self._is_unframed = False  # the answer ends with the connection
 
     # Reading
 
@@ -297,7 +300,12 @@
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers of an answer."""
         response = h11.Response(status_code=status, headers=headers)
-        self._write(self._http.send(response))
+        data = self._http.send(response)
+        is_old = self._http.their_http_version == b"1.0"
+        self._is_unframed = is_old and CONTENT_LENGTH not in dict(headers)
+        if self._is_unframed:
+            self._tcp.set_reset_on_close(True)
+        self._write(data)
 
     def send_body(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -307,7 +315,7 @@
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer."""
         self._held = True
-        length = (b"content-length", str(len(body)).encode())
+        length = (CONTENT_LENGTH, str(len(body)).encode())
         self.send_head(status, [*headers, length])
         self.send_body(body)
         self.finish()
@@ -392,8 +400,13 @@
     async def _end(self) -> None:
         """Close in a way that lets the caller read the end of the answer."""
         await self.wait_until_sent()
+        is_incomplete = self._http.our_state is h11.SEND_BODY
+        if self._is_unframed:
+            if is_incomplete:
+                return  # an orderly close would state that the answer is complete
+            self._tcp.set_reset_on_close(False)
         self._tcp.end_writing()
-        if self._http.our_state is h11.SEND_BODY:
+        if is_incomplete:
             return  # nothing of an incomplete answer is worth the wait
         with trio.move_on_after(LINGER_S):
             while await self._tcp.receive():
--- a/masticdrum/shell/tcpconnection.py
+++ b/masticdrum/shell/tcpconnection.py
@@ -17,6 +17,7 @@
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_PROBES = 2
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER of zero: close sends a reset
+NO_LINGER = struct.pack("ii", 0, 0)
 
 
 class TcpConnection:
@@ -105,6 +106,12 @@
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
 
+    def set_reset_on_close(self, enabled: bool) -> None:
+        """Choose how the connection closes, also when the process is killed."""
+        with suppress(OSError):
+            linger = RESET if enabled else NO_LINGER
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def close(self, *, reset: bool = False) -> None:
         """Close the connection, on request with a reset; waiting tasks are woken.
 
@@ -115,8 +122,7 @@
             return
         self._is_closed = True
         if reset:
-            with suppress(OSError):
-                self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.set_reset_on_close(True)
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
 
--- a/tests/shell/callers.py
+++ b/tests/shell/callers.py
@@ -89,6 +89,16 @@
         return self.received
 
 
+def make_tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Return the ends of a connection; only TCP tells a reset from a close."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        other = socket.create_connection(listener.getsockname())
+        own, _ = listener.accept()
+    own.setblocking(False)
+    other.setblocking(False)
+    return own, other
+
+
 Script = Callable[[FakeCaller, CallerConnection], Awaitable[None]]
 
 
--- a/tests/shell/gateway.py
+++ b/tests/shell/gateway.py
@@ -25,6 +25,7 @@
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.tcpconnection import TcpConnection
 from tests.forwarding import HOST, make_route, make_upstream
+from tests.shell.callers import make_tcp_pair
 
 RESET = struct.pack("ii", 1, 0)
 UPSTREAM_COUNT = 3  # at one address
@@ -157,7 +158,9 @@
         self._nursery.start_soon(self.process.loop.run_timers)
         self._nursery.start_soon(self.process.tick)
 
-    async def ask(self, request: str, route: str, script: Script) -> Received:
+    async def ask(
+        self, request: str, route: str, script: Script, version: str = "1.1"
+    ) -> Received:
         """Send a request and return all that its caller receives."""
         self.scripts[request] = script
         self.sides[request] = []
@@ -167,7 +170,7 @@
         connection = CallerConnection(TcpConnection(own), handler, self._nursery)
         self._nursery.start_soon(connection.serve)
         head = (
-            f"POST /{route}/{request} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"POST /{route}/{request} HTTP/{version}\r\nHost: {HOST}\r\n"
             f"X-Request-Id: {request}\r\nConnection: close\r\n"
             "Content-Length: 2\r\n\r\nab"
         )
@@ -191,16 +194,6 @@
                 await self.scripts[request](side, len(self.sides[request]))
 
 
-def make_tcp_pair() -> tuple[socket.socket, socket.socket]:
-    """Return the ends of a connection; only TCP tells a reset from a close."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        other = socket.create_connection(listener.getsockname())
-        own, _ = listener.accept()
-    own.setblocking(False)
-    other.setblocking(False)
-    return own, other
-
-
 def run_gateway(
     play: Callable[[Gateway], Awaitable[None]], *, within_s: float, **options: float
 ) -> None:
--- a/tests/shell/test_brokenoff.py
+++ b/tests/shell/test_brokenoff.py
@@ -62,6 +62,11 @@
 STREAM_FORMS = make_forms(STREAM_HEAD, EVENTS[0] + EVENTS[1][:5], EVENTS[1][5:])
 REST_FORMS = make_forms(STREAM_HEAD, EVENTS[2] + EVENTS[3][:5], EVENTS[3][5:])
 ENDS = ("close", "reset", "pieces")
+# How callers of each version of HTTP see where a stream ends: chunks, or its close.
+STREAM_CASES = [
+    *(("1.1", form, end) for form in STREAM_FORMS for end in ENDS),
+    *(("1.0", form, end) for form in ("chunks", "neither") for end in ENDS[:2]),
+]
 
 
 class Break(Struct, frozen=True):
@@ -100,6 +105,7 @@
 def play_breaks(
     route: str,
     scripts: Sequence[tuple[Break, Script]],
+    version: str = "1.1",
 ) -> list[tuple[Break, Received, int]]:
     """Return what callers receive, and how often their requests were sent."""
     results: list[tuple[Break, Received, int]] = []
@@ -109,7 +115,7 @@
 
         async def ask(request: str, broken: Break, script: Script) -> None:
             async with limiter:
-                received = await gateway.ask(request, route, script)
+                received = await gateway.ask(request, route, script, version)
             sides = gateway.sides[request]
             assert not any(side.was_reused for side in sides)
             results.append((broken, received, len(sides)))
@@ -181,10 +187,9 @@
 
 
 # Guards against streams that were broken off and that callers get as complete (ORDER).
-@pytest.mark.parametrize("end", ENDS)
-@pytest.mark.parametrize("form", STREAM_FORMS)
+@pytest.mark.parametrize(("version", "form", "end"), STREAM_CASES)
 def test_a_stream_that_is_broken_off_does_not_end_as_complete(
-    form: str, end: str
+    version: str, form: str, end: str
 ) -> None:
     answer = STREAM_FORMS[form]
     size = len(answer.write("r000"))
@@ -192,7 +197,7 @@
     content = b"".join(EVENTS[:2])
     breaks = list_breaks(answer, end)
     scripts = [(b, make_script(answer, b)) for b in breaks]
-    for broken, received, sends in play_breaks("once", scripts):
+    for broken, received, sends in play_breaks("once", scripts, version):
         body, is_whole = received.read_body()
         assert sends == 1
         if received.status == 200:
@@ -208,10 +213,9 @@
 
 # Guards against the head or a piece of an event of a server that takes a stream up and
 # breaks off, in a caller's stream, and against a stream that ends as complete with it.
-@pytest.mark.parametrize("end", ENDS)
-@pytest.mark.parametrize("form", REST_FORMS)
+@pytest.mark.parametrize(("version", "form", "end"), STREAM_CASES)
 def test_the_rest_of_a_stream_that_is_broken_off_does_not_end_it(
-    form: str, end: str
+    version: str, form: str, end: str
 ) -> None:
     answer = REST_FORMS[form]
     size = len(answer.write("r000"))
@@ -230,7 +234,7 @@
         return script
 
     scripts = [(b, make_both(b)) for b in list_breaks(answer, end)]
-    for broken, received, sends in play_breaks("stream", scripts):
+    for broken, received, sends in play_breaks("stream", scripts, version):
         body, is_whole = received.read_body()
         assert (received.status, sends) == (200, 2)
         assert body in [b"".join(EVENTS[:n]) for n in (2, 3, 4)]
--- a/tests/shell/test_callerconnection.py
+++ b/tests/shell/test_callerconnection.py
@@ -8,11 +8,14 @@
 from masticdrum.model.errors import ErrorKind
 from masticdrum.shell import callerconnection
 from masticdrum.shell.callerconnection import CallerConnection
+from masticdrum.shell.tcpconnection import TcpConnection
 from tests.shell.callers import (
     REQUEST,
     SMALL,
+    WAIT_S,
     FakeCaller,
     FakeHandler,
+    make_tcp_pair,
     run_connection,
 )
 
@@ -225,6 +228,29 @@
     run_connection(handler, script)
 
 
+# Guards against a stream without chunks that looks complete since its entry was killed.
+def test_a_stream_to_an_old_caller_is_reset_when_its_entry_ends() -> None:
+    handler = FakeHandler()
+
+    async def run() -> None:
+        own, other = make_tcp_pair()
+        caller = FakeCaller(trio.SocketStream(trio.socket.from_stdlib_socket(other)))
+        with trio.fail_after(WAIT_S):
+            async with trio.open_nursery() as nursery:
+                connection = CallerConnection(TcpConnection(own), handler, nursery)
+                nursery.start_soon(connection.serve)
+                await caller.send(SMALL.replace(b"HTTP/1.1", b"HTTP/1.0"))
+                await handler.arrived.wait()
+                connection.send_head(200, [])
+                connection.send_body(b"id: 1\n\n")
+                await caller.receive_until(b"id: 1\n\n")
+                nursery.cancel_scope.cancel()
+            with pytest.raises(trio.BrokenResourceError):
+                await caller.receive_all()
+
+    trio.run(run)
+
+
 def test_an_answer_to_a_head_request_has_no_body(handler: FakeHandler) -> None:
     async def script(caller: FakeCaller, connection: CallerConnection) -> None:
         await caller.send(REQUEST.replace(b"POST", b"HEAD") + b"\r\n")
