Give up an answer whose head runs on into that of another

An upstream that stopped within a line of its head and then wrote an error gave callers a whole 200 with an empty or short body, and with the first answer's signature (MIXED): the error's status line was read as the rest of a header's value or of the reason, its length and body as the answer's own.

test_an_answer_that_is_completed_by_an_error_is_no_success puts errors behind each byte of a head; before, its 16 cases failed, for example with 'HTTP/1.1 200', 'x-response-signature: HTTP/1.1 500 Failed', 'content-length: 0'. Now all pass.

A status line within the reason or a header's value makes the answer garbled: it may have run, and its connection is closed.

--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -4,6 +4,8 @@
 nor the number of interim answers before it, nor what follows a complete answer.
 """
 
+import re
+
 import h11
 from msgspec import Struct
 
@@ -12,6 +14,8 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_INTERIM_ANSWERS = 8  # answers with a status below 200 before the final one
+# A head that broke off within a line runs on into that of an error behind it.
+STATUS_LINE = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\S)")
 
 
 class AnswerGarbled(Exception):
@@ -93,7 +97,7 @@
                 await self._receive()
                 continue
             if isinstance(event, h11.Response):
-                return AnswerHead(event.status_code, list(event.headers))
+                return make_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerCutOff("closed without an answer")
             interim += 1
@@ -173,6 +177,18 @@
             raise AnswerGarbled(str(error)) from error
 
 
+def make_head(event: h11.Response) -> AnswerHead:
+    """Return the head of an answer.
+
+    Raises ``AnswerGarbled`` if it has the status line of another one within it.
+    """
+    headers = list(event.headers)
+    for text in (event.reason, *(value for _, value in headers)):
+        if b"HTTP/" in text and STATUS_LINE.search(text):
+            raise AnswerGarbled("another answer's head within the head")
+    return AnswerHead(event.status_code, headers)
+
+
 def make_part(pieces: list[bytes]) -> BodyPart:
     """Return the part of a body that consists of ``pieces``; more will follow."""
     data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
--- a/tests/shell/test_brokenoff.py
+++ b/tests/shell/test_brokenoff.py
@@ -244,3 +244,38 @@
             assert is_whole
         else:
             assert not is_whole
+
+
+ERRORS = (
+    b"HTTP/1.1 500 Failed\r\nX-Request-Id: %s\r\nX-Response-Signature: s2\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n"
+    b"Connection: close\r\n\r\nfailed",
+    b"HTTP/1.0 500 \r\n\r\nfailed",
+)
+
+
+# Guards against a head that breaks off within a header's value, so that an error's head
+# behind it completes it, and that callers get as a whole success with its body (MIXED).
+@pytest.mark.parametrize("error", ERRORS, ids=["signed", "length", "close", "old"])
+@pytest.mark.parametrize("form", ["length", "chunks", "neither", "interim"])
+def test_an_answer_that_is_completed_by_an_error_is_no_success(
+    form: str, error: bytes
+) -> None:
+    answer = PLAIN_FORMS[form]
+    head_size = len(answer.write("r000")) - len(answer.body)
+
+    def make_joined(broken: Break) -> Script:
+        async def script(side: UpstreamSide, number: int) -> None:
+            behind = error.replace(b"%s", side.request.encode())
+            await side.send(answer.write(side.request)[: broken.cut] + behind)
+            await side.end()
+
+        return script
+
+    breaks = [Break(cut, "close") for cut in range(head_size)]
+    scripts = [(broken, make_joined(broken)) for broken in breaks]
+    for broken, received, _ in play_breaks("non_idempotent", scripts):
+        _, is_whole = received.read_body()
+        assert not is_whole or received.status >= 500, broken
