Bound what an agent and an entry read of reports, lists and cache events

Answers of the store and of KV cache stores had no bound either. A process over its memory ends.

The connections that httpcore uses count what arrives for each request, of heads, interim answers and bodies, and fail the read beyond 2 MB for a report and 32 MB else. The calls already treat that as a failed read.

--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -26,6 +26,7 @@
 CALL_TIMEOUT_S = 1.0  # the engine is on the same machine
 # A report from the same machine costs nothing; a load takes over 1 s.
 POLL_INTERVAL_S = 0.15
+MAX_REPORT_BYTES = 2 * 1024 * 1024
 METHODS = {RunsAtLoad.CONTINUE: "hot_swap", RunsAtLoad.FINISH: "queue"}
 REPLIES = {
     200: OrderReply.ACCEPTED,
@@ -78,7 +79,7 @@
         self._holder = settings.name
         self._runs = settings.runs_at_load
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=4, network_backend=UpstreamBackend()
+            max_connections=4, network_backend=UpstreamBackend(MAX_REPORT_BYTES)
         )
 
     async def read_report(self) -> EngineReport | None:
--- a/masticdrum/shell/upstreamstream.py
+++ b/masticdrum/shell/upstreamstream.py
@@ -2,7 +2,8 @@
 
 Writes are buffered until the next read, so that a request's head and body are sent at
 once. The kernel closes a connection whose peer accepts no data or answers no keepalive
-probes, since a connection may stay silent for good while new ones work.
+probes, since a connection may stay silent for good while new ones work. An answer that
+is too long, in its head or its body, fails the read.
 """
 
 import socket
@@ -17,14 +18,20 @@
 
 from masticdrum.shell.tcpconnection import set_liveness_options
 
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER of zero: close sends a reset
 
 
 class UpstreamStream(httpcore.AsyncNetworkStream):
-    """One connection, with the interface that httpcore uses."""
+    """One connection, with the interface that httpcore uses.
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    ``max_answer_bytes`` may be received for each request.
+    """
+
+    def __init__(self, stream: trio.SocketStream, max_answer_bytes: int) -> None:
         self._stream = stream
+        self._max_answer_bytes = max_answer_bytes
+        self._received = 0
         self._pending = bytearray()
         self._has_sent = False
 
@@ -33,9 +40,15 @@
         if self._pending:
             await self._send_pending()
         try:
-            return bytes(await self._stream.receive_some(max_bytes))
+            data = bytes(await self._stream.receive_some(max_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise httpcore.ReadError(str(error.__cause__ or error)) from error
+        self._received += len(data)
+        if self._received > self._max_answer_bytes:
+            raise httpcore.ReadError(
+                f"the answer is over {self._max_answer_bytes} bytes"
+            )
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Buffer bytes until the next read."""
@@ -71,6 +84,7 @@
         data = bytes(self._pending)
         self._pending.clear()
         self._has_sent = True
+        self._received = 0
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -79,7 +93,7 @@
             return
 
 
-async def connect(host: str, port: int) -> UpstreamStream:
+async def connect(host: str, port: int, max_answer_bytes: int) -> UpstreamStream:
     """Open a connection; raises ``OSError``."""
     raw_socket = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -88,12 +102,15 @@
     except BaseException:
         raw_socket.close()
         raise
-    return UpstreamStream(trio.SocketStream(raw_socket))
+    return UpstreamStream(trio.SocketStream(raw_socket), max_answer_bytes)
 
 
 class UpstreamBackend(httpcore.AsyncNetworkBackend):
     """Opens connections for httpcore's connection pool."""
 
+    def __init__(self, max_answer_bytes: int = MAX_ANSWER_BYTES) -> None:
+        self._max_answer_bytes = max_answer_bytes
+
     async def connect_tcp(
         self,
         host: str,
@@ -104,6 +121,6 @@
     ) -> httpcore.AsyncNetworkStream:
         """Open a connection to a numeric address."""
         try:
-            return await connect(host, port)
+            return await connect(host, port, self._max_answer_bytes)
         except OSError as error:
             raise httpcore.ConnectError(str(error)) from error
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -4,12 +4,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 
 from masticdrum.core.enginecontroller import EngineReported
 from masticdrum.model.cluster_events import Source, SourceLost, SourceRegained
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.platform.engine import Engine
+from tests.shell.endless import ENDLESS, EndlessServer
 
 REPORT = json.dumps({"models": [{"name": "m1", "version": 3}]}).encode()
 
@@ -51,3 +53,25 @@
     assert isinstance(lost, SourceLost) and lost.source is Source.ENGINE
     assert isinstance(regained, SourceRegained)
     assert reported == EngineReported({"m1": 3})
+
+
+# Guards against an agent that runs out of memory over its engine's report without end.
+@pytest.mark.parametrize("name", ENDLESS)
+def test_a_report_without_end_is_given_up(name: str) -> None:
+    submitted: list[object] = []
+
+    async def run() -> None:
+        server = EndlessServer(*ENDLESS[name])
+        async with trio.open_nursery() as nursery:
+            address = await server.listen(nursery)
+            settings = EngineControllerSettings("side-1", "north", address, "", "")
+            engine = Engine(submitted.append, settings)
+            assert await engine.read_report() is None
+            with trio.fail_after(5.0):
+                await server.closed.wait()
+            assert server.sent < 20_000_000  # kernel buffers take most of it
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    (lost,) = submitted
+    assert isinstance(lost, SourceLost) and lost.source is Source.ENGINE
