--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -4,6 +4,8 @@
 nor the number of interim answers before it, nor what follows a complete answer.
 """
 
+import re
+
 import h11
 from msgspec import Struct
 
@@ -12,6 +14,8 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_INTERIM_ANSWERS = 8  # answers with a status below 200 before the final one
+# A head that broke off within a line runs on into that of an error behind it.
+STATUS_LINE = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\S)")
 
 
 class AnswerGarbled(Exception):
@@ -30,10 +34,14 @@
 
 
 class BodyPart(Struct, frozen=True):
-    """A part of an answer's body; ``is_last`` means that the body is complete."""
+    """A part of an answer's body; ``is_last`` means that the body is complete.
+
+    With ``is_closed`` only the end of the connection says so.
+    """
 
     data: bytes
     is_last: bool
+    is_closed: bool = False
 
 
 class UpstreamConnection:
@@ -89,7 +97,7 @@
                 await self._receive()
                 continue
             if isinstance(event, h11.Response):
-                return AnswerHead(event.status_code, list(event.headers))
+                return make_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerCutOff("closed without an answer")
             interim += 1
@@ -104,7 +112,9 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return BodyPart(b"".join(parts), is_last=True)
+                # The end of a body with a length or chunks is read before a close.
+                _, is_closed = self._http.trailing_data
+                return BodyPart(b"".join(parts), is_last=True, is_closed=is_closed)
             elif event is h11.NEED_DATA:
                 return make_part(parts) if parts else None
             else:
@@ -167,6 +177,18 @@
             raise AnswerGarbled(str(error)) from error
 
 
+def make_head(event: h11.Response) -> AnswerHead:
+    """Return the head of an answer.
+
+    Raises ``AnswerGarbled`` if it has the status line of another one within it.
+    """
+    headers = list(event.headers)
+    for text in (event.reason, *(value for _, value in headers)):
+        if b"HTTP/" in text and STATUS_LINE.search(text):
+            raise AnswerGarbled("another answer's head within the head")
+    return AnswerHead(event.status_code, headers)
+
+
 def make_part(pieces: list[bytes]) -> BodyPart:
     """Return the part of a body that consists of ``pieces``; more will follow."""
     data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
