Count the bound on superseded weights from one table

Cause: two answers to one question. The bound used one time a model, set anew by each version and counted from when the process read it, so that a further version, a restart or a freeze let prompts go to all older weights for 8 s more. The kept cache and the log used another table, with a time before which the version had not been named.

Change: core/supersededweights.py keeps, by model, each version that was named with a time before which that had not happened; the bound, the kept cache and the log all ask it. An unknown time counts as long ago, not as just now: an entry that has just started sends prompts only to engines with the newest weights that it read.

Why it works: each version's time is recorded once and never replaced, and a version counts as superseded since the earliest time of any newer one (tests/core/test_supersededweights.py, random versions and times).

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -75,11 +75,11 @@
 def _filter_by_weights(
     state: ExchangeState, usable: list[KnownUpstream], model: str, now: float
 ) -> list[KnownUpstream]:
-    wanted = state.cluster_state.weights.get(model, 0)
-    named_at = state.weights_at.get(model)
-    if named_at is None or now < named_at + state.bounds.weights_s:
+    superseded = state.cluster_state.superseded
+    oldest = superseded.find_oldest(model, now, state.bounds.weights_s)
+    if oldest == 0:
         return usable
-    current = [k for k in usable if k.upstream.weights.get(model, 0) >= wanted]
+    current = [k for k in usable if k.upstream.weights.get(model, 0) >= oldest]
     # Without the platform no engine can be told to load weights. Older weights are
     # better than none then.
     return usable if not current and state.cluster_state.lost else current
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -16,6 +16,7 @@
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.restores import Restores, is_outdated
 from masticdrum.core.servedsoftware import ServedSoftware, compute_stream_life
+from masticdrum.core.supersededweights import SupersededWeights
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -89,7 +90,6 @@
         "restores",
         "software",
         "superseded",
-        "weights",
     )
 
     def __init__(self, bounds: ClusterBounds) -> None:
@@ -103,8 +103,7 @@
         self._rankings: dict[str, Ranking] = {}
         self._version_rankings: dict[tuple[str, str], Ranking] = {}
         self.drained: frozenset[str] | None = None
-        self.weights: dict[str, int] = {}
-        self.superseded: dict[tuple[str, int], float] = {}
+        self.superseded = SupersededWeights()
         self.members: tuple[Member, ...] | None = None
         self.lost: dict[Source, float] = {}
         self.reregister_until = 0.0
@@ -112,6 +111,11 @@
         self.leaving = LeavingUpstreams()
         self.software = ServedSoftware()
 
+    @property
+    def weights(self) -> dict[str, int]:
+        """The newest version of its weights that was named, by model."""
+        return self.superseded.newest
+
     @property
     def version(self) -> int:
         """The version of the configuration in force, zero if there is none."""
@@ -190,14 +194,7 @@
 
         That is None while these are the newest, and minus infinity if it isn't known.
         """
-        if version >= self.weights.get(model, 0):
-            return None
-        times = [
-            at
-            for (name, older), at in self.superseded.items()
-            if name == model and older >= version
-        ]
-        return min(times, default=float("-inf"))
+        return self.superseded.find_superseded_at(model, version)
 
     @property
     def stream_life_s(self) -> float:
@@ -443,10 +440,9 @@
     cluster_state: ClusterState, event: WeightsNamed, now: float
 ) -> list[Log]:
     before = cluster_state.weights.get(event.model, 0)
-    if event.version <= before:
+    superseded = cluster_state.superseded
+    if not superseded.record(event.model, event.version, event.not_before):
         return []
-    cluster_state.superseded[event.model, event.version - 1] = event.not_before
-    cluster_state.weights[event.model] = event.version
     facts: Facts = {
         "model": event.model,
         "version": event.version,
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -197,7 +197,6 @@
         self._ranked_members: tuple[Member, ...] | None = None
         self._rank = 0
         self._member_count = 1
-        self.weights_at: dict[str, float] = {}
         self.leased = False
         self.stop_accepting_at: float | None = None
         self.stop_deadline: float | None = None
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -27,7 +27,6 @@
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
-    WeightsNamed,
 )
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.exchange import (
@@ -141,10 +140,7 @@
 def _handle_cluster_event(
     state: ExchangeState, event: ClusterEvent, now: float
 ) -> list[ExchangeEffect]:
-    before = dict(state.cluster_state.weights)
     logs = apply_cluster_event(state.cluster_state, event, now)
-    if isinstance(event, WeightsNamed) and state.cluster_state.weights != before:
-        state.weights_at[event.model] = now
     if isinstance(event, StoreRestored):
         state.suspicion.republish(now)
     record_cluster_event(state, event, now)
