Bound when weights were named by the store's revisions

An entry that had stood still, or whose watch was cut, took a version for named no earlier than its next watch was asked, and one that saw the version written again after a restore took it for new: prompts could begin on older weights for longer than the bound by as much. On the other side a watch of weights waits up to 8 s, so that a version could count as named 8 s early, and engines that had not loaded it got nothing for as long.

Cause: what an event of a watch proves was taken to be when that watch was asked. But it tells of all changes since the answer before.

Evidence: on the code before, the tests of tests/platform/test_followers.py printed [(2, 0.0), (3, 24.0)] == [(2, 0.0), (3, 0.0)] (cut off), 1.0 == 0.0 and 0.0 == -inf (written again after a restore), and 0.0 == 3.1 (8 s early).

All kinds share one counter of revisions, so a version whose object has a later one was named after that call was sent; the configuration alone is asked for each 1.5 s. Nothing is kept over a restore, and stale reads prove nothing. Without such an answer, and for what a restore may have lost (10 s), the answered watch or list before counts.

It costs no call.

--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -17,6 +17,8 @@
     ObjectStatus,
 )
 from masticdrum.platform.objects import StoredObject
+from masticdrum.platform.revisiontimes import RevisionTimes
+from masticdrum.shell.clock import read_clock
 from masticdrum.shell.upstreamstream import UpstreamBackend
 
 T = TypeVar("T")
@@ -95,6 +97,7 @@
         self.era = 0  # the latest that an answer named
         self.restored = trio.Event()  # replaced at each restore
         self._was_silent = False
+        self._revision_times = RevisionTimes()
         self._watches: set[trio.CancelScope] = set()
 
     async def list_page(self, kind: str, after: str, *, stale: bool = False) -> Page:
@@ -102,10 +105,14 @@
         query = dict(STALE_QUERY) if stale else {}
         if after:
             query["after"] = after
+        sent_at = read_clock()
         status, body = await self._call("GET", kind, query)
         if status != 200:
             raise StoreFailed(f"list of {kind}: status {status}")
-        return decode(body, Page)
+        page = decode(body, Page)
+        if not stale:
+            self._revision_times.record(page.asOf, sent_at)
+        return page
 
     async def watch(
         self, kind: str, since: int, wait_s: float, *, stale: bool = False
@@ -116,6 +123,7 @@
         """
         query = {"watch": str(since), "waitMs": str(int(wait_s * MS_PER_S))}
         query |= STALE_QUERY if stale else {}
+        sent_at = read_clock()
         with trio.CancelScope() as scope:
             self._watches.add(scope)
             try:
@@ -128,7 +136,17 @@
             raise HistoryGone
         if status != 200:
             raise StoreFailed(f"watch of {kind}: status {status}")
-        return decode(body, Changes)
+        changes = decode(body, Changes)
+        if not stale:
+            self._revision_times.record(changes.asOf, sent_at)
+        return changes
+
+    def find_not_before(self, revision: int) -> float:
+        """Return a time before which a revision had not been written, in seconds.
+
+        That is by the answers of the present era, and minus infinity if none shows it.
+        """
+        return self._revision_times.find_not_before(revision)
 
     async def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
         """Execute a call on one of our own objects; errors become its status."""
@@ -204,6 +222,8 @@
 
     def _record_era(self, era: int) -> None:
         before, self.era = self.era, max(self.era, era)
+        if before < self.era:
+            self._revision_times.clear()
         if 0 < before < self.era:
             self._report_restored(StoreRestored(self.era, before))
             restored, self.restored = self.restored, trio.Event()
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -8,6 +8,7 @@
 import trio
 from msgspec import Raw, Struct
 
+from masticdrum.core.permits import FIRST_ERA
 from masticdrum.core.restores import REWRITE_S
 from masticdrum.model.cluster_events import (
     ClusterEvent,
@@ -98,7 +99,10 @@
         self._since = 0
         self._era = 0
         self._list_again_at = float("inf")
-        self._requested_at = float("-inf")
+        # All that was written before is known, but for what a restore may have lost
+        # and its owner writes again.
+        self._known_at = float("-inf")
+        self._rewritten_at = float("-inf")
         self._reachability = Reachability(watched.source, submit)
         self._pause_s = MIN_PAUSE_S
 
@@ -139,10 +143,12 @@
         self._list_again_at = float("inf")
         if 0 < self._era < era:
             self._list_again_at = requested_at + REWRITE_S
+        if max(self._era, FIRST_ERA) < era:
+            self._rewritten_at = requested_at + REWRITE_S
         self._era = era
         self._record_read()
         self._report_list(requested_at)
-        self._requested_at = requested_at
+        self._record_request(requested_at)
 
     async def _watch(self) -> None:
         requested_at = read_clock()
@@ -153,9 +159,9 @@
         )
         self._check_era()
         self._since = max(self._since, changes.asOf)
-        self._requested_at = requested_at
         self._record_read()
         if not changes.events:
+            self._record_request(requested_at)
             self._confirm_directory(requested_at, wait_s)
             return
         self._removed.clear()
@@ -163,8 +169,14 @@
             for stored in self._decode_objects([change.object]):
                 self._apply_change(stored, change.deleted)
         self._report_changes(requested_at)
+        self._record_request(requested_at)
         await trio.sleep(self._watched.gap_s)
 
+    def _record_request(self, requested_at: float) -> None:
+        """Record that all that was written before an answered request is known."""
+        if requested_at >= self._rewritten_at:
+            self._known_at = requested_at
+
     def _confirm_directory(self, requested_at: float, wait_s: float) -> None:
         """Report that the configuration has not changed, if the store holds one."""
         if self._watched.source is not Source.DIRECTORY:
@@ -193,10 +205,19 @@
             self._removed.discard(name)
         if self._watched.source is Source.UPSTREAMS:
             self._report_upstream(stored, deleted)
+        if self._watched.source is Source.WEIGHTS and not deleted:
+            self._report_weights(stored, self._find_not_before(stored))
         if self._watched.source is Source.CRASHES and not deleted:
             for report in self._read_crash_reports([stored]):
                 self._submit(CrashReportChanged(report))
 
+    def _find_not_before(self, stored: StoredObject) -> float:
+        """Return a time before which a change of a watch had not been written."""
+        not_before = self._store.find_not_before(stored.metadata.revision)
+        if not_before < self._rewritten_at:
+            return self._known_at
+        return max(self._known_at, not_before)
+
     def _decode_objects(self, items: Iterable[Raw]) -> list[StoredObject]:
         read: list[StoredObject] = []
         for item in items:
@@ -211,6 +232,10 @@
             reports = self._read_crash_reports(self._objects.values())
             self._submit(CrashReportsListed(tuple(reports)))
             return
+        if self._watched.source is Source.WEIGHTS:
+            for stored in self._objects.values():
+                self._report_weights(stored, self._known_at)
+            return
         if self._watched.source is not Source.UPSTREAMS:
             self._report_changes(requested_at)
             return
@@ -249,9 +274,6 @@
                 names = [n for n, s in self._objects.items() if not s.metadata.deleting]
                 removed = frozenset(self._removed)
                 self._submit(DataCentresDrained(frozenset(names), removed))
-            case Source.WEIGHTS:
-                for stored in self._objects.values():
-                    self._report_weights(stored)
             case Source.MEMBERS:
                 self._report_members()
             case _:
@@ -268,13 +290,13 @@
             return
         self._submit(DirectoryRead(directory, requested_at))
 
-    def _report_weights(self, stored: StoredObject) -> None:
+    def _report_weights(self, stored: StoredObject, not_before: float) -> None:
         try:
             model, version = read_named_weights(stored.spec)
         except msgspec.MsgspecError as error:
             self._log_unreadable(stored.metadata.name, error)
             return
-        self._submit(WeightsNamed(model, version, self._requested_at))
+        self._submit(WeightsNamed(model, version, not_before))
 
     def _report_members(self) -> None:
         members = []
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -18,7 +18,12 @@
     WeightsNamed,
 )
 from masticdrum.platform import watchers
-from masticdrum.platform.store import Change, Changes, Page, WatchInterrupted
+from masticdrum.platform.store import (
+    Change,
+    Changes,
+    Page,
+    WatchInterrupted,
+)
 from masticdrum.platform.watchers import (
     AGENT_UPSTREAMS,
     DATA_CENTRES,
@@ -49,6 +54,10 @@
         self.calls: list[tuple[str, bool]] = []
         self.era = 1
         self.began = trio.current_time()
+        self.not_before = float("-inf")  # what other answers prove
+
+    def find_not_before(self, revision: int) -> float:
+        return self.not_before
 
     async def list_page(self, kind: str, after: str, *, stale: bool = False) -> Page:
         self.calls.append(("list", stale))
@@ -116,6 +125,101 @@
     assert event.not_before > 0
 
 
+class LateWatch(KindOfStore):
+    """Lists nothing at first; its watch answers as ``answers`` say, one after another.
+
+    Each answer is the seconds that it takes, and the version of the weights that are
+    named in it or an error.
+    """
+
+    def __init__(self, answers: list[tuple[float, int | Exception]]) -> None:
+        super().__init__([], [])
+        self.answers = answers
+
+    async def watch(
+        self, kind: str, since: int, wait_s: float, *, stale: bool = False
+    ) -> Changes:
+        if not self.answers:
+            await trio.sleep_forever()
+        after_s, answer = self.answers.pop(0)
+        await trio.sleep(after_s)
+        if isinstance(answer, Exception):
+            raise answer
+        named = make_object("m1", {"model": "m1", "version": answer})
+        return Changes([Change(named)], since + 1)
+
+
+class RestoredWatch(LateWatch):
+    """Restored after a second, unless it was before the first list."""
+
+    async def watch(self, *call: Any, **more: Any) -> Changes:
+        if self.era > 1:
+            return await super().watch(*call, **more)
+        await trio.sleep(1.0)
+        self.era = 2
+        raise WatchInterrupted
+
+
+def watch_weights(
+    monkeypatch: pytest.MonkeyPatch,
+    answers: list[tuple[float, int | Exception]],
+    kind: type[LateWatch] = LateWatch,
+    **changes: Any,
+) -> list[WeightsNamed]:
+    """Return what is told of weights; the first list is asked for at zero."""
+    submitted: list[ClusterEvent] = []
+
+    async def run() -> None:
+        began = trio.current_time()
+        monkeypatch.setattr(watchers, "read_clock", lambda: trio.current_time() - began)
+        store: Any = kind(answers)
+        for name, value in changes.items():
+            setattr(store, name, value)
+        with trio.move_on_after(60.0):
+            await KindWatcher(WEIGHTS, store, submitted.append, Random(1)).run()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    return [event for event in submitted if isinstance(event, WeightsNamed)]
+
+
+# Guards against a bound that starts when a process was thawed or could reach the store
+# again: the version may have been named since the last answer.
+def test_weights_named_between_two_watches_count_from_the_last_answered_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    answers: list[tuple[float, int | Exception]] = [
+        (4.0, 2),
+        (20.0, WatchInterrupted()),
+        (0.1, 3),
+    ]
+    events = watch_weights(monkeypatch, answers)
+    assert [(event.version, event.not_before) for event in events] == [
+        (2, 0.0),
+        (3, 0.0),
+    ]
+
+
+# Guards against engines that get nothing for seconds because the watch that tells of
+# newer weights had waited long.
+def test_other_answers_tell_more_closely_when_weights_were_named(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    (event,) = watch_weights(monkeypatch, [(4.0, 2)], not_before=3.1)
+    assert event.not_before == 3.1
+
+
+# Guards against a bound that starts anew because the version is written again after a
+# restore, whether this process saw the restore or started after it.
+@pytest.mark.parametrize(("starts_after", "first"), [(False, 0.0), (True, None)])
+def test_weights_that_are_written_again_count_from_before_the_restore(
+    monkeypatch: pytest.MonkeyPatch, starts_after: bool, first: float | None
+) -> None:
+    era = 2 if starts_after else 1
+    changes = {"kind": RestoredWatch, "era": era, "not_before": 2.0}
+    events = watch_weights(monkeypatch, [(3.0, 2)], **changes)
+    assert events[0].not_before == (float("-inf") if first is None else first)
+
+
 class RestoredKind(KindOfStore):
     """Restored after a second; the watch that waits then is ended, or answered.
 
