Keep the second list after a restore though a call fails before it

After a restore each kind is listed at once, and once more when its owners have written again what was lost. A watch that failed, or whose history was gone, within those 10 s was followed by a list that forgot the second one, so that what a deletion in between had taken back could be believed for ever: a data centre that stays drained.

Evidence: the new test of tests/platform/test_followers.py printed [0, 1, 1] == [0, 1, 1, 11.0] on the code before.

Change: the time of the second list is dropped only once it has come.

--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -140,7 +140,8 @@
                 break
         self._objects, self._since = objects, since
         self._removed.clear()
-        self._list_again_at = float("inf")
+        if requested_at >= self._list_again_at:
+            self._list_again_at = float("inf")
         if 0 < self._era < era:
             self._list_again_at = requested_at + REWRITE_S
         if max(self._era, FIRST_ERA) < era:
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -22,6 +22,7 @@
     Change,
     Changes,
     Page,
+    StoreFailed,
     WatchInterrupted,
 )
 from masticdrum.platform.watchers import (
@@ -220,6 +221,36 @@
     assert events[0].not_before == (float("-inf") if first is None else first)
 
 
+# Guards against a data centre that stays drained for ever after a restore because a
+# failed call took the place of the list that was due.
+def test_a_failed_call_does_not_replace_the_second_list_after_a_restore(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(watchers, "read_clock", trio.current_time)
+    lists: list[float] = []
+
+    class Failing(RestoredKind):
+        async def watch(self, *call: Any, **more: Any) -> Changes:
+            if self.era > 1 and len(lists) == 2:
+                raise StoreFailed("reset")
+            return await super().watch(*call, **more)
+
+    async def run() -> None:
+        first = make_object("north", {})
+        store: Any = Failing(first, first, answers=True)
+        began = trio.current_time()
+
+        def submit(event: ClusterEvent) -> None:
+            if isinstance(event, DataCentresDrained):
+                lists.append(trio.current_time() - began)
+
+        with trio.move_on_after(30.0):
+            await KindWatcher(DATA_CENTRES, store, submit, Random(1)).run()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert [round(at) for at in lists] == [0, 1, 1, 1 + REWRITE_S]
+
+
 class RestoredKind(KindOfStore):
     """Restored after a second; the watch that waits then is ended, or answered.
 
