Use older weights past the bound only in outages of the store

While an entry counted any source as lost, if only the crash reports, prompts went to engines with weights of any age as long as no engine had newer ones. And as soon as nothing was lost any more they were refused, before any engine could have been ordered.

Cause: the exception asked whether anything at all is lost, not whether engines could have been told to load weights.

Evidence: on the code before, eight cases of the new tests in tests/core/test_replacedweights.py failed: {1} == set() for each lost source that has nothing to do with it, after a slow answer, and after a freeze; set() == {1} after the outage.

Change: the bound counts the time in which the store could be reached. In one, older weights are used if no engine has newer ones; after it, as long as the store could be reached for less than the bound in all since newer ones were named.

Weights whose time isn't known are used in an outage only.

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -75,11 +75,23 @@
 def _filter_by_weights(
     state: ExchangeState, usable: list[KnownUpstream], model: str, now: float
 ) -> list[KnownUpstream]:
-    superseded = state.cluster_state.superseded
-    oldest = superseded.find_oldest(model, now, state.bounds.weights_s)
+    cluster_state, bound_s = state.cluster_state, state.bounds.weights_s
+    superseded, outages = cluster_state.superseded, cluster_state.outages
+    oldest = superseded.find_oldest(model, now - bound_s)
+    current = _select_weights(usable, model, oldest)
+    if current or not usable:
+        return current
+    # While the store can't be reached no engine can be told to load weights, and older
+    # ones are better than none.
+    if outages.is_out(now):
+        return usable
+    oldest = superseded.find_oldest(model, outages.rewind(now, bound_s))
+    return _select_weights(usable, model, oldest)
+
+
+def _select_weights(
+    usable: list[KnownUpstream], model: str, oldest: int
+) -> list[KnownUpstream]:
     if oldest == 0:
         return usable
-    current = [k for k in usable if k.upstream.weights.get(model, 0) >= oldest]
-    # Without the platform no engine can be told to load weights. Older weights are
-    # better than none then.
-    return usable if not current and state.cluster_state.lost else current
+    return [k for k in usable if k.upstream.weights.get(model, 0) >= oldest]
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -16,6 +16,7 @@
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.restores import Restores, is_outdated
 from masticdrum.core.servedsoftware import ServedSoftware, compute_stream_life
+from masticdrum.core.storeoutages import StoreOutages
 from masticdrum.core.supersededweights import SupersededWeights
 from masticdrum.model.cluster_events import (
     ClusterEvent,
@@ -39,6 +40,7 @@
 
 REREGISTER_S = 2.0  # time for upstreams to register again after an outage
 OUTAGE_S = 1.0  # shorter gaps in reading expire no registration
+STORE_SOURCE = Source.DIRECTORY  # read most often, so it tells first of an outage
 MAX_LOGGED_S = 9999.0  # of a time that isn't known
 
 
@@ -85,6 +87,7 @@
         "lease",
         "lost",
         "members",
+        "outages",
         "drained",
         "reregister_until",
         "restores",
@@ -106,6 +109,7 @@
         self.superseded = SupersededWeights()
         self.members: tuple[Member, ...] | None = None
         self.lost: dict[Source, float] = {}
+        self.outages = StoreOutages()
         self.reregister_until = 0.0
         self.restores = Restores()
         self.leaving = LeavingUpstreams()
@@ -477,11 +481,15 @@
 ) -> list[Log]:
     if isinstance(event, SourceLost):
         cluster_state.lost.setdefault(event.source, now)
+        if event.source is STORE_SOURCE:
+            cluster_state.outages.record_lost(now)
         source = event.source.value
         return [
             Log(LogNumber.SOURCE_LOST, detail=event.reason, facts={"source": source})
         ]
     cluster_state.lost.pop(event.source, None)
+    if event.source is STORE_SOURCE:
+        cluster_state.outages.record_regained(now)
     if event.source is Source.UPSTREAMS and event.lost_s > OUTAGE_S:
         cluster_state.reregister_until = now + REREGISTER_S
         cluster_state.software.since = now
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -102,6 +102,7 @@
         case StopRequested():
             return _begin_stop(state, event, now)
         case Ticked():
+            state.cluster_state.outages.observe(now)
             effects = [*review_crashes(state, now), *send_records(state, now)]
             return effects + review_software(state, now)
         case (
--- a/masticdrum/core/supersededweights.py
+++ b/masticdrum/core/supersededweights.py
@@ -61,16 +61,16 @@
             default=None,
         )
 
-    def find_oldest(self, model: str, now: float, bound_s: float) -> int:
-        """Return the oldest version that is not superseded for ``bound_s`` yet.
+    def find_oldest(self, model: str, since: float) -> int:
+        """Return the oldest version that is superseded only later than ``since``.
 
-        That is zero if all are allowed.
+        That is zero if all are, and the newest version at least if its time is unknown.
         """
         return max(
             (
                 named.version
                 for named in self._named.get(model, ())
-                if now >= named.not_before + bound_s
+                if named.not_before <= since
             ),
             default=0,
         )
--- a/tests/core/test_replacedweights.py
+++ b/tests/core/test_replacedweights.py
@@ -1,7 +1,15 @@
 """Prompts don't begin on weights that were replaced for longer than the bound."""
 
-from masticdrum.model.cluster_events import UpstreamChanged, WeightsNamed
-from masticdrum.model.exchange import AttemptEnd
+import pytest
+
+from masticdrum.model.cluster_events import (
+    Source,
+    SourceLost,
+    SourceRegained,
+    UpstreamChanged,
+    WeightsNamed,
+)
+from masticdrum.model.exchange import AttemptEnd, StartAttempt, Ticked
 from masticdrum.model.telemetry import Log, LogNumber
 from tests.forwarding import BOUNDS, MODEL, Entry, get_start, make_upstream, pick
 
@@ -14,7 +22,9 @@
 def list_used_weights(entry: Entry) -> set[int]:
     """Return the weights on which some prompts are sent to run now."""
     entry.confirm()
-    starts = [get_start(entry.send_request("stream")) for _ in range(12)]
+    starts: list[StartAttempt] = []
+    for _ in range(12):
+        starts += pick(entry.send_request("stream"), StartAttempt)
     for start in starts:
         entry.end(start, AttemptEnd.ANSWERED, 200)
     return {start.expect_weights for start in starts}
@@ -61,3 +71,79 @@
     assert log.number is LogNumber.EXCHANGE_SENT
     facts = (log.facts["weights"], log.facts["newest"], log.facts["superseded_s"])
     assert facts == (1, 2, 1.5)
+
+
+def run_for(entry: Entry, seconds: float) -> None:
+    """Let an entry run, with its ticks."""
+    for _ in range(round(seconds / 0.2)):
+        entry.now += 0.2
+        entry.handle_event(Ticked())
+
+
+def lose(entry: Entry, source: Source, seconds: float) -> None:
+    """Let a source be lost for some time; the entry runs on."""
+    entry.handle_event(SourceLost(source, "silent"))
+    run_for(entry, seconds)
+
+
+# VERSION: an entry that had lost any source, such as the crash reports, used older
+# weights without a bound.
+@pytest.mark.parametrize(
+    "source", [s for s in Source if s not in (Source.DIRECTORY, Source.ENGINE)]
+)
+def test_a_lost_source_does_not_prolong_the_use_of_older_weights(
+    source: Source,
+) -> None:
+    entry = Entry()
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now))
+    lose(entry, source, BOUNDS.weights_s + 0.2)
+    assert list_used_weights(entry) == set()
+
+
+# VERSION: after an outage of the store older weights were used at once for as long as
+# another source stayed lost. Callers: nothing was served in an outage.
+def test_older_weights_are_used_in_an_outage_and_count_its_time_out() -> None:
+    entry = Entry()
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now))
+    run_for(entry, 4.0)
+    lose(entry, Source.DIRECTORY, 20.0)
+    assert list_used_weights(entry) == {1}
+    entry.handle_event(SourceRegained(Source.DIRECTORY, 20.0))
+    run_for(entry, 3.0)
+    assert list_used_weights(entry) == {1}
+    run_for(entry, 1.0)
+    assert list_used_weights(entry) == set()
+    change_weights(entry, "engines-2", 2)
+    assert list_used_weights(entry) == {2}
+
+
+def test_newer_weights_are_preferred_in_an_outage() -> None:
+    entry = Entry()
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now))
+    change_weights(entry, "engines-2", 2)
+    lose(entry, Source.DIRECTORY, 20.0)
+    assert list_used_weights(entry) == {2}
+
+
+# VERSION: one slow answer let an entry use weights of any age.
+def test_a_slow_answer_is_no_outage() -> None:
+    entry = Entry()
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now))
+    run_for(entry, BOUNDS.weights_s)
+    lose(entry, Source.DIRECTORY, 1.6)
+    assert list_used_weights(entry) == set()
+    entry.handle_event(SourceRegained(Source.DIRECTORY, 1.6))
+    assert list_used_weights(entry) == set()
+
+
+# VERSION: the time in which an entry stood still isn't one in which the store was out.
+def test_a_freeze_in_an_outage_does_not_prolong_it() -> None:
+    entry = Entry()
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now))
+    lose(entry, Source.DIRECTORY, 4.0)
+    entry.now += 20.0
+    assert list_used_weights(entry) == set()
+    entry.handle_event(Ticked())
+    assert list_used_weights(entry) == set()
+    entry.handle_event(SourceRegained(Source.DIRECTORY, 24.0))
+    assert list_used_weights(entry) == set()
--- a/tests/core/test_supersededweights.py
+++ b/tests/core/test_supersededweights.py
@@ -39,5 +39,5 @@
     for newer, at in named:
         superseded.record("m1", newer, at)
     at = superseded.find_superseded_at("m1", version)
-    is_allowed = at is None or now < at + 10.0
-    assert (version >= superseded.find_oldest("m1", now, 10.0)) == is_allowed
+    is_allowed = at is None or at > now - 10.0
+    assert (version >= superseded.find_oldest("m1", now - 10.0)) == is_allowed
