End prompts that would begin on superseded weights after the bound

Nothing is sent to older weights in the last 4 s before the bound, as the longest wait at an engine.

Cause: once sent, nobody looked at a prompt's weights again.

Change: a timer an exchange, set when it is sent to superseded weights or when newer ones are named while it waits, and cleared when its stream begins. One second before the bound an attempt that has not begun, at an engine that has not loaded newer weights meanwhile, is ended by closing its connection. It goes on at another engine if it may be repeated, within the budget of retries; if not, its outcome is unknown (504), never "not run". A prompt that may not be repeated is sent, while engines with newer weights are there, only where it is expected to begin in time. Only streams show when they begin; other answers wait as before.

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -3,6 +3,7 @@
 from masticdrum.core.clusterstate import KnownUpstream
 from masticdrum.core.coldstartpacing import Place
 from masticdrum.core.exchangestate import Exchange, ExchangeState
+from masticdrum.core.weightsbound import filter_by_weights
 
 
 def list_candidates(
@@ -28,8 +29,7 @@
         usable = [
             known for known in usable if _is_within_limit(state, known, place, now)
         ]
-    if exchange.prompt is not None:
-        usable = _filter_by_weights(state, usable, exchange.prompt.model, now)
+    usable = filter_by_weights(state, usable, exchange, now)
     remaining = usable
     if exchange.tried:
         tried = exchange.tried
@@ -70,28 +70,3 @@
 def _is_ejected(state: ExchangeState, known: KnownUpstream, now: float) -> bool:
     detector = state.outlier_detectors.get(known.upstream.name)
     return detector is not None and detector.is_ejected(now)
-
-
-def _filter_by_weights(
-    state: ExchangeState, usable: list[KnownUpstream], model: str, now: float
-) -> list[KnownUpstream]:
-    cluster_state, bound_s = state.cluster_state, state.bounds.weights_s
-    superseded, outages = cluster_state.superseded, cluster_state.outages
-    oldest = superseded.find_oldest(model, now - bound_s)
-    current = _select_weights(usable, model, oldest)
-    if current or not usable:
-        return current
-    # While the store can't be reached no engine can be told to load weights, and older
-    # ones are better than none.
-    if outages.is_out(now):
-        return usable
-    oldest = superseded.find_oldest(model, outages.rewind(now, bound_s))
-    return _select_weights(usable, model, oldest)
-
-
-def _select_weights(
-    usable: list[KnownUpstream], model: str, oldest: int
-) -> list[KnownUpstream]:
-    if oldest == 0:
-        return usable
-    return [k for k in usable if k.upstream.weights.get(model, 0) >= oldest]
--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -23,6 +23,7 @@
 
 DEADLINE = "deadline"
 ORIGIN = "origin"
+WEIGHTS = "weights"
 RETRY_AFTER_FRACTION = 0.25  # of the time left; callers wait for at most a third of it
 MIN_RETRY_AFTER_S = 0.05
 PAUSE_SPREAD = 0.25  # so that not all callers return when the upstreams' pause ends
@@ -123,6 +124,7 @@
     state.saturation.forget(exchange.service, exchange.handle)
     state.timers.clear((DEADLINE, exchange.handle))
     state.timers.clear((ORIGIN, exchange.handle))
+    state.timers.clear((WEIGHTS, exchange.handle))
 
 
 def _compute_backlog(exchange: Exchange) -> float:
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -15,6 +15,7 @@
 from masticdrum.core.crashes import list_keys, record_end
 from masticdrum.core.exchangeclose import (
     DEADLINE,
+    WEIGHTS,
     close_exchange,
     deliver_answer,
     draw_retry_after,
@@ -35,6 +36,7 @@
     record_outcome,
     update_weights,
 )
+from masticdrum.core.weightsbound import may_begin, set_timer
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.exchange import (
@@ -234,8 +236,16 @@
         state.limits.record_send(upstream.name, state.find_place(now), now)
     state.attempts += 1
     exchange.attempt = Attempt(
-        state.attempts, upstream.name, upstream.born, now, upstream.software
+        state.attempts,
+        upstream.name,
+        upstream.born,
+        now,
+        upstream.software,
+        0
+        if exchange.prompt is None
+        else upstream.weights.get(exchange.prompt.model, 0),
     )
+    set_timer(state, exchange, now)
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
@@ -252,6 +262,7 @@
         return []
     attempt = exchange.attempt
     attempt.begun_at = now
+    state.timers.clear((WEIGHTS, exchange.handle))
     state.heard_at[attempt.upstream] = now
     logs = state.limits.record_answer(
         attempt.upstream, attempt.born, event.limit_per_s, exchange.request
@@ -334,6 +345,7 @@
     if attempt is None:
         raise LookupError(f"exchange {exchange.handle} has no attempt")
     exchange.attempt = None
+    state.timers.clear((WEIGHTS, exchange.handle))
     left = state.open.get(attempt.upstream, 0) - exchange.work
     require(left >= 0, "an upstream's open work is never negative")
     if left > 0:
@@ -373,6 +385,26 @@
     return [*stop, *fail_exchange(state, exchange, ErrorKind.DEADLINE_EXCEEDED, now)]
 
 
+def end_late_start(
+    state: ExchangeState, handle: int, now: float
+) -> list[ExchangeEffect]:
+    """End an attempt before it begins on weights that are superseded for too long.
+
+    It goes on elsewhere if it may be repeated: it may have begun unseen.
+    """
+    exchange = state.exchanges.get(handle)
+    if exchange is None or exchange.attempt is None:
+        return []
+    if may_begin(state, exchange, now):
+        set_timer(state, exchange, now)
+        return []
+    number = exchange.attempt.number
+    withdrawn = AttemptEnded(
+        handle, number, AttemptEnd.WITHDRAWN, detail="weights superseded for too long"
+    )
+    return [StopAttempt(handle, number), *end_attempt(state, withdrawn, now)]
+
+
 def abandon_exchange(
     state: ExchangeState, event: ForwardDisconnected, now: float
 ) -> list[ExchangeEffect]:
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -28,14 +28,16 @@
 class ForwardBounds(Struct, frozen=True):
     """All limits on what an entry may do; times are in seconds.
 
-    ``weights_s`` is how long requests may start on older weights after newer ones were
-    named. An upstream that has crashed stays registered for ``unregister_s`` at most.
+    ``weights_s`` is how long prompts may be sent to older weights after newer ones were
+    named, ``weights_begin_s`` how long they may begin on them. An upstream that has
+    crashed stays registered for ``unregister_s`` at most.
     """
 
     cluster_state: ClusterBounds
     retries: RetryBounds
     cold: ColdStartBounds
     weights_s: float
+    weights_begin_s: float
     stop_linger_s: float
     unregister_s: float
 
@@ -44,19 +46,35 @@
     """One attempt of an exchange at an upstream.
 
     ``born`` is the upstream's incarnation, ``software`` the version of its software.
-    ``begun_at`` is when it began a stream as its answer, or None.
+    ``weights`` is the version of its model's weights that the upstream had, zero if it
+    isn't known. ``begun_at`` is when it began a stream as its answer, or None.
     """
 
-    __slots__ = ("begun_at", "born", "number", "software", "started_at", "upstream")
+    __slots__ = (
+        "begun_at",
+        "born",
+        "number",
+        "software",
+        "started_at",
+        "upstream",
+        "weights",
+    )
 
     def __init__(
-        self, number: int, upstream: str, born: int, started_at: float, software: str
+        self,
+        number: int,
+        upstream: str,
+        born: int,
+        started_at: float,
+        software: str,
+        weights: int,
     ) -> None:
         self.number = number
         self.upstream = upstream
         self.born = born
         self.started_at = started_at
         self.software = software
+        self.weights = weights
         self.begun_at: float | None = None
 
 
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -2,11 +2,12 @@
 
 from masticdrum.core.clusterstate import apply_cluster_event
 from masticdrum.core.crashes import apply_crash_event, review_crashes
-from masticdrum.core.exchangeclose import DEADLINE, ORIGIN
+from masticdrum.core.exchangeclose import DEADLINE, ORIGIN, WEIGHTS
 from masticdrum.core.exchanges import (
     abandon_exchange,
     begin_stream,
     end_attempt,
+    end_late_start,
     end_origin_search,
     expire_exchange,
     forward_events,
@@ -21,12 +22,14 @@
     review_software,
 )
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
+from masticdrum.core.weightsbound import set_timers
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     StoreRestored,
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
+    WeightsNamed,
 )
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.exchange import (
@@ -82,6 +85,8 @@
             effects += expire_exchange(state, handle, now)
         if name == ORIGIN:
             effects += end_origin_search(state, handle, now)
+        if name == WEIGHTS:
+            effects += end_late_start(state, handle, now)
     return effects
 
 
@@ -144,6 +149,8 @@
     logs = apply_cluster_event(state.cluster_state, event, now)
     if isinstance(event, StoreRestored):
         state.suspicion.republish(now)
+    if isinstance(event, WeightsNamed):
+        set_timers(state, event.model, now)
     record_cluster_event(state, event, now)
     _forget_removed_upstreams(state)
     state.pauses.forget_ended(now)
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -58,7 +58,8 @@
 STALL_RECOVERY_S = 0.2  # by then the data buffered in the kernel has been read
 # A load balancer that probes each second removes an entry after two failed probes.
 STOP_LINGER_S = 3.0
-WEIGHTS_MARGIN_S = 4.0  # longest wait of a request at its engine before it starts
+WEIGHTS_MARGIN_S = 4.0  # few prompts wait longer at their engine before they begin
+WEIGHTS_END_S = 1.0  # until an engine has dropped a prompt whose connection was closed
 # Heartbeats after which an upstream that has crashed is registered no more: three
 # without one, and time for the news.
 UNREGISTER_HEARTBEATS = 5
@@ -250,6 +251,7 @@
         ),
         cold=ColdStartBounds(settings.cold_factor, settings.cold_slack),
         weights_s=max(0.0, settings.weights_s - WEIGHTS_MARGIN_S),
+        weights_begin_s=max(0.0, settings.weights_s - WEIGHTS_END_S),
         stop_linger_s=STOP_LINGER_S,
         unregister_s=unregister_s,
     )
--- a/tests/core/test_replacedweights.py
+++ b/tests/core/test_replacedweights.py
@@ -9,7 +9,14 @@
     UpstreamChanged,
     WeightsNamed,
 )
-from masticdrum.model.exchange import AttemptEnd, StartAttempt, Ticked
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.exchange import (
+    AttemptEnd,
+    Refuse,
+    StartAttempt,
+    StopAttempt,
+    Ticked,
+)
 from masticdrum.model.telemetry import Log, LogNumber
 from tests.forwarding import BOUNDS, MODEL, Entry, get_start, make_upstream, pick
 
@@ -147,3 +154,81 @@
     assert list_used_weights(entry) == set()
     entry.handle_event(SourceRegained(Source.DIRECTORY, 24.0))
     assert list_used_weights(entry) == set()
+
+
+def send_before_the_bound(entry: Entry, route: str) -> StartAttempt:
+    """Send a prompt to weights that were superseded for nearly as long as allowed."""
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now))
+    entry.now += BOUNDS.weights_s - 0.5
+    entry.confirm()
+    start = get_start(entry.send_request(route, deadline_s=8.0))
+    assert start.expect_weights == 1
+    change_weights(entry, "engines-9", 2)
+    return start
+
+
+# VERSION: a prompt that waited at its engine began there after the bound.
+def test_a_prompt_that_waits_up_to_the_bound_goes_on_at_newer_weights() -> None:
+    entry = Entry()
+    start = send_before_the_bound(entry, "stream")
+    entry.now += BOUNDS.weights_begin_s - BOUNDS.weights_s + 0.4
+    assert not pick(entry.handle_event(Ticked()), StopAttempt)
+    entry.now += 0.2
+    effects = entry.handle_event(Ticked())
+    assert pick(effects, StopAttempt) == [StopAttempt(start.handle, start.attempt)]
+    assert get_start(effects).expect_weights == 2
+
+
+def test_a_stream_that_began_before_the_bound_goes_on() -> None:
+    entry = Entry()
+    start = send_before_the_bound(entry, "stream")
+    entry.begin(start)
+    entry.now += 6.0
+    assert not pick(entry.handle_event(Ticked()), StopAttempt)
+    assert entry.stream(start, 1)
+
+
+# TWICE, REFUSED: a prompt that can't be repeated may have begun unseen.
+def test_a_prompt_that_may_not_be_repeated_ends_with_an_unknown_outcome() -> None:
+    entry = Entry()
+    start = send_before_the_bound(entry, "once")
+    entry.now += BOUNDS.weights_begin_s - BOUNDS.weights_s + 0.5
+    effects = entry.handle_event(Ticked())
+    assert pick(effects, StopAttempt) == [StopAttempt(start.handle, start.attempt)]
+    (refused,) = pick(effects, Refuse)
+    assert (refused.kind, refused.status) == (ErrorKind.OUTCOME_UNKNOWN, 504)
+    assert not pick(effects, StartAttempt)
+
+
+# VERSION: a prompt that was sent to the newest weights waited past the bound of the
+# next version.
+def test_a_prompt_that_waits_since_before_a_version_is_ended_too() -> None:
+    entry = Entry()
+    entry.now += 1.0
+    starts = [get_start(entry.send_request("stream", deadline_s=9.9)) for _ in "ab"]
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now - 10.0))
+    change_weights(entry, starts[0].upstream, 2)
+    entry.now += BOUNDS.weights_begin_s - 10.0 + 0.2
+    effects = entry.handle_event(Ticked())
+    other = starts[1].upstream != starts[0].upstream
+    assert len(pick(effects, StopAttempt)) == other
+    assert all(start.expect_weights == 2 for start in pick(effects, StartAttempt))
+
+
+def test_a_prompt_whose_engine_has_loaded_newer_weights_stays_there() -> None:
+    entry = Entry()
+    start = send_before_the_bound(entry, "stream")
+    change_weights(entry, start.upstream, 2)
+    entry.now += BOUNDS.weights_begin_s - BOUNDS.weights_s + 0.5
+    assert not pick(entry.handle_event(Ticked()), StopAttempt)
+
+
+# Callers: a prompt that can't be repeated was sent where it could not begin in time.
+def test_a_prompt_that_may_not_be_repeated_goes_where_it_can_begin_in_time() -> None:
+    entry = Entry()
+    entry.handle_event(WeightsNamed(MODEL, 2, entry.now))
+    change_weights(entry, "engines-9", 2)
+    entry.now += BOUNDS.weights_s - 0.5
+    entry.confirm()
+    waiting = [entry.send_request("once", deadline_s=9.0) for _ in range(40)]
+    assert get_start(waiting[-1]).expect_weights == 2
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -45,6 +45,7 @@
     retries=RetryBounds(ratio=0.2, window_s=10.0, extra=20.0),
     cold=ColdStartBounds(factor=1.5, slack=5.0),
     weights_s=10.0,
+    weights_begin_s=13.0,
     stop_linger_s=3.0,
     unregister_s=6.0,
 )
