--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -3,6 +3,7 @@
 from masticdrum.core.clusterstate import KnownUpstream
 from masticdrum.core.coldstartpacing import Place
 from masticdrum.core.exchangestate import Exchange, ExchangeState
+from masticdrum.core.weightsbound import filter_by_weights
 
 
 def list_candidates(
@@ -28,8 +29,7 @@
         usable = [
             known for known in usable if _is_within_limit(state, known, place, now)
         ]
-    if exchange.prompt is not None:
-        usable = _filter_by_weights(state, usable, exchange.prompt.model, now)
+    usable = filter_by_weights(state, usable, exchange, now)
     remaining = usable
     if exchange.tried:
         tried = exchange.tried
@@ -70,16 +70,3 @@
 def _is_ejected(state: ExchangeState, known: KnownUpstream, now: float) -> bool:
     detector = state.outlier_detectors.get(known.upstream.name)
     return detector is not None and detector.is_ejected(now)
-
-
-def _filter_by_weights(
-    state: ExchangeState, usable: list[KnownUpstream], model: str, now: float
-) -> list[KnownUpstream]:
-    wanted = state.cluster_state.weights.get(model, 0)
-    named_at = state.weights_at.get(model)
-    if named_at is None or now < named_at + state.bounds.weights_s:
-        return usable
-    current = [k for k in usable if k.upstream.weights.get(model, 0) >= wanted]
-    # Without the platform no engine can be told to load weights. Older weights are
-    # better than none then.
-    return usable if not current and state.cluster_state.lost else current
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -16,6 +16,8 @@
 from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.restores import Restores, is_outdated
 from masticdrum.core.servedsoftware import ServedSoftware, compute_stream_life
+from masticdrum.core.storeoutages import StoreOutages
+from masticdrum.core.supersededweights import SupersededWeights
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -38,6 +40,7 @@
 
 REREGISTER_S = 2.0  # time for upstreams to register again after an outage
 OUTAGE_S = 1.0  # shorter gaps in reading expire no registration
+STORE_SOURCE = Source.DIRECTORY  # read most often, so it tells first of an outage
 MAX_LOGGED_S = 9999.0  # of a time that isn't known
 
 
@@ -84,12 +87,12 @@
         "lease",
         "lost",
         "members",
+        "outages",
         "drained",
         "reregister_until",
         "restores",
         "software",
         "superseded",
-        "weights",
     )
 
     def __init__(self, bounds: ClusterBounds) -> None:
@@ -103,15 +106,20 @@
         self._rankings: dict[str, Ranking] = {}
         self._version_rankings: dict[tuple[str, str], Ranking] = {}
         self.drained: frozenset[str] | None = None
-        self.weights: dict[str, int] = {}
-        self.superseded: dict[tuple[str, int], float] = {}
+        self.superseded = SupersededWeights()
         self.members: tuple[Member, ...] | None = None
         self.lost: dict[Source, float] = {}
+        self.outages = StoreOutages()
         self.reregister_until = 0.0
         self.restores = Restores()
         self.leaving = LeavingUpstreams()
         self.software = ServedSoftware()
 
+    @property
+    def weights(self) -> dict[str, int]:
+        """The newest version of its weights that was named, by model."""
+        return self.superseded.newest
+
     @property
     def version(self) -> int:
         """The version of the configuration in force, zero if there is none."""
@@ -190,14 +198,7 @@
 
         That is None while these are the newest, and minus infinity if it isn't known.
         """
-        if version >= self.weights.get(model, 0):
-            return None
-        times = [
-            at
-            for (name, older), at in self.superseded.items()
-            if name == model and older >= version
-        ]
-        return min(times, default=float("-inf"))
+        return self.superseded.find_superseded_at(model, version)
 
     @property
     def stream_life_s(self) -> float:
@@ -443,10 +444,9 @@
     cluster_state: ClusterState, event: WeightsNamed, now: float
 ) -> list[Log]:
     before = cluster_state.weights.get(event.model, 0)
-    if event.version <= before:
+    superseded = cluster_state.superseded
+    if not superseded.record(event.model, event.version, event.not_before):
         return []
-    cluster_state.superseded[event.model, event.version - 1] = event.not_before
-    cluster_state.weights[event.model] = event.version
     facts: Facts = {
         "model": event.model,
         "version": event.version,
@@ -481,11 +481,15 @@
 ) -> list[Log]:
     if isinstance(event, SourceLost):
         cluster_state.lost.setdefault(event.source, now)
+        if event.source is STORE_SOURCE:
+            cluster_state.outages.record_lost(now)
         source = event.source.value
         return [
             Log(LogNumber.SOURCE_LOST, detail=event.reason, facts={"source": source})
         ]
     cluster_state.lost.pop(event.source, None)
+    if event.source is STORE_SOURCE:
+        cluster_state.outages.record_regained(now)
     if event.source is Source.UPSTREAMS and event.lost_s > OUTAGE_S:
         cluster_state.reregister_until = now + REREGISTER_S
         cluster_state.software.since = now
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -2,11 +2,12 @@
 
 from masticdrum.core.clusterstate import apply_cluster_event
 from masticdrum.core.crashes import apply_crash_event, review_crashes
-from masticdrum.core.exchangeclose import DEADLINE, ORIGIN
+from masticdrum.core.exchangeclose import DEADLINE, ORIGIN, WEIGHTS
 from masticdrum.core.exchanges import (
     abandon_exchange,
     begin_stream,
     end_attempt,
+    end_late_start,
     end_origin_search,
     expire_exchange,
     forward_events,
@@ -21,6 +22,7 @@
     review_software,
 )
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
+from masticdrum.core.weightsbound import set_timers
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     StoreRestored,
@@ -83,6 +85,8 @@
             effects += expire_exchange(state, handle, now)
         if name == ORIGIN:
             effects += end_origin_search(state, handle, now)
+        if name == WEIGHTS:
+            effects += end_late_start(state, handle, now)
     return effects
 
 
@@ -103,6 +107,7 @@
         case StopRequested():
             return _begin_stop(state, event, now)
         case Ticked():
+            state.cluster_state.outages.observe(now)
             effects = [*review_crashes(state, now), *send_records(state, now)]
             return effects + review_software(state, now)
         case (
@@ -141,12 +146,11 @@
 def _handle_cluster_event(
     state: ExchangeState, event: ClusterEvent, now: float
 ) -> list[ExchangeEffect]:
-    before = dict(state.cluster_state.weights)
     logs = apply_cluster_event(state.cluster_state, event, now)
-    if isinstance(event, WeightsNamed) and state.cluster_state.weights != before:
-        state.weights_at[event.model] = now
     if isinstance(event, StoreRestored):
         state.suspicion.republish(now)
+    if isinstance(event, WeightsNamed):
+        set_timers(state, event.model, now)
     record_cluster_event(state, event, now)
     _forget_removed_upstreams(state)
     state.pauses.forget_ended(now)
--- a/tests/shell/test_tcpconnection.py
+++ b/tests/shell/test_tcpconnection.py
@@ -17,9 +17,13 @@
 ]
 
 
+async def connect_upstream(host: str, port: int) -> None:
+    await upstreamstream.connect(host, port, upstreamstream.MAX_ANSWER_BYTES)
+
+
 # Guards against a process that ends, or that stands still while it looks a name up, as
 # it connects to an address that is none (LOST).
-@pytest.mark.parametrize("connect", [open_tcp_connection, upstreamstream.connect])
+@pytest.mark.parametrize("connect", [open_tcp_connection, connect_upstream])
 @pytest.mark.parametrize(("host", "port"), ODD_TARGETS)
 def test_an_address_that_is_none_is_an_oserror(
     connect: object, host: str, port: int
