--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -2,169 +2,17 @@
 
 from random import Random
 
-import msgspec
 import pytest
 
 from masticdrum.core.clusterstate import OUTAGE_S
-from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.resumption import SEARCH_S
 from masticdrum.core.servedsoftware import MAX_STREAM_LIFE_S, MIN_STREAM_LIFE_S
-from masticdrum.core.softwarerecords import (
-    CLOCK_SLACK_S,
-    SOFTWARE_PATH,
-    SoftwareRecord,
-)
-from masticdrum.model.cluster_events import (
-    Source,
-    SourceLost,
-    SourceRegained,
-    StoreRestored,
-    UpstreamChanged,
-    UpstreamGone,
-    UpstreamsListed,
-)
-from masticdrum.model.directory import Upstream
-from masticdrum.model.exchange import ExchangeEffect, Refuse, StartAttempt, Ticked
-from masticdrum.model.platform import (
-    ObjectAnswer,
-    ObjectGet,
-    ObjectPut,
-    ObjectStatus,
-)
-from tests.forwarding import BOUNDS, Entry, make_upstream, pick
-
-STEP_S = 0.1
-SETTLE_S = 1.0  # until each entry has compared the record
-
-
-def make_engine(name: str, software: str) -> Upstream:
-    return make_upstream(name, "engines", software=software)
-
-
-class Platform:
-    """The object of the record; ``failing`` is the status of the next answers."""
-
-    def __init__(self) -> None:
-        self.revision = 0
-        self.body = b""
-        self.era = 1
-        self.saved = (0, b"")
-        self.writes = 0
-        self.failing: list[ObjectStatus] = []
-
-    def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
-        assert call.path == SOFTWARE_PATH
-        if self.failing:
-            return ObjectAnswer(call.call, self.failing.pop(), era=self.era)
-        if isinstance(call, ObjectPut):
-            return self.write(call)
-        if not self.revision:
-            return ObjectAnswer(call.call, ObjectStatus.MISSING, era=self.era)
-        return self.answer(call.call)
-
-    def write(self, call: ObjectPut) -> ObjectAnswer:
-        if call.expected != self.revision:
-            return ObjectAnswer(call.call, ObjectStatus.CONFLICT, era=self.era)
-        self.revision += 1
-        self.writes += 1
-        self.body = call.body
-        return self.answer(call.call)
-
-    def answer(self, call: str) -> ObjectAnswer:
-        return ObjectAnswer(
-            call, ObjectStatus.OK, self.revision, self.body, era=self.era
-        )
-
-    def save(self) -> None:
-        self.saved = (self.revision, self.body)
-
-    def restore(self) -> None:
-        self.revision, self.body = self.saved
-        self.era += 1
-
-    def read(self) -> SoftwareRecord:
-        return msgspec.json.decode(self.body, type=SoftwareRecord)
-
-
-class World:
-    """Entries that see the same upstreams, as far as they reach the platform."""
-
-    def __init__(self, entries: int, *upstreams: Upstream) -> None:
-        self.platform = Platform()
-        self.now = 1000.0
-        self.upstreams = {upstream.name: upstream for upstream in upstreams}
-        self.cut: dict[int, float] = {}
-        self.entries: list[Entry] = []
-        self.entries = [self.make_entry() for _ in range(entries)]
-        self.run(SETTLE_S)
-
-    def make_entry(self) -> Entry:
-        entry = Entry(upstreams=())
-        entry.state = ExchangeState("entry", "entry", BOUNDS, len(self.upstreams))
-        entry.now = self.now
-        self.introduce(entry)
-        return entry
-
-    def introduce(self, entry: Entry) -> None:
-        fresh = Entry(upstreams=tuple(self.upstreams.values()))
-        entry.state.cluster_state.index = fresh.state.cluster_state.index
-        self.handle(entry, UpstreamsListed(tuple(self.upstreams.values())))
-
-    def run(self, for_s: float) -> None:
-        until = self.now + for_s
-        while self.now < until:
-            self.now += STEP_S
-            for place, entry in enumerate(self.entries):
-                entry.now = self.now
-                if place not in self.cut:
-                    entry.confirm()
-                self.handle(entry, Ticked())
-
-    def handle(self, entry: Entry, event: object) -> list[ExchangeEffect]:
-        effects = list(entry.handle_event(event))
-        for call in [e for e in effects if isinstance(e, ObjectGet | ObjectPut)]:
-            is_cut = any(self.entries[place] is entry for place in self.cut)
-            lost = ObjectAnswer(call.call, ObjectStatus.LOST)
-            self.handle(entry, lost if is_cut else self.platform.execute(call))
-        return effects
-
-    def tell(self, event: object) -> None:
-        for place, entry in enumerate(self.entries):
-            if place not in self.cut:
-                self.handle(entry, event)
-
-    def add(self, name: str, software: str) -> None:
-        self.upstreams[name] = make_engine(name, software)
-        self.tell(UpstreamChanged(self.upstreams[name]))
-
-    def remove(self, name: str) -> None:
-        del self.upstreams[name]
-        self.tell(UpstreamGone(name))
-
-    def restart(self, place: int) -> Entry:
-        self.cut.pop(place, None)
-        self.entries[place] = entry = self.make_entry()
-        return entry
-
-    def goes_on(self, entry: Entry) -> bool:
-        """Take a stream up, of which no agent knows; return whether it goes on."""
-        effects = entry.send_request("stream", last_event=4)
-        if not pick(effects, StartAttempt) and not pick(effects, Refuse):
-            entry.now += SEARCH_S
-            effects = self.handle(entry, Ticked())
-        return bool(pick(effects, StartAttempt))
-
-    def cut_off(self, place: int) -> None:
-        self.cut[place] = self.now
-        self.handle(self.entries[place], SourceLost(Source.UPSTREAMS, "silent"))
-
-    def reconnect(self, place: int) -> None:
-        lost_s = self.now - self.cut.pop(place)
-        entry = self.entries[place]
-        if entry.state.software_records._era not in (0, self.platform.era):
-            self.handle(entry, StoreRestored(self.platform.era, 1))
-        self.handle(entry, SourceRegained(Source.UPSTREAMS, lost_s))
-        self.handle(entry, UpstreamsListed(tuple(self.upstreams.values())))
+from masticdrum.core.softwarerecords import CLOCK_SLACK_S
+from masticdrum.model.cluster_events import StoreRestored
+from masticdrum.model.exchange import StartAttempt
+from masticdrum.model.platform import ObjectStatus
+from tests.forwarding import pick
+from tests.softwareworld import SETTLE_S, STEP_S, World, make_engine
 
 
 # Guards against the refusal of all streams that callers take up at an entry that has
