--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -3,6 +3,7 @@
 from masticdrum.core.clusterstate import KnownUpstream
 from masticdrum.core.coldstartpacing import Place
 from masticdrum.core.exchangestate import Exchange, ExchangeState
+from masticdrum.model.directory import RouteKind
 
 
 def list_candidates(
@@ -15,8 +16,7 @@
     candidates.
     """
     usable = state.cluster_state.list_usable_upstreams(exchange.service, now)
-    if exchange.software is not None:
-        usable = [k for k in usable if k.upstream.software == exchange.software]
+    usable = _filter_by_software(state, exchange, usable)
     if not state.pauses.is_empty:
         usable = [k for k in usable if not state.pauses.is_paused(k.upstream, now)]
     if now < state.cluster_state.any_cold_until or not state.pacer.is_empty:
@@ -72,6 +72,21 @@
     return detector is not None and detector.is_ejected(now)
 
 
+def _filter_by_software(
+    state: ExchangeState, exchange: Exchange, usable: list[KnownUpstream]
+) -> list[KnownUpstream]:
+    """Leave out upstreams of versions at which a stream may not begin, or go on."""
+    if exchange.software is not None:
+        return [k for k in usable if k.upstream.software == exchange.software]
+    if exchange.route.kind is not RouteKind.STREAM:
+        return usable
+    records, service = state.software_records, exchange.service
+    registered = state.cluster_state.software.list_registered(service)
+    if all(records.has_confirmed(service, version) for version in registered):
+        return usable
+    return [k for k in usable if records.has_confirmed(service, k.upstream.software)]
+
+
 def _filter_by_weights(
     state: ExchangeState, usable: list[KnownUpstream], model: str, now: float
 ) -> list[KnownUpstream]:
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -206,11 +206,6 @@
             return compute_stream_life(())
         return self.index.stream_life_s
 
-    def has_watched_software(self, now: float, life_s: float) -> bool:
-        """Return whether no software version can have left unseen within a time."""
-        watched_long = self.software.has_watched_long(now, life_s)
-        return watched_long and self.reads_upstreams(now)
-
     def reads_upstreams(self, now: float) -> bool:
         """Return whether registrations are read, but for a short while."""
         return self.compute_outage(Source.UPSTREAMS, now) < OUTAGE_S
@@ -310,8 +305,6 @@
     cluster_state: ClusterState, event: UpstreamsListed, now: float
 ) -> list[Log]:
     logs: list[Log] = []
-    if cluster_state.software.since is None:
-        cluster_state.software.since = now
     listed = {upstream.name for upstream in event.upstreams}
     for upstream in event.upstreams:
         logs += _apply_upstream(cluster_state, upstream, now)
@@ -488,7 +481,6 @@
     cluster_state.lost.pop(event.source, None)
     if event.source is Source.UPSTREAMS and event.lost_s > OUTAGE_S:
         cluster_state.reregister_until = now + REREGISTER_S
-        cluster_state.software.since = now
     facts: Facts = {
         "source": event.source.value,
         "lost_s": round(event.lost_s, 3),
--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -159,15 +159,8 @@
     state: EngineControllerState, event: OriginQueried, now: float
 ) -> SendOriginReply:
     query = event.query
-    life_s = query.life_s
-    served = state.cluster_state.software
-    reply = OriginReply(
-        query.handle,
-        query.request,
-        state.origins.find(query.request, now),
-        tuple(sorted(served.list_versions(query.service, now, life_s))),
-        state.cluster_state.has_watched_software(now, life_s),
-    )
+    software = state.origins.find(query.request, now)
+    reply = OriginReply(query.handle, query.request, software)
     return SendOriginReply(event.peer, reply)
 
 
--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -123,6 +123,7 @@
     state.saturation.forget(exchange.service, exchange.handle)
     state.timers.clear((DEADLINE, exchange.handle))
     state.timers.clear((ORIGIN, exchange.handle))
+    state.awaiting_record.discard(exchange.handle)
 
 
 def _compute_backlog(exchange: Exchange) -> float:
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -25,9 +25,10 @@
 from masticdrum.core.resumption import (
     Resumption,
     begin_resumption,
-    finish_search,
+    continue_search,
     handle_reply,
     record_origin,
+    use_record,
 )
 from masticdrum.core.upstreamchoice import choose_upstream, estimate_work
 from masticdrum.core.upstreamnotices import (
@@ -108,14 +109,24 @@
 def end_origin_search(
     state: ExchangeState, handle: int, now: float
 ) -> list[ExchangeEffect]:
-    """Decide on a request for which not all agents have replied in time."""
+    """Go on with a request as the time of its search passes."""
     exchange = state.exchanges.get(handle)
     if exchange is None:
         return []
-    verdict, effects = finish_search(state, exchange, now)
+    verdict, effects = continue_search(state, exchange, now)
     return [*effects, *_proceed(state, exchange, verdict, now)]
 
 
+def use_software_record(state: ExchangeState, now: float) -> list[ExchangeEffect]:
+    """Go on with the requests that wait for a read of the record."""
+    effects: list[ExchangeEffect] = []
+    for handle in sorted(state.awaiting_record):
+        exchange = state.exchanges[handle]
+        verdict, logs = use_record(state, exchange, now)
+        effects += [*logs, *_proceed(state, exchange, verdict, now)]
+    return effects
+
+
 def _proceed(
     state: ExchangeState, exchange: Exchange, verdict: Resumption, now: float
 ) -> list[ExchangeEffect]:
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -61,15 +61,17 @@
 
 
 class OriginSearch(Struct):
-    """What agents have replied about where a stream began.
+    """The search for the version that began a stream.
 
-    ``versions`` are those at which it may have begun; with ``is_complete`` there are no
-    others.
+    A read of the record that was asked at ``begun_at`` or later names all versions at
+    which it may have begun; it is awaited until ``until``. ``unanswered`` counts the
+    agents that were queried and have not replied, None before the query.
     """
 
-    unanswered: int
-    versions: set[str]
-    is_complete: bool = False
+    begun_at: float
+    until: float
+    awaits_record: bool = True
+    unanswered: int | None = None
 
 
 class Exchange:
@@ -164,7 +166,8 @@
     began. ``reviewed_changes`` is up to which change of software versions their record
     was compared. ``mixed`` are the services of which several versions serve or did
     lately, ``unsent_origins`` the streams, by service and request, that agents have to
-    be told of since. ``clock_offset`` is what has to be added to its clock for the time
+    be told of since, ``awaiting_record`` the exchanges that wait for a read of that
+    record. ``clock_offset`` is what has to be added to its clock for the time
     of day, in seconds.
     """
 
@@ -191,6 +194,7 @@
         self.reviewed_changes = 0
         self.mixed: set[str] = set()
         self.unsent_origins: deque[tuple[str, str]] = deque()
+        self.awaiting_record: set[int] = set()
         self.timers: Timers[TimerName] = Timers()
         self.attempts = 0
         self.clock_offset = 0.0
@@ -240,12 +244,9 @@
         return seen | self.software_records.list_versions(service, unix_now, life_s)
 
     def knows_software(self, now: float) -> bool:
-        """Return whether those are all versions at which streams may have begun."""
-        cluster_state = self.cluster_state
-        if cluster_state.has_watched_software(now, cluster_state.stream_life_s):
-            return True
+        """Return whether those were all versions when the record was last read."""
         is_complete = self.software_records.is_complete
-        return is_complete and cluster_state.reads_upstreams(now)
+        return is_complete and self.cluster_state.reads_upstreams(now)
 
     def list_polls(self) -> list[StorePolls]:
         """List the KV cache stores that this entry polls, and how often."""
@@ -268,6 +269,7 @@
             and cluster_state.members is not None
             and cluster_state.drained is not None
             and self.suspicion.is_listed
+            and self.software_records.was_read
             and bool(cluster_state.known)
             and cluster_state.is_leased(now)
         )
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -12,12 +12,14 @@
     forward_events,
     start_exchange,
     use_origin_reply,
+    use_software_record,
 )
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.resumption import review_versions, send_records
 from masticdrum.core.softwarereview import (
     handle_record_answer,
     record_cluster_event,
+    record_tick,
     review_software,
 )
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
@@ -72,6 +74,7 @@
     """
     effects = _handle_timers(state, now)
     effects += _handle_event(state, event, now)
+    effects += review_software(state, now)
     effects += _report_lease_change(state, now)
     return effects + _finish_shutdown_if_due(state, now)
 
@@ -103,8 +106,8 @@
         case StopRequested():
             return _begin_stop(state, event, now)
         case Ticked():
-            effects = [*review_crashes(state, now), *send_records(state, now)]
-            return effects + review_software(state, now)
+            record_tick(state, now)
+            return [*review_crashes(state, now), *send_records(state, now)]
         case (
             CrashReportsListed() | CrashReportChanged() | OriginReply() | ObjectAnswer()
         ):
@@ -124,7 +127,8 @@
     if isinstance(event, OriginReply):
         return use_origin_reply(state, event, now)
     if isinstance(event, ObjectAnswer):
-        return handle_record_answer(state, event, now)
+        effects = handle_record_answer(state, event, now)
+        return effects + use_software_record(state, now)
     return [*apply_crash_event(state, event, now)]
 
 
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -2,7 +2,10 @@
 
 The caller names the request that brought the stream's first event. The entry that began
 it knows the version, and so do the agents that it told. If nobody knows it, the stream
-goes on only while one version alone can have begun it.
+goes on only if one version alone can have begun it. Streams begin only at versions that
+the record in the platform holds, so a read of it tells which these are. It has to be
+asked after the caller has come back: what this entry has read or seen before may be out
+of date without any sign of it.
 """
 
 from collections.abc import Iterator
@@ -13,6 +16,7 @@
 
 from masticdrum.core.exchangeclose import ORIGIN
 from masticdrum.core.exchangestate import Exchange, ExchangeState, OriginSearch
+from masticdrum.core.invariants import require
 from masticdrum.model.exchange import ExchangeEffect
 from masticdrum.model.origins import (
     OriginQuery,
@@ -23,6 +27,9 @@
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
 SEARCH_S = 0.2  # for replies of agents, also in another region
+READ_PATIENCE_S = 0.2  # for the record, before agents are queried too
+READ_WAIT_S = 3.0  # for the record, from a platform that is away
+READ_WAIT_FRACTION = 0.5  # of the time left, so that as much is left for the stream
 COPIES = 2  # agents that keep a stream's origin
 # Upstreams that registered since a stream began move its agents down in rank.
 QUERIED_PER_VERSION = 6
@@ -43,20 +50,53 @@
     """Find the version that began an exchange's stream, or query the agents for it."""
     if exchange.last_event is None:
         return Resumption.ALLOWED, []
-    life_s = state.cluster_state.stream_life_s
     known = state.origins.find(exchange.resumes, now)
     if known is not None:
-        return _allow(exchange, known, "own record")
+        return _allow(state, exchange, known, "own record", now)
+    wait_s = min(READ_WAIT_S, READ_WAIT_FRACTION * (exchange.deadline - now))
+    exchange.search = OriginSearch(now, now + wait_s)
+    if len(state.list_software(exchange.service, now)) > 1:
+        exchange.search.awaits_record = False
+        return _query_agents(state, exchange, now)
+    state.awaiting_record.add(exchange.handle)
+    state.software_records.request_read(now)
+    state.timers.set((ORIGIN, exchange.handle), now + READ_PATIENCE_S)
+    return Resumption.SEARCHING, []
+
+
+def use_record(
+    state: ExchangeState, exchange: Exchange, now: float
+) -> tuple[Resumption, list[ExchangeEffect]]:
+    """Decide by the record on a stream that waits for a read of it, if it can."""
+    search = exchange.search
+    records = state.software_records
+    if search is None:
+        return Resumption.SEARCHING, []
+    if records.read_at < search.begun_at:
+        records.request_read(now)
+        return Resumption.SEARCHING, []
     versions = state.list_software(exchange.service, now)
-    if len(versions) <= 1 and state.knows_software(now):
-        return _allow(exchange, next(iter(versions), None), "only version")
-    addresses = _list_queried(state, exchange)
-    if not addresses:
-        return _refuse(exchange, versions)
-    exchange.search = OriginSearch(len(addresses), versions)
-    state.timers.set((ORIGIN, exchange.handle), now + SEARCH_S)
-    query = OriginQuery(exchange.handle, exchange.resumes, exchange.service, life_s)
-    return Resumption.SEARCHING, [SendToAgents(addresses, query)]
+    if records.is_complete and len(versions) <= 1:
+        if _awaits_own_write(state, exchange.service, versions):
+            return Resumption.SEARCHING, []
+        version = next(iter(versions), None)
+        return _allow(state, exchange, version, "only version", now)
+    state.awaiting_record.discard(exchange.handle)
+    search.awaits_record = False
+    if search.unanswered is None:
+        return _query_agents(state, exchange, now)
+    if search.unanswered == 0:
+        return _refuse(state, exchange, now)
+    return Resumption.SEARCHING, []
+
+
+def _awaits_own_write(state: ExchangeState, service: str, versions: set[str]) -> bool:
+    """Return whether a version that serves has yet to be recorded by this entry."""
+    return any(
+        version in versions
+        and not state.software_records.has_confirmed(service, version)
+        for version in state.cluster_state.software.list_registered(service)
+    )
 
 
 def handle_reply(
@@ -67,31 +107,46 @@
     if search is None or reply.request != exchange.resumes:
         return Resumption.SEARCHING, []
     if reply.software is not None:
-        _end_search(state, exchange)
         service = exchange.service
         state.origins.record(exchange.resumes, reply.software, now, service)
-        return _allow(exchange, reply.software, "agent")
+        return _allow(state, exchange, reply.software, "agent", now)
+    if search.unanswered is None or search.unanswered <= 0:
+        return Resumption.SEARCHING, []
     search.unanswered -= 1
-    search.versions |= set(reply.versions)
-    search.is_complete |= reply.is_complete
     if search.unanswered > 0:
         return Resumption.SEARCHING, []
-    return finish_search(state, exchange, now)
+    return continue_search(state, exchange, now)
 
 
-def finish_search(
+def continue_search(
     state: ExchangeState, exchange: Exchange, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
-    """Decide on a stream of which no agent has said where it began."""
+    """Query agents, wait on for the record, or give up, as a search's time passes."""
     search = exchange.search
     if search is None:
         return Resumption.SEARCHING, []
-    _end_search(state, exchange)
-    versions = search.versions | state.list_software(exchange.service, now)
-    is_complete = search.is_complete or state.knows_software(now)
-    if is_complete and len(versions) <= 1:
-        return _allow(exchange, next(iter(versions), None), "only version")
-    return _refuse(exchange, versions)
+    if search.unanswered is None:
+        return _query_agents(state, exchange, now)
+    search.unanswered = 0
+    if search.awaits_record and now < search.until:
+        state.timers.set((ORIGIN, exchange.handle), search.until)
+        return Resumption.SEARCHING, []
+    return _refuse(state, exchange, now)
+
+
+def _query_agents(
+    state: ExchangeState, exchange: Exchange, now: float
+) -> tuple[Resumption, list[ExchangeEffect]]:
+    search = exchange.search
+    require(search is not None, "agents are queried in a search only")
+    addresses = _list_queried(state, exchange)
+    if search is not None:
+        search.unanswered = len(addresses)
+    if not addresses:
+        return continue_search(state, exchange, now)
+    state.timers.set((ORIGIN, exchange.handle), now + SEARCH_S)
+    query = OriginQuery(exchange.handle, exchange.resumes)
+    return Resumption.SEARCHING, [SendToAgents(addresses, query)]
 
 
 def record_origin(
@@ -208,22 +263,40 @@
 def _end_search(state: ExchangeState, exchange: Exchange) -> None:
     exchange.search = None
     state.timers.clear((ORIGIN, exchange.handle))
+    state.awaiting_record.discard(exchange.handle)
 
 
 def _allow(
-    exchange: Exchange, software: str | None, source: str
+    state: ExchangeState,
+    exchange: Exchange,
+    software: str | None,
+    source: str,
+    now: float,
 ) -> tuple[Resumption, list[ExchangeEffect]]:
+    log = _log(state, exchange, source, {software or ""}, now)
     exchange.software = software
-    return Resumption.ALLOWED, [_log(exchange, source, {software or ""})]
+    _end_search(state, exchange)
+    return Resumption.ALLOWED, [log]
 
 
 def _refuse(
-    exchange: Exchange, versions: set[str]
+    state: ExchangeState, exchange: Exchange, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
-    return Resumption.REFUSED, [_log(exchange, "unknown", versions)]
-
-
-def _log(exchange: Exchange, source: str, versions: set[str]) -> Log:
+    versions = state.list_software(exchange.service, now)
+    log = _log(state, exchange, "unknown", versions, now)
+    _end_search(state, exchange)
+    return Resumption.REFUSED, [log]
+
+
+def _log(
+    state: ExchangeState,
+    exchange: Exchange,
+    source: str,
+    versions: set[str],
+    now: float,
+) -> Log:
+    records = state.software_records
+    begun_at = now if exchange.search is None else exchange.search.begun_at
     return Log(
         LogNumber.STREAM_TAKEN_UP,
         request=exchange.request,
@@ -232,5 +305,8 @@
             "resumes": exchange.resumes,
             "after_event": -1 if exchange.last_event is None else exchange.last_event,
             "versions": sorted(versions),
+            "waited_s": round(now - begun_at, 3),
+            "read_s": round(now - records.read_at, 3) if records.was_read else -1.0,
+            "complete": records.is_complete,
         },
     )
--- a/masticdrum/core/servedsoftware.py
+++ b/masticdrum/core/servedsoftware.py
@@ -1,8 +1,8 @@
 """Which versions of its software the upstreams of a service run, or ran lately.
 
 What two versions write doesn't fit together, so a stream goes on only at the version
-that began it. While one version alone has served for as long as a stream can last,
-every stream began at it.
+that began it. An entry counts what it has seen itself; what others have seen is in the
+record (``softwarerecords.py``).
 
 No page bounds how long that is. A stream may be cut at the timeout of its route and be
 taken up once more, so that twice the longest timeout is taken for its life, in seconds.
@@ -26,14 +26,12 @@
 class ServedSoftware:
     """The versions of each service, from the registrations of its upstreams.
 
-    ``since`` is from when on each registration was read, or None before the first list.
     ``changes`` counts the versions that have come or left.
     """
 
-    __slots__ = ("_left", "_registered", "changes", "since")
+    __slots__ = ("_left", "_registered", "changes")
 
     def __init__(self) -> None:
-        self.since: float | None = None
         self.changes = 0
         self._registered: dict[str, dict[str, int]] = {}
         self._left: dict[str, dict[str, float]] = {}
@@ -68,7 +66,3 @@
             del left[version]
         lately = [version for version, at in left.items() if now < at + life_s]
         return {*self._registered.get(service, ()), *lately}
-
-    def has_watched_long(self, now: float, life_s: float) -> bool:
-        """Return whether no version can have left unseen within a stream's life."""
-        return self.since is not None and now >= self.since + life_s
--- a/masticdrum/core/softwarerecords.py
+++ b/masticdrum/core/softwarerecords.py
@@ -1,13 +1,14 @@
 """Keeps in the platform which versions of their software upstreams run, or ran lately.
 
-A process that starts, or that was cut off, has not seen at which versions open streams
-may have begun. So entries record each version that they see in one object, and when its
-last upstream has left. An entry that has read the object knows all versions, however
-short it has watched itself.
-
-A platform that comes back from an older copy may have lost versions. Its answers name
-the era, which rises each time; the object names the latest era in which an entry that
-knew all versions has completed it.
+A stream may have begun at any upstream that any entry knew. So entries begin streams
+only at versions that the record in the platform holds: each entry has read or written
+them there. A read that was asked after a stream had begun names its version, however
+little its reader has seen itself.
+
+An entry records the versions that it sees in one object, and since when none of a
+version's upstreams is registered. A platform that comes back from an older copy may
+have lost versions. Its answers name the era, which rises each time; the object names
+the latest era in which an entry that knew all versions has completed it.
 """
 
 from random import Random
@@ -29,6 +30,10 @@
 SPREAD_S = 0.2  # entries see a version at once; most then find it recorded
 RETRY_S = 0.5
 REREAD_S = 1.0  # while the record may lack versions
+# A version counts as gone when none of its upstreams was registered for this time, in
+# which an entry that is cut off notices it.
+ABSENT_S = 10.0
+STALL_S = 1.0  # between two ticks; versions may have come and gone unseen
 CLOCK_SLACK_S = 5.0  # between the times of day of two machines
 NEVER = float("inf")
 
@@ -47,14 +52,19 @@
 class SoftwareRecords:
     """One entry's copy of the record, with at most one call to the platform at a time.
 
-    ``next_call`` and ``handle_answer`` are called with a clock in seconds.
+    ``next_call`` and ``handle_answer`` are called with a clock in seconds. ``read_at``
+    is when the last read that was answered had been asked, minus infinity before.
     """
 
     __slots__ = (
+        "_absent",
+        "_asked_at",
         "_calls",
+        "_confirmed",
         "_due_at",
         "_era",
         "_is_read",
+        "_lost",
         "_may_complete_at",
         "_must_read",
         "_pending",
@@ -62,7 +72,12 @@
         "_proposed",
         "_random",
         "_record",
+        "_retry_at",
         "_revision",
+        "_spreads_write",
+        "_ticked_at",
+        "_wanted_at",
+        "read_at",
     )
 
     def __init__(self, random: Random) -> None:
@@ -78,6 +93,24 @@
         self._may_complete_at = 0.0
         self._is_read = False
         self._must_read = True
+        self._asked_at = -NEVER
+        self._retry_at = -NEVER
+        self._wanted_at = -NEVER
+        self._spreads_write = True
+        self._ticked_at = NEVER
+        self._absent: dict[tuple[str, str], float] = {}
+        self._confirmed: set[tuple[str, str]] = set()
+        self._lost: dict[str, dict[str, float]] = {}
+        self.read_at = -NEVER
+
+    @property
+    def was_read(self) -> bool:
+        """Whether this process has ever read the record."""
+        return self.read_at > -NEVER
+
+    def has_confirmed(self, service: str, version: str) -> bool:
+        """Return whether streams may begin at a version, since the record holds it."""
+        return (service, version) in self._confirmed
 
     @property
     def is_complete(self) -> bool:
@@ -99,18 +132,61 @@
     def list_versions(self, service: str, unix_now: float, life_s: float) -> set[str]:
         """List the versions that upstreams run, or ran within a stream's life."""
         since = unix_now - life_s - CLOCK_SLACK_S
-        versions = self._record.versions.get(service, {})
+        versions = {
+            **self._lost.get(service, {}),
+            **self._record.versions.get(service, {}),
+        }
         return {version for version, at in versions.items() if not at or at > since}
 
+    def record_change(self, software: ServedSoftware, now: float) -> None:
+        """Review the record, since a version has come or left."""
+        self._confirmed = {
+            (service, version)
+            for service, version in self._confirmed
+            if version in software.list_registered(service)
+        }
+        self.request_review(now)
+
+    def record_tick(
+        self, software: ServedSoftware, is_current: bool, now: float
+    ) -> None:
+        """Note which versions are absent, and whether this process stood still.
+
+        ``is_current`` states whether the registrations are read.
+        """
+        stalled = now - self._ticked_at > STALL_S
+        self._ticked_at = now
+        if stalled:
+            # Others may have recorded that a version that is in use here is gone.
+            self.request_review(now)
+        before = self._absent if is_current and not stalled else {}
+        self._absent = {
+            (service, version): before.get((service, version), now)
+            for service, versions in self._record.versions.items()
+            for version, at in versions.items()
+            if not at and version not in software.list_registered(service)
+        }
+        is_idle = self._due_at == NEVER and not self._pending
+        if is_idle and any(now >= at + ABSENT_S for at in self._absent.values()):
+            self.request_review(now)
+
+    def request_read(self, now: float) -> None:
+        """Read the record as soon as possible; the read is asked after ``now``."""
+        self._must_read = True
+        self._wanted_at = now
+        self._due_at = min(self._due_at, max(now, self._retry_at))
+
     def request_review(self, now: float) -> None:
         """Compare the record with what this entry sees, soon."""
         spread_s = self._random.uniform(0.0, SPREAD_S) if self._is_read else 0.0
         self._must_read = True
+        self._wanted_at = now
         self._due_at = min(self._due_at, now + spread_s)
 
     def record_interruption(self, now: float) -> None:
         """Read the record again, since versions may have come and gone unseen."""
         self._is_read = False
+        self._spreads_write = True
         self.request_review(now)
 
     def record_restore(self, era: int, may_complete_at: float, now: float) -> None:
@@ -128,21 +204,32 @@
         """Return the call to make now, if any."""
         if self._pending or now < self._due_at:
             return None
-        self._calls += 1
-        self._pending_era = self._era
         if self._must_read:
-            self._pending = f"software read {self._calls}"
+            self._begin_call("software read", now)
             return ObjectGet(self._pending, SOFTWARE_PATH)
+        self._confirm(software)
         self._proposed = self._merge(software, now, unix_now)
         if self._proposed == self._record:
             # Another entry may complete the record.
             self._must_read = self._record.era < self._era
             self._due_at = now + REREAD_S if self._must_read else NEVER
             return None
-        self._pending = f"software write {self._calls}"
+        if self._spreads_write:
+            # All entries may have started together, and one write is enough.
+            self._spreads_write = False
+            self._must_read = True
+            self._due_at = now + self._random.uniform(0.0, SPREAD_S)
+            return None
+        self._begin_call("software write", now)
         body = msgspec.json.encode(self._proposed)
         return ObjectPut(self._pending, SOFTWARE_PATH, body, self._revision)
 
+    def _begin_call(self, name: str, now: float) -> None:
+        self._calls += 1
+        self._pending = f"{name} {self._calls}"
+        self._pending_era = self._era
+        self._asked_at = now
+
     def handle_answer(self, answer: ObjectAnswer, now: float, life_s: float) -> bool:
         """Handle the platform's answer; returns whether the copy has changed."""
         if answer.call != self._pending:
@@ -158,6 +245,8 @@
         match answer.status:
             case ObjectStatus.OK if wrote:
                 self._record, self._revision = self._proposed, answer.version
+                self._lost = {}
+                self.read_at = self._asked_at
             case ObjectStatus.OK:
                 self._install(decode_record(answer.body), answer.version, now, life_s)
             case ObjectStatus.MISSING if not wrote:
@@ -169,7 +258,8 @@
                 return False
             case _:
                 self._must_read = True
-                self._due_at = now + self._random.uniform(0.5, 1.0) * RETRY_S
+                self._retry_at = now + self._random.uniform(0.5, 1.0) * RETRY_S
+                self._due_at = self._retry_at
                 return False
         return True
 
@@ -177,14 +267,26 @@
         self, record: SoftwareRecord, revision: int, now: float, life_s: float
     ) -> None:
         for service, known in self._record.versions.items():
-            versions = record.versions.setdefault(service, {})
-            for version, at in known.items():
-                versions.setdefault(version, at)
+            lost = self._lost.setdefault(service, {})
+            lost |= {
+                version: at
+                for version, at in known.items()
+                if version not in record.versions.get(service, {})
+            }
         if record.era < self._era and not self._is_read and not self._may_complete_at:
             self._may_complete_at = now + life_s
         self._record, self._revision = record, revision
         self._is_read = True
-        self._must_read = False
+        self._must_read = self._asked_at < self._wanted_at
+        self.read_at = self._asked_at
+
+    def _confirm(self, software: ServedSoftware) -> None:
+        self._confirmed |= {
+            (service, version)
+            for service, versions in self._record.versions.items()
+            for version in software.list_registered(service)
+            if versions.get(version) == 0.0
+        }
 
     def _merge(
         self, software: ServedSoftware, now: float, unix_now: float
@@ -207,6 +309,7 @@
     ) -> dict[str, float]:
         seen = software.list_versions(service, now, MAX_STREAM_LIFE_S)
         versions = dict.fromkeys(sorted(seen), 0.0)
+        versions |= self._lost.get(service, {})
         versions |= self._record.versions.get(service, {})
         registered = software.list_registered(service)
         oldest = unix_now - MAX_STREAM_LIFE_S - CLOCK_SLACK_S
@@ -215,11 +318,18 @@
             if version in registered:
                 merged[version] = 0.0
             elif not at:
-                merged[version] = unix_now
+                merged[version] = self._find_absence(service, version, now, unix_now)
             elif at > oldest:
                 merged[version] = at
         return merged
 
+    def _find_absence(
+        self, service: str, version: str, now: float, unix_now: float
+    ) -> float:
+        """Return since when a version is gone, in Unix seconds, or zero."""
+        absent_at = self._absent.get((service, version), now)
+        return unix_now - (now - absent_at) if now >= absent_at + ABSENT_S else 0.0
+
 
 def decode_record(body: bytes) -> SoftwareRecord:
     """Decode the stored object; an unreadable one is replaced."""
--- a/masticdrum/core/softwarereview.py
+++ b/masticdrum/core/softwarereview.py
@@ -20,7 +20,7 @@
     changes = state.cluster_state.software.changes
     if changes != state.reviewed_changes:
         state.reviewed_changes = changes
-        records.request_review(now)
+        records.record_change(state.cluster_state.software, now)
     if isinstance(event, StoreRestored):
         records.record_restore(event.era, _find_complete_at(state, now), now)
     if not isinstance(event, SourceRegained):
@@ -29,6 +29,13 @@
         records.record_interruption(now)
 
 
+def record_tick(state: ExchangeState, now: float) -> None:
+    """Note which recorded versions no upstream runs."""
+    cluster_state = state.cluster_state
+    is_current = cluster_state.reads_upstreams(now)
+    state.software_records.record_tick(cluster_state.software, is_current, now)
+
+
 def review_software(state: ExchangeState, now: float) -> list[ExchangeEffect]:
     """Make the call to the platform that the record needs now, if any."""
     unix_now = now + state.clock_offset
--- a/masticdrum/model/origins.py
+++ b/masticdrum/model/origins.py
@@ -16,30 +16,18 @@
 
 
 class OriginQuery(Struct, frozen=True, array_like=True, tag="query"):
-    """Asks which version began a stream; ``handle`` is echoed in the reply.
-
-    The stream may have begun ``life_s`` seconds ago.
-    """
+    """Asks which version began a stream; ``handle`` is echoed in the reply."""
 
     handle: int
     request: str
-    service: str
-    life_s: float
 
 
 class OriginReply(Struct, frozen=True, array_like=True, tag="reply"):
-    """What an agent knows of a stream's origin.
-
-    ``software`` is the version that began it, or None. ``versions`` are those at which
-    streams of the service may have begun within the time that the query names; with
-    ``is_complete`` there are no others.
-    """
+    """The version that began a stream, or None if the agent doesn't know it."""
 
     handle: int
     request: str
     software: str | None
-    versions: tuple[str, ...]
-    is_complete: bool
 
 
 OriginMessage = OriginRecord | OriginQuery | OriginReply
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -20,10 +20,8 @@
 from masticdrum.core.leavingupstreams import LeavingUpstreams
 from masticdrum.core.orderexecution import OrderExecution
 from masticdrum.core.requestlimits import RequestLimits
-from masticdrum.core.resumption import Resumption
 from masticdrum.core.retrywindow import RetryWindow
 from masticdrum.core.saturation import Queue, Saturation
-from masticdrum.core.servedsoftware import ServedSoftware
 from masticdrum.core.softwarerecords import SoftwareRecords
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.upstreampauses import UpstreamPauses
@@ -198,19 +196,43 @@
 
 def resume_at_any_version(patch: Patch) -> None:
     """Let a stream that its caller takes up go on at any software version."""
-    patch.setattr(resumption, "_allow", lambda *given: (Resumption.ALLOWED, []))
+    allow = resumption._allow
+
+    def allow_anywhere(state, exchange, *given):
+        verdict = allow(state, exchange, *given)
+        exchange.software = None
+        return verdict
+
+    patch.setattr(resumption, "_allow", allow_anywhere)
 
 
 def trust_the_only_version(patch: Patch) -> None:
-    """Take for granted that no other software version served before."""
-    patch.setattr(ServedSoftware, "has_watched_long", lambda *given: True)
+    """Take the version that an entry has seen or read for the only one."""
+
+    def begin_resumption(state, exchange, now):
+        versions = state.list_software(exchange.service, now)
+        if exchange.last_event is None or len(versions) > 1:
+            return resumption.begin_resumption(state, exchange, now)
+        return resumption._allow(state, exchange, *versions, "only version", now)
+
+    patch.setattr(exchanges, "begin_resumption", begin_resumption)
 
 
 def trust_an_unread_record(patch: Patch) -> None:
-    """Take the record of versions for complete before it was read again."""
+    """Take the record of versions for complete after a restore."""
     patch.setattr(SoftwareRecords, "is_complete", True)
 
 
+def begin_at_unrecorded_versions(patch: Patch) -> None:
+    """Let streams begin at versions that the record doesn't hold."""
+    patch.setattr(SoftwareRecords, "has_confirmed", lambda *given: True)
+
+
+def record_unseen_versions_as_gone(patch: Patch) -> None:
+    """Take a version for gone as soon as none of its upstreams is known."""
+    patch.setattr(SoftwareRecords, "_find_absence", lambda *given: given[-1])
+
+
 def end_streams_with_any_answer(patch: Patch) -> None:
     """Take any answer for the rest of a stream."""
     patch.setattr(exchanges, "_answers_stream_otherwise", lambda *given: False)
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -13,6 +13,7 @@
     test_keptparts,
     test_leavingupstreams,
     test_ordercourse,
+    test_outofstep,
     test_requestlimits,
     test_resumption,
     test_saturation,
@@ -124,15 +125,33 @@
     ),
     (
         forwardmutants.trust_the_only_version,
-        test_resumption.test_an_entry_that_has_just_started_does_not_trust_the_only_version,
+        partial(
+            test_outofstep.test_an_entry_that_stood_still_joins_no_streams,
+            frozen_s=3.0,
+        ),
     ),
     (
-        forwardmutants.trust_an_unread_record,
+        forwardmutants.trust_the_only_version,
         partial(
-            test_softwarerecords.test_an_entry_that_was_cut_off_reads_what_it_has_missed,
-            came=True,
+            test_outofstep.test_an_entry_that_is_cut_off_unnoticed_joins_no_streams,
+            cut_s=3.0,
         ),
     ),
+    (
+        forwardmutants.begin_at_unrecorded_versions,
+        test_softwarerecords.test_no_stream_begins_at_a_version_that_can_not_be_recorded,
+    ),
+    (
+        forwardmutants.record_unseen_versions_as_gone,
+        partial(
+            test_softwarerecords.test_a_version_that_an_entry_has_not_heard_of_yet_is_not_recorded_as_gone,
+            frozen_s=0.0,
+        ),
+    ),
+    (
+        forwardmutants.trust_an_unread_record,
+        test_softwarerecords.test_after_a_restore_that_no_entry_outlived_a_streams_life_passes,
+    ),
     (
         forwardmutants.end_streams_with_any_answer,
         partial(
--- a/tests/core/test_resumption.py
+++ b/tests/core/test_resumption.py
@@ -12,6 +12,8 @@
 from masticdrum.core.resumption import (
     COPIES,
     QUERIED_PER_VERSION,
+    READ_PATIENCE_S,
+    READ_WAIT_S,
     RECORDS_AT_ONCE,
     SEARCH_S,
 )
@@ -20,6 +22,7 @@
     MIN_STREAM_LIFE_S,
     compute_stream_life,
 )
+from masticdrum.core.softwarerecords import CLOCK_SLACK_S, SPREAD_S
 from masticdrum.core.streamorigins import MAX_NAME_CHARS, MAX_ORIGINS, StreamOrigins
 from masticdrum.model.cluster_events import (
     DirectoryRead,
@@ -49,6 +52,12 @@
     SendOriginReply,
     SendToAgents,
 )
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectGet,
+    ObjectPut,
+    ObjectStatus,
+)
 from tests.forwarding import (
     MODEL,
     Entry,
@@ -58,6 +67,7 @@
     make_upstream,
     pick,
 )
+from tests.softwareplatform import Platform
 
 PEER = ("10.0.1.1", 7702)
 
@@ -75,14 +85,34 @@
     return Entry(upstreams=upstreams)
 
 
-def restart_entry(now: float, *upstreams: Upstream) -> Entry:
-    """Return an entry that starts at ``now``."""
-    entry = make_entry(*upstreams)
-    entry.now = now
-    entry.state.cluster_state.software.since = None
-    entry.handle_event(UpstreamsListed(upstreams))
-    entry.confirm()
-    return entry
+def restart_entry(
+    now: float, *upstreams: Upstream, platform: Platform | None = None
+) -> Entry:
+    """Return an entry that starts at ``now``, beside others on the same platform."""
+    return Entry(upstreams=upstreams, now=now, platform=platform)
+
+
+def pass_time(entry: Entry, for_s: float) -> None:
+    """Let time pass for an entry that reads the platform all the while."""
+    until = entry.now + for_s
+    while entry.now < until:
+        entry.now = min(until, entry.now + SPREAD_S)
+        entry.confirm()
+        entry.handle_event(Ticked())
+
+
+class Cut:
+    """A platform that can't be reached, and says so."""
+
+    def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
+        return ObjectAnswer(call.call, ObjectStatus.LOST)
+
+
+def expire_wait(entry: Entry) -> list[ExchangeEffect]:
+    """Let the time pass for which a caller waits for the record."""
+    effects = expire_search(entry) + expire_search(entry)
+    entry.now += READ_WAIT_S
+    return effects + entry.handle_event(Ticked())
 
 
 def age_entry(entry: Entry) -> None:
@@ -300,15 +330,19 @@
 def test_an_entry_that_was_cut_off_does_not_trust_the_only_version(
     regained: bool,
 ) -> None:
-    entry = make_entry(*OLD)
+    platform = Platform()
+    entry = restart_entry(100.0, *OLD, platform=platform)
     age_entry(entry)
+    entry.platform = Cut()
     entry.handle_event(SourceLost(Source.UPSTREAMS, "silent"))
+    restart_entry(entry.now, *OLD, *NEW, platform=platform)
     entry.now += 2 * OUTAGE_S
     entry.confirm()
     if regained:
+        entry.platform = platform
         entry.handle_event(SourceRegained(Source.UPSTREAMS, 2 * OUTAGE_S))
-    take_up(entry, "elsewhere")
-    assert pick(expire_search(entry), Refuse)
+    effects = take_up(entry, "elsewhere") + expire_wait(entry)
+    assert pick(effects, Refuse) and not pick(effects, StartAttempt)
 
 
 def test_a_short_loss_of_the_store_hides_no_version() -> None:
@@ -354,28 +388,54 @@
 
 # Guards against an entry that has just started, sees one version only and joins
 # streams of another that has just left (ORDER).
-def test_an_entry_that_has_just_started_does_not_trust_the_only_version() -> None:
-    entry = make_entry(*NEW)
-    take_up(entry, "elsewhere", Agents())
-    assert pick(expire_search(entry), Refuse)
-    agents = Agents(*OLD, *NEW)
-    for upstream in OLD:
-        del agents.states[upstream.address]
-    age_entry(entry)
-    fresh = restart_entry(entry.now, *NEW)
-    for state in agents.states.values():
-        reduce_engine_controller(state, UpstreamsListed(NEW), fresh.now)
-    assert pick(take_up(fresh, "elsewhere", agents), Refuse)
+@pytest.mark.parametrize("agents", [Agents(), Agents(*NEW)])
+def test_an_entry_that_has_just_started_does_not_trust_the_only_version(
+    agents: Agents,
+) -> None:
+    platform = Platform()
+    entry = restart_entry(100.0, *OLD, *NEW, platform=platform)
+    fresh = restart_entry(entry.now, *NEW, platform=platform)
+    effects = take_up(fresh, "elsewhere", agents)
+    effects += [] if agents.states else expire_search(fresh)
+    assert pick(effects, Refuse) and not pick(effects, StartAttempt)
 
 
 def test_an_entry_that_has_just_started_learns_that_no_other_version_has_served() -> (
     None
 ):
+    platform = Platform()
+    restart_entry(100.0, *OLD, platform=platform)
+    fresh = restart_entry(101.0, *OLD, platform=platform)
+    assert get_start(take_up(fresh, "elsewhere"))
+
+
+# Guards against an agent that is out of step and vouches for the only version (ORDER).
+def test_agents_do_not_vouch_for_the_only_version() -> None:
+    agents = Agents(*OLD)
+    entry = make_entry(*OLD)
+    age_entry(entry)
+    entry.platform = Cut()
+    effects = take_up(entry, "elsewhere", agents)
+    entry.now += READ_PATIENCE_S
+    queries = entry.handle_event(Ticked())
+    assert pick(queries, SendToAgents)
+    effects += queries + agents.deliver(entry, queries)
+    assert not pick(effects, Refuse)
+    effects += expire_wait(entry)
+    assert pick(effects, Refuse) and not pick(effects, StartAttempt)
+
+
+# Guards against streams that are refused while the platform is away, though an agent
+# knows where they began (LOST).
+def test_agents_are_queried_while_the_record_can_not_be_read() -> None:
     agents = Agents(*OLD)
+    agents.states[OLD[0].address].origins.record("elsewhere", "v1", agents.began)
     entry = make_entry(*OLD)
-    assert pick(take_up(entry, "elsewhere", agents), Refuse)
-    fresh = restart_entry(entry.now + MIN_STREAM_LIFE_S, *OLD)
-    assert get_start(take_up(fresh, "elsewhere", agents))
+    entry.platform = Cut()
+    take_up(entry, "elsewhere")
+    entry.now += READ_PATIENCE_S
+    queries = entry.handle_event(Ticked())
+    assert get_start(agents.deliver(entry, queries))
 
 
 # Guards against streams that outlast a fixed time, after which the version that began
@@ -395,12 +455,9 @@
     entry = make_entry(*OLD, *NEW)
     directory = make_directory(2, routes=(route,))
     entry.handle_event(DirectoryRead(directory, entry.now))
-    entry.now += life_s
-    entry.confirm()
     entry.handle_event(UpstreamsListed(NEW))
-    for passed_s, goes_on in ((life_s - 1.0, False), (1.0, True)):
-        entry.now += passed_s
-        entry.confirm()
+    for passed_s, goes_on in ((life_s - 1.0, False), (1.5 + CLOCK_SLACK_S, True)):
+        pass_time(entry, passed_s)
         agents = Agents(*NEW)
         agents.began = entry.now
         assert bool(pick(take_up(entry, "elsewhere", agents), StartAttempt)) is goes_on
@@ -424,7 +481,7 @@
     age_entry(entry)
     entry.handle_event(UpstreamsListed(NEW))
     assert pick(take_up(entry, "elsewhere", Agents(*NEW)), Refuse)
-    age_entry(entry)
+    pass_time(entry, MIN_STREAM_LIFE_S + CLOCK_SLACK_S + SPREAD_S)
     assert get_start(take_up(entry, "elsewhere"))
 
 
@@ -441,12 +498,10 @@
     entry = make_entry(*OLD, *NEW)
     take_up(entry, "elsewhere")
     handle = entry.handles
-    old = OriginReply(handle, "another", "v1", (), True)
+    old = OriginReply(handle, "another", "v1")
     assert entry.handle_event(old) == []
-    assert (
-        entry.handle_event(OriginReply(handle + 1, "elsewhere", "v1", (), True)) == []
-    )
-    late = OriginReply(handle, "elsewhere", "v2", ("v2",), True)
+    assert entry.handle_event(OriginReply(handle + 1, "elsewhere", "v1")) == []
+    late = OriginReply(handle, "elsewhere", "v2")
     assert find_software(entry, get_start(entry.handle_event(late))) == "v2"
     assert entry.handle_event(late) == []
 
@@ -471,7 +526,7 @@
     entry = make_entry(*OLD, *NEW)
     take_up(entry, "elsewhere")
     entry.disconnect(entry.handles)
-    late = OriginReply(entry.handles, "elsewhere", "v1", (), True)
+    late = OriginReply(entry.handles, "elsewhere", "v1")
     assert entry.handle_event(late) == []
     assert not pick(expire_search(entry), Refuse)
 
@@ -485,7 +540,8 @@
     random = Random(seed)
     serving: list[Upstream] = [make_engine(f"engines-{n}", "v0") for n in range(1, 7)]
     agents = Agents(*serving)
-    entries = [make_entry(*serving) for _ in range(3)]
+    platform = Platform()
+    entries = [restart_entry(100.0, *serving, platform=platform) for _ in range(3)]
     begun: dict[str, str] = {}
     taken, went_on = 0, 0
     for step in range(150):
@@ -502,12 +558,13 @@
         for state in agents.states.values():
             reduce_engine_controller(state, UpstreamsListed(tuple(serving)), now)
         if change > 0.97 or step == 75:
-            entries = [restart_entry(now, *serving) for _ in entries]
+            entries = [restart_entry(now, *serving, platform=platform) for _ in entries]
         for entry in entries:
             entry.now = now
             entry.handles += 1000
             entry.confirm()
             entry.handle_event(UpstreamsListed(tuple(serving)))
+            entry.handle_event(Ticked())
         entry = random.choice(entries)
         parts = (PromptPart(f"{seed} {step}", 900), PromptPart("own", 50))
         name = f"s{step}"
--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -5,14 +5,22 @@
 import pytest
 
 from masticdrum.core.clusterstate import OUTAGE_S
-from masticdrum.core.resumption import SEARCH_S
+from masticdrum.core.resumption import READ_WAIT_S, SEARCH_S
 from masticdrum.core.servedsoftware import MAX_STREAM_LIFE_S, MIN_STREAM_LIFE_S
-from masticdrum.core.softwarerecords import CLOCK_SLACK_S
+from masticdrum.core.softwarerecords import CLOCK_SLACK_S, RETRY_S
 from masticdrum.model.cluster_events import StoreRestored
-from masticdrum.model.exchange import StartAttempt
-from masticdrum.model.platform import ObjectStatus
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.exchange import Refuse
+from masticdrum.model.platform import ObjectGet, ObjectStatus
 from tests.forwarding import pick
-from tests.softwareworld import SETTLE_S, STEP_S, World, make_engine
+from tests.softwareworld import (
+    CALL_S,
+    SETTLE_S,
+    STEP_S,
+    World,
+    find_started,
+    make_engine,
+)
 
 
 # Guards against the refusal of all streams that callers take up at an entry that has
@@ -30,14 +38,87 @@
 
 
 # Guards against the refusal of streams that are taken up before the record was read.
-def test_a_stream_goes_on_if_the_record_is_read_while_agents_are_queried() -> None:
+@pytest.mark.parametrize("silent_s", [0.0, SEARCH_S / 2, 3 * SEARCH_S])
+def test_a_stream_goes_on_if_the_record_is_read_while_agents_are_queried(
+    silent_s: float,
+) -> None:
     world = World(2, make_engine("engines-1", "v1"))
     entry = world.restart(0)
-    entry.confirm()
-    entry.send_request("stream", last_event=4)
-    started = len(pick(entry.effects, StartAttempt))
-    world.run(2 * SEARCH_S)
-    assert len(pick(entry.effects, StartAttempt)) == started + 1
+    if silent_s:
+        world.silence(0)
+    world.take_up(entry, "elsewhere")
+    handle = entry.handles
+    assert len(find_started(entry, handle)) == (not silent_s)
+    world.run(silent_s)
+    if silent_s:
+        world.hear(0)
+        world.run(CALL_S + RETRY_S)
+    assert len(find_started(entry, handle)) == 1
+
+
+# Guards against callers that wait for ever for a record that can't be read, or are
+# turned away without a hint when to come back.
+def test_a_stream_is_refused_when_the_record_can_not_be_read_in_time() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    entry = world.entries[0]
+    world.silence(0)
+    world.take_up(entry, "elsewhere")
+    world.run(READ_WAIT_S - SETTLE_S)
+    assert not pick(entry.effects, Refuse)
+    world.run(SETTLE_S + STEP_S)
+    (refuse,) = pick(entry.effects, Refuse)
+    assert (refuse.kind, refuse.status) == (ErrorKind.ORIGIN_UNKNOWN, 503)
+    assert refuse.retry_after_s > 0
+    assert not find_started(entry, entry.handles)
+
+
+# Guards against a read for each stream that is taken up after a crash of entries.
+def test_one_read_serves_all_streams_that_wait_for_it() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    entry = world.entries[0]
+    world.silence(0)
+    handles = []
+    for number in range(50):
+        world.take_up(entry, f"elsewhere {number}")
+        handles.append(entry.handles)
+    world.run(STEP_S)
+    reads = len(pick(entry.effects, ObjectGet))
+    world.hear(0)
+    world.run(CALL_S + RETRY_S)
+    assert len(pick(entry.effects, ObjectGet)) <= reads + 2
+    assert all(find_started(entry, handle) for handle in handles)
+
+
+# Guards against a version that is taken for gone, since an entry that hears late of its
+# upstreams, or stood still, has read of it in the record first (ORDER).
+@pytest.mark.parametrize("frozen_s", [0.0, 20.0])
+def test_a_version_that_an_entry_has_not_heard_of_yet_is_not_recorded_as_gone(
+    frozen_s: float,
+) -> None:
+    world = World(2, make_engine("engines-1", "v1"))
+    if frozen_s:
+        world.freeze(1)
+    world.upstreams["engines-2"] = make_engine("engines-2", "v2")
+    world.learn(0)
+    world.run(SETTLE_S + frozen_s)
+    world.take_up(world.wake(1), "elsewhere")
+    for _ in range(5):
+        world.run(STEP_S)
+    assert world.platform.read().versions["engines"] == {"v1": 0.0, "v2": 0.0}
+
+
+# Guards against streams that begin at a version before it is recorded (ORDER).
+def test_no_stream_begins_at_a_version_that_can_not_be_recorded() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    world.platform.failing = [ObjectStatus.REJECTED] * 10
+    world.add("engines-2", "v2")
+    entry = world.entries[0]
+    while world.platform.failing:
+        assert world.begin(entry, f"s{world.now}") == "v1"
+        world.run(STEP_S)
+    world.run(SETTLE_S)
+    begun = {world.begin(entry, f"s{number}") for number in range(50)}
+    assert begun == {"v1", "v2"}
 
 
 # Guards against streams joined from two versions by an entry that has started after the
@@ -78,7 +159,7 @@
         world.remove("engines-2")
     world.run(SETTLE_S)
     world.reconnect(1)
-    assert not world.goes_on(world.entries[1])
+    assert world.goes_on(world.entries[1]) is not came
     world.run(SETTLE_S)
     assert world.goes_on(world.entries[1]) is not came
 
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -1,10 +1,13 @@
 """A forwarding entry that tests drive in virtual time, without any network."""
 
+from typing import Protocol
+
 from masticdrum.core.clusterstate import ClusterBounds
 from masticdrum.core.coldstartpacing import ColdStartBounds
 from masticdrum.core.exchangestate import ExchangeState, ForwardBounds
 from masticdrum.core.forwarder import ForwardEvent, reduce_forwarder
 from masticdrum.core.retrywindow import RetryBounds
+from masticdrum.core.softwarerecords import SPREAD_S
 from masticdrum.model.cluster_events import (
     DataCentresDrained,
     DirectoryConfirmed,
@@ -35,7 +38,10 @@
     StartAttempt,
     StreamBegun,
     StreamEventsReceived,
+    Ticked,
 )
+from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
+from tests.softwareplatform import Platform
 
 HOST = "desk.example"
 KEY = "key-of-depot"
@@ -118,6 +124,13 @@
 )
 
 
+class ObjectCalls(Protocol):
+    """Executes calls on the system's own objects."""
+
+    def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer | None:
+        """Return the answer, or None if there is none yet."""
+
+
 class Entry:
     """One entry with its cluster state, at a time that the test sets."""
 
@@ -126,22 +139,38 @@
         seed: int = 1,
         upstreams: tuple[Upstream, ...] = UPSTREAMS,
         name: str = "entry-1",
+        now: float = 100.0,
+        platform: Platform | None = None,
     ):
         self.state = ExchangeState(name, "entry", BOUNDS, seed)
-        self.now = 100.0
+        self.now = now - 3 * SPREAD_S
         self.handles = 0
         self.effects: list[ExchangeEffect] = []
+        self.platform: ObjectCalls = platform or Platform()
         self.handle_event(DirectoryRead(make_directory(), self.now))
         self.handle_event(UpstreamsListed(upstreams))
         self.handle_event(DataCentresDrained(frozenset()))
         self.handle_event(CrashReportsListed(()))
         self.handle_event(MembersListed((Member(name, "entry", "north"),)))
+        self.record_software()
+        self.now = now
+        self.confirm()
 
     def handle_event(self, event: ForwardEvent) -> list[ExchangeEffect]:
         effects = reduce_forwarder(self.state, event, self.now)
         self.effects += effects
+        for call in [e for e in effects if isinstance(e, ObjectGet | ObjectPut)]:
+            answer = self.platform.execute(call)
+            if answer is not None:
+                effects += self.handle_event(answer)
         return effects
 
+    def record_software(self) -> None:
+        """Let the entry record the versions that it knows, so that streams begin."""
+        for _ in range(3):
+            self.now += SPREAD_S
+            self.handle_event(Ticked())
+
     def confirm(self) -> None:
         self.handle_event(DirectoryConfirmed(self.now))
 
--- a/tests/shell/test_datagrams.py
+++ b/tests/shell/test_datagrams.py
@@ -55,8 +55,8 @@
 
 
 def test_messages_arrive_and_queries_name_their_sender() -> None:
-    query = OriginQuery(7, "r2", "engines", 30.0)
-    reply = OriginReply(7, "r2", None, ("v1",), True)
+    query = OriginQuery(7, "r2")
+    reply = OriginReply(7, "r2", None)
     queried, replied = exchange([query, reply])
     assert isinstance(queried, OriginQueried)
     assert queried.peer[0] == "127.0.0.2" and queried.query == query
--- a/tests/softwareworld.py
+++ b/tests/softwareworld.py
@@ -3,11 +3,8 @@
 Entries may be cut off from the platform, or stand still, without noticing it.
 """
 
-import msgspec
-
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.resumption import SEARCH_S
-from masticdrum.core.softwarerecords import SOFTWARE_PATH, SoftwareRecord
 from masticdrum.model.cluster_events import (
     DirectoryRead,
     Source,
@@ -43,6 +40,7 @@
     make_upstream,
     pick,
 )
+from tests.softwareplatform import Platform
 
 STEP_S = 0.1
 SETTLE_S = 1.0  # until each entry has compared the record
@@ -54,49 +52,14 @@
     return make_upstream(name, "engines", software=software)
 
 
-class Platform:
-    """The object of the record; ``failing`` is the status of the next answers."""
-
-    def __init__(self) -> None:
-        self.revision = 0
-        self.body = b""
-        self.era = 1
-        self.saved = (0, b"")
-        self.writes = 0
-        self.failing: list[ObjectStatus] = []
-
-    def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
-        assert call.path == SOFTWARE_PATH
-        if self.failing:
-            return ObjectAnswer(call.call, self.failing.pop(), era=self.era)
-        if isinstance(call, ObjectPut):
-            return self.write(call)
-        if not self.revision:
-            return ObjectAnswer(call.call, ObjectStatus.MISSING, era=self.era)
-        return self.answer(call.call)
-
-    def write(self, call: ObjectPut) -> ObjectAnswer:
-        if call.expected != self.revision:
-            return ObjectAnswer(call.call, ObjectStatus.CONFLICT, era=self.era)
-        self.revision += 1
-        self.writes += 1
-        self.body = call.body
-        return self.answer(call.call)
+class Link:
+    """An entry's connection to the platform."""
 
-    def answer(self, call: str) -> ObjectAnswer:
-        return ObjectAnswer(
-            call, ObjectStatus.OK, self.revision, self.body, era=self.era
-        )
+    def __init__(self, world: "World") -> None:
+        self.world = world
 
-    def save(self) -> None:
-        self.saved = (self.revision, self.body)
-
-    def restore(self) -> None:
-        self.revision, self.body = self.saved
-        self.era += 1
-
-    def read(self) -> SoftwareRecord:
-        return msgspec.json.decode(self.body, type=SoftwareRecord)
+    def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer | None:
+        return self.world.execute(self, call)
 
 
 class World:
@@ -120,6 +83,7 @@
 
     def make_entry(self) -> Entry:
         entry = Entry(upstreams=())
+        entry.platform = Link(self)
         entry.state = ExchangeState("entry", "entry", BOUNDS, len(self.upstreams))
         entry.now = self.now
         self.introduce(entry)
@@ -158,17 +122,17 @@
         return not {place} & {*self.cut, *self.silent, *self.frozen}
 
     def handle(self, entry: Entry, event: object) -> list[ExchangeEffect]:
-        effects = list(entry.handle_event(event))
-        place = next((n for n, e in enumerate(self.entries) if e is entry), -1)
-        for call in [e for e in effects if isinstance(e, ObjectGet | ObjectPut)]:
-            if place in self.silent:
-                self.unanswered[place] = (self.now, call.call)
-            elif place in self.cut:
-                lost = ObjectAnswer(call.call, ObjectStatus.LOST)
-                effects += self.handle(entry, lost)
-            else:
-                effects += self.handle(entry, self.platform.execute(call))
-        return effects
+        return entry.handle_event(event)
+
+    def execute(self, link: "Link", call: ObjectGet | ObjectPut) -> ObjectAnswer | None:
+        """Return the platform's answer to an entry, None if it gets none."""
+        place = next((n for n, e in enumerate(self.entries) if e.platform is link), -1)
+        if place in self.silent:
+            self.unanswered[place] = (self.now, call.call)
+            return None
+        if place in self.cut:
+            return ObjectAnswer(call.call, ObjectStatus.LOST)
+        return self.platform.execute(call)
 
     def tell(self, event: object) -> None:
         for place, entry in enumerate(self.entries):
