Let no entry that stood still vouch for the record of versions after a restore

What callers would see: the store comes back from a copy that lacks a version of the engines' software. An entry that stood still meanwhile is the first to reach it, takes what it knows for all versions and marks the record as complete; a stream that began at the lost version goes on at another (ORDER).

Cause: an entry that had read the record once, and had noticed no outage, completed it at once. A freeze isn't noticed as an outage, and the entries that know more need a moment to write it again. An era that came with the record's own answer let an entry complete it too.

Evidence: test_an_entry_that_stood_still_completes_no_restored_record (4 lengths) and test_a_restored_record_waits_for_what_other_entries_know failed on: streams that began at v2 went on at {'v1'}.

Change: an entry that stood still lately waits for a stream's life; others wait for the 2 s in which upstreams and entries write again what was lost. A caller whose stream may go on as soon as the record is complete waits for that like for the read itself.

--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -76,8 +76,9 @@
         records.request_read(now)
         return Resumption.SEARCHING, []
     versions = state.list_software(exchange.service, now)
-    if records.is_complete and len(versions) <= 1:
-        if _awaits_own_write(state, exchange.service, versions):
+    if len(versions) <= 1:
+        is_awaited = _awaits_own_write(state, exchange.service, versions)
+        if not records.is_complete or is_awaited:
             return Resumption.SEARCHING, []
         version = next(iter(versions), None)
         return _allow(state, exchange, version, "only version", now)
--- a/masticdrum/core/softwarerecords.py
+++ b/masticdrum/core/softwarerecords.py
@@ -75,6 +75,7 @@
         "_retry_at",
         "_revision",
         "_spreads_write",
+        "_stalled_at",
         "_ticked_at",
         "_wanted_at",
         "read_at",
@@ -97,6 +98,7 @@
         self._retry_at = -NEVER
         self._wanted_at = -NEVER
         self._spreads_write = True
+        self._stalled_at = -NEVER
         self._ticked_at = NEVER
         self._absent: dict[tuple[str, str], float] = {}
         self._confirmed: set[tuple[str, str]] = set()
@@ -155,6 +157,7 @@
         ``is_current`` states whether the registrations are read.
         """
         stalled = now - self._ticked_at > STALL_S
+        self._stalled_at = now if stalled else self._stalled_at
         self._ticked_at = now
         if stalled:
             # Others may have recorded that a version that is in use here is gone.
@@ -170,6 +173,10 @@
         if is_idle and any(now >= at + ABSENT_S for at in self._absent.values()):
             self.request_review(now)
 
+    def has_stalled(self, since: float, now: float) -> bool:
+        """Return whether this process stood still at any time since a time."""
+        return self._stalled_at >= since or now - self._ticked_at > STALL_S
+
     def request_read(self, now: float) -> None:
         """Read the record as soon as possible; the read is asked after ``now``."""
         self._must_read = True
@@ -237,6 +244,8 @@
         wrote = self._pending.startswith("software write")
         self._pending = ""
         self._due_at = now
+        if 0 < self._era < answer.era:
+            self._may_complete_at = now + life_s
         self._era = max(self._era, answer.era)
         if self._pending_era and self._pending_era < self._era:
             # The revision in the condition may have named another record.
--- a/masticdrum/core/softwarereview.py
+++ b/masticdrum/core/softwarereview.py
@@ -1,6 +1,6 @@
 """Keeps the record of software versions in line with what an entry sees."""
 
-from masticdrum.core.clusterstate import OUTAGE_S
+from masticdrum.core.clusterstate import OUTAGE_S, REREGISTER_S
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.resumption import review_versions
 from masticdrum.model.cluster_events import (
@@ -58,11 +58,14 @@
 def _find_complete_at(state: ExchangeState, now: float) -> float:
     """Return from when on an entry knows all versions after a restore, in seconds.
 
-    No version comes and leaves within the time for which a registration is kept.
+    No version comes and leaves within the time for which a registration is kept. The
+    other entries, and the upstreams, write again what the platform has lost.
     """
     cluster_state = state.cluster_state
     outage_s = cluster_state.compute_outage(Source.UPSTREAMS, now)
     was_complete = state.software_records.is_complete
-    if was_complete and outage_s < cluster_state.bounds.unregister_s:
-        return now
+    unregister_s = cluster_state.bounds.unregister_s
+    has_stalled = state.software_records.has_stalled(now - unregister_s, now)
+    if was_complete and outage_s < unregister_s and not has_stalled:
+        return now + REREGISTER_S
     return now + cluster_state.stream_life_s
--- a/tests/core/test_outofstep.py
+++ b/tests/core/test_outofstep.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from masticdrum.core.servedsoftware import MIN_STREAM_LIFE_S
+from masticdrum.model.cluster_events import StoreRestored
 from tests.softwareworld import SETTLE_S, STEP_S, World, find_started, make_engine
 
 OLD = (make_engine("engines-1", "v1"), make_engine("engines-2", "v1"))
@@ -81,6 +82,56 @@
     assert find_versions(world, 1, handle) <= {"v2"}
 
 
+# Guards against an entry that stood still, is the first to reach a platform that came
+# back from a copy, and vouches for a record that lacks what it has missed (ORDER).
+@pytest.mark.parametrize("frozen_s", OUT_OF_STEP_S)
+def test_an_entry_that_stood_still_completes_no_restored_record(
+    frozen_s: float,
+) -> None:
+    world = World(3, *OLD)
+    world.run(MIN_STREAM_LIFE_S + SETTLE_S)
+    world.platform.save()
+    world.freeze(1)
+    world.freeze(2)
+    world.add("engines-3", "v2")
+    world.run(frozen_s)
+    name = begin_at(world, 0, "v2")
+    del world.upstreams["engines-3"]
+    world.freeze(0)
+    world.platform.restore()
+    for place in (1, 2):
+        world.handle(world.wake(place), StoreRestored(2, 1))
+        world.learn(place)
+    handles = []
+    for _ in range(10):
+        world.take_up(world.entries[2], name)
+        handles.append(world.entries[2].handles)
+        world.run(0.7)
+    assert not any(find_versions(world, 2, handle) for handle in handles)
+
+
+# Guards against a record that counts as complete in the moment before the entries that
+# know of a version have written it again after a restore (ORDER).
+def test_a_restored_record_waits_for_what_other_entries_know() -> None:
+    world = World(3, *OLD)
+    world.run(MIN_STREAM_LIFE_S + SETTLE_S)
+    world.platform.save()
+    engine = make_engine("engines-3", "v2")
+    world.upstreams[engine.name] = engine
+    world.learn(0)
+    world.run(SETTLE_S)
+    name = begin_at(world, 0, "v2")
+    world.platform.restore()
+    world.handle(world.entries[1], StoreRestored(2, 1))
+    world.run(2 * STEP_S)
+    world.take_up(world.entries[2], name)
+    handle = world.entries[2].handles
+    world.handle(world.entries[0], StoreRestored(2, 1))
+    world.run(SETTLE_S)
+    assert world.platform.read().versions["engines"] == {"v1": 0.0, "v2": 0.0}
+    assert find_versions(world, 2, handle) <= {"v2"}
+
+
 class Stream(Struct):
     """A stream that has begun, and where."""
 
