Read the record for streams that come back ten times a second at most

After a mass kill callers come back over a second or more, each at another moment, and each needs a read that is asked after that. Now 11 at most, each a tenth of a second apart; the first after a pause is asked at once, and nobody waits longer than that and the call. A timer makes the call when it is due.

--- a/masticdrum/core/softwarerecords.py
+++ b/masticdrum/core/softwarerecords.py
@@ -34,6 +34,7 @@
 # which an entry that is cut off notices it.
 ABSENT_S = 10.0
 STALL_S = 1.0  # between two ticks; versions may have come and gone unseen
+READ_GAP_S = 0.1  # between reads for streams that are taken up
 CLOCK_SLACK_S = 5.0  # between the times of day of two machines
 NEVER = float("inf")
 
@@ -105,6 +106,11 @@
         self._lost: dict[str, dict[str, float]] = {}
         self.read_at = -NEVER
 
+    @property
+    def next_due(self) -> float | None:
+        """When the next call is due, in seconds, or None."""
+        return None if self._pending or self._due_at == NEVER else self._due_at
+
     @property
     def was_read(self) -> bool:
         """Whether this process has ever read the record."""
@@ -181,7 +187,8 @@
         """Read the record as soon as possible; the read is asked after ``now``."""
         self._must_read = True
         self._wanted_at = now
-        self._due_at = min(self._due_at, max(now, self._retry_at))
+        due_at = max(now, self._retry_at, self._asked_at + READ_GAP_S)
+        self._due_at = min(self._due_at, due_at)
 
     def request_review(self, now: float) -> None:
         """Compare the record with what this entry sees, soon."""
@@ -287,6 +294,8 @@
         self._record, self._revision = record, revision
         self._is_read = True
         self._must_read = self._asked_at < self._wanted_at
+        if self._must_read:
+            self._due_at = max(now, self._asked_at + READ_GAP_S)
         self.read_at = self._asked_at
 
     def _confirm(self, software: ServedSoftware) -> None:
--- a/masticdrum/core/softwarereview.py
+++ b/masticdrum/core/softwarereview.py
@@ -13,6 +13,8 @@
 from masticdrum.model.platform import ObjectAnswer
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
+RECORD = "record"
+
 
 def record_cluster_event(state: ExchangeState, event: ClusterEvent, now: float) -> None:
     """Request a review of the record if an event may have outdated it."""
@@ -40,7 +42,12 @@
     """Make the call to the platform that the record needs now, if any."""
     unix_now = now + state.clock_offset
     call = state.software_records.next_call(state.cluster_state.software, now, unix_now)
-    return [] if call is None else [call]
+    if call is not None:
+        return [call]
+    due_at = state.software_records.next_due
+    if due_at is not None and due_at > now:
+        state.timers.set((RECORD, 0), due_at)
+    return []
 
 
 def handle_record_answer(
