--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -125,6 +125,7 @@
     state.timers.clear((DEADLINE, exchange.handle))
     state.timers.clear((ORIGIN, exchange.handle))
     state.timers.clear((WEIGHTS, exchange.handle))
+    state.awaiting_record.discard(exchange.handle)
 
 
 def _compute_backlog(exchange: Exchange) -> float:
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -13,12 +13,14 @@
     forward_events,
     start_exchange,
     use_origin_reply,
+    use_software_record,
 )
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.resumption import review_versions, send_records
 from masticdrum.core.softwarereview import (
     handle_record_answer,
     record_cluster_event,
+    record_tick,
     review_software,
 )
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
@@ -74,6 +76,7 @@
     """
     effects = _handle_timers(state, now)
     effects += _handle_event(state, event, now)
+    effects += review_software(state, now)
     effects += _report_lease_change(state, now)
     return effects + _finish_shutdown_if_due(state, now)
 
@@ -108,8 +111,8 @@
             return _begin_stop(state, event, now)
         case Ticked():
             state.cluster_state.outages.observe(now)
-            effects = [*review_crashes(state, now), *send_records(state, now)]
-            return effects + review_software(state, now)
+            record_tick(state, now)
+            return [*review_crashes(state, now), *send_records(state, now)]
         case (
             CrashReportsListed() | CrashReportChanged() | OriginReply() | ObjectAnswer()
         ):
@@ -129,7 +132,8 @@
     if isinstance(event, OriginReply):
         return use_origin_reply(state, event, now)
     if isinstance(event, ObjectAnswer):
-        return handle_record_answer(state, event, now)
+        effects = handle_record_answer(state, event, now)
+        return effects + use_software_record(state, now)
     return [*apply_crash_event(state, event, now)]
 
 
--- a/masticdrum/core/softwarereview.py
+++ b/masticdrum/core/softwarereview.py
@@ -1,6 +1,6 @@
 """Keeps the record of software versions in line with what an entry sees."""
 
-from masticdrum.core.clusterstate import OUTAGE_S
+from masticdrum.core.clusterstate import OUTAGE_S, REREGISTER_S
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.resumption import review_versions
 from masticdrum.model.cluster_events import (
@@ -13,6 +13,8 @@
 from masticdrum.model.platform import ObjectAnswer
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
+RECORD = "record"
+
 
 def record_cluster_event(state: ExchangeState, event: ClusterEvent, now: float) -> None:
     """Request a review of the record if an event may have outdated it."""
@@ -20,7 +22,7 @@
     changes = state.cluster_state.software.changes
     if changes != state.reviewed_changes:
         state.reviewed_changes = changes
-        records.request_review(now)
+        records.record_change(state.cluster_state.software, now)
     if isinstance(event, StoreRestored):
         records.record_restore(event.era, _find_complete_at(state, now), now)
     if not isinstance(event, SourceRegained):
@@ -29,11 +31,23 @@
         records.record_interruption(now)
 
 
+def record_tick(state: ExchangeState, now: float) -> None:
+    """Note which recorded versions no upstream runs."""
+    cluster_state = state.cluster_state
+    is_current = cluster_state.reads_upstreams(now)
+    state.software_records.record_tick(cluster_state.software, is_current, now)
+
+
 def review_software(state: ExchangeState, now: float) -> list[ExchangeEffect]:
     """Make the call to the platform that the record needs now, if any."""
     unix_now = now + state.clock_offset
     call = state.software_records.next_call(state.cluster_state.software, now, unix_now)
-    return [] if call is None else [call]
+    if call is not None:
+        return [call]
+    due_at = state.software_records.next_due
+    if due_at is not None and due_at > now:
+        state.timers.set((RECORD, 0), due_at)
+    return []
 
 
 def handle_record_answer(
@@ -51,11 +65,14 @@
 def _find_complete_at(state: ExchangeState, now: float) -> float:
     """Return from when on an entry knows all versions after a restore, in seconds.
 
-    No version comes and leaves within the time for which a registration is kept.
+    No version comes and leaves within the time for which a registration is kept. The
+    other entries, and the upstreams, write again what the platform has lost.
     """
     cluster_state = state.cluster_state
     outage_s = cluster_state.compute_outage(Source.UPSTREAMS, now)
     was_complete = state.software_records.is_complete
-    if was_complete and outage_s < cluster_state.bounds.unregister_s:
-        return now
+    unregister_s = cluster_state.bounds.unregister_s
+    has_stalled = state.software_records.has_stalled(now - unregister_s, now)
+    if was_complete and outage_s < unregister_s and not has_stalled:
+        return now + REREGISTER_S
     return now + cluster_state.stream_life_s
--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -2,169 +2,25 @@
 
 from random import Random
 
-import msgspec
 import pytest
 
-from masticdrum.core.clusterstate import OUTAGE_S
-from masticdrum.core.exchangestate import ExchangeState
-from masticdrum.core.resumption import SEARCH_S
+from masticdrum.core.clusterstate import OUTAGE_S, REREGISTER_S
+from masticdrum.core.resumption import READ_WAIT_S, SEARCH_S
 from masticdrum.core.servedsoftware import MAX_STREAM_LIFE_S, MIN_STREAM_LIFE_S
-from masticdrum.core.softwarerecords import (
-    CLOCK_SLACK_S,
-    SOFTWARE_PATH,
-    SoftwareRecord,
+from masticdrum.core.softwarerecords import CLOCK_SLACK_S, READ_GAP_S, RETRY_S
+from masticdrum.model.cluster_events import StoreRestored
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.exchange import Refuse, Ticked
+from masticdrum.model.platform import ObjectGet, ObjectStatus
+from tests.forwarding import pick
+from tests.softwareworld import (
+    CALL_S,
+    SETTLE_S,
+    STEP_S,
+    World,
+    find_started,
+    make_engine,
 )
-from masticdrum.model.cluster_events import (
-    Source,
-    SourceLost,
-    SourceRegained,
-    StoreRestored,
-    UpstreamChanged,
-    UpstreamGone,
-    UpstreamsListed,
-)
-from masticdrum.model.directory import Upstream
-from masticdrum.model.exchange import ExchangeEffect, Refuse, StartAttempt, Ticked
-from masticdrum.model.platform import (
-    ObjectAnswer,
-    ObjectGet,
-    ObjectPut,
-    ObjectStatus,
-)
-from tests.forwarding import BOUNDS, Entry, make_upstream, pick
-
-STEP_S = 0.1
-SETTLE_S = 1.0  # until each entry has compared the record
-
-
-def make_engine(name: str, software: str) -> Upstream:
-    return make_upstream(name, "engines", software=software)
-
-
-class Platform:
-    """The object of the record; ``failing`` is the status of the next answers."""
-
-    def __init__(self) -> None:
-        self.revision = 0
-        self.body = b""
-        self.era = 1
-        self.saved = (0, b"")
-        self.writes = 0
-        self.failing: list[ObjectStatus] = []
-
-    def execute(self, call: ObjectGet | ObjectPut) -> ObjectAnswer:
-        assert call.path == SOFTWARE_PATH
-        if self.failing:
-            return ObjectAnswer(call.call, self.failing.pop(), era=self.era)
-        if isinstance(call, ObjectPut):
-            return self.write(call)
-        if not self.revision:
-            return ObjectAnswer(call.call, ObjectStatus.MISSING, era=self.era)
-        return self.answer(call.call)
-
-    def write(self, call: ObjectPut) -> ObjectAnswer:
-        if call.expected != self.revision:
-            return ObjectAnswer(call.call, ObjectStatus.CONFLICT, era=self.era)
-        self.revision += 1
-        self.writes += 1
-        self.body = call.body
-        return self.answer(call.call)
-
-    def answer(self, call: str) -> ObjectAnswer:
-        return ObjectAnswer(
-            call, ObjectStatus.OK, self.revision, self.body, era=self.era
-        )
-
-    def save(self) -> None:
-        self.saved = (self.revision, self.body)
-
-    def restore(self) -> None:
-        self.revision, self.body = self.saved
-        self.era += 1
-
-    def read(self) -> SoftwareRecord:
-        return msgspec.json.decode(self.body, type=SoftwareRecord)
-
-
-class World:
-    """Entries that see the same upstreams, as far as they reach the platform."""
-
-    def __init__(self, entries: int, *upstreams: Upstream) -> None:
-        self.platform = Platform()
-        self.now = 1000.0
-        self.upstreams = {upstream.name: upstream for upstream in upstreams}
-        self.cut: dict[int, float] = {}
-        self.entries: list[Entry] = []
-        self.entries = [self.make_entry() for _ in range(entries)]
-        self.run(SETTLE_S)
-
-    def make_entry(self) -> Entry:
-        entry = Entry(upstreams=())
-        entry.state = ExchangeState("entry", "entry", BOUNDS, len(self.upstreams))
-        entry.now = self.now
-        self.introduce(entry)
-        return entry
-
-    def introduce(self, entry: Entry) -> None:
-        fresh = Entry(upstreams=tuple(self.upstreams.values()))
-        entry.state.cluster_state.index = fresh.state.cluster_state.index
-        self.handle(entry, UpstreamsListed(tuple(self.upstreams.values())))
-
-    def run(self, for_s: float) -> None:
-        until = self.now + for_s
-        while self.now < until:
-            self.now += STEP_S
-            for place, entry in enumerate(self.entries):
-                entry.now = self.now
-                if place not in self.cut:
-                    entry.confirm()
-                self.handle(entry, Ticked())
-
-    def handle(self, entry: Entry, event: object) -> list[ExchangeEffect]:
-        effects = list(entry.handle_event(event))
-        for call in [e for e in effects if isinstance(e, ObjectGet | ObjectPut)]:
-            is_cut = any(self.entries[place] is entry for place in self.cut)
-            lost = ObjectAnswer(call.call, ObjectStatus.LOST)
-            self.handle(entry, lost if is_cut else self.platform.execute(call))
-        return effects
-
-    def tell(self, event: object) -> None:
-        for place, entry in enumerate(self.entries):
-            if place not in self.cut:
-                self.handle(entry, event)
-
-    def add(self, name: str, software: str) -> None:
-        self.upstreams[name] = make_engine(name, software)
-        self.tell(UpstreamChanged(self.upstreams[name]))
-
-    def remove(self, name: str) -> None:
-        del self.upstreams[name]
-        self.tell(UpstreamGone(name))
-
-    def restart(self, place: int) -> Entry:
-        self.cut.pop(place, None)
-        self.entries[place] = entry = self.make_entry()
-        return entry
-
-    def goes_on(self, entry: Entry) -> bool:
-        """Take a stream up, of which no agent knows; return whether it goes on."""
-        effects = entry.send_request("stream", last_event=4)
-        if not pick(effects, StartAttempt) and not pick(effects, Refuse):
-            entry.now += SEARCH_S
-            effects = self.handle(entry, Ticked())
-        return bool(pick(effects, StartAttempt))
-
-    def cut_off(self, place: int) -> None:
-        self.cut[place] = self.now
-        self.handle(self.entries[place], SourceLost(Source.UPSTREAMS, "silent"))
-
-    def reconnect(self, place: int) -> None:
-        lost_s = self.now - self.cut.pop(place)
-        entry = self.entries[place]
-        if entry.state.software_records._era not in (0, self.platform.era):
-            self.handle(entry, StoreRestored(self.platform.era, 1))
-        self.handle(entry, SourceRegained(Source.UPSTREAMS, lost_s))
-        self.handle(entry, UpstreamsListed(tuple(self.upstreams.values())))
 
 
 # Guards against the refusal of all streams that callers take up at an entry that has
@@ -182,14 +38,108 @@
 
 
 # Guards against the refusal of streams that are taken up before the record was read.
-def test_a_stream_goes_on_if_the_record_is_read_while_agents_are_queried() -> None:
+@pytest.mark.parametrize("silent_s", [0.0, SEARCH_S / 2, 3 * SEARCH_S])
+def test_a_stream_goes_on_if_the_record_is_read_while_agents_are_queried(
+    silent_s: float,
+) -> None:
     world = World(2, make_engine("engines-1", "v1"))
     entry = world.restart(0)
-    entry.confirm()
-    entry.send_request("stream", last_event=4)
-    started = len(pick(entry.effects, StartAttempt))
+    if silent_s:
+        world.silence(0)
+    world.take_up(entry, "elsewhere")
+    handle = entry.handles
+    world.run(silent_s)
+    if silent_s:
+        assert not find_started(entry, handle)
+        world.hear(0)
+        world.run(CALL_S + RETRY_S)
     world.run(2 * SEARCH_S)
-    assert len(pick(entry.effects, StartAttempt)) == started + 1
+    assert len(find_started(entry, handle)) == 1
+
+
+# Guards against callers that wait for ever for a record that can't be read, or are
+# turned away without a hint when to come back.
+def test_a_stream_is_refused_when_the_record_can_not_be_read_in_time() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    entry = world.entries[0]
+    world.silence(0)
+    world.take_up(entry, "elsewhere")
+    world.run(READ_WAIT_S - SETTLE_S)
+    assert not pick(entry.effects, Refuse)
+    world.run(SETTLE_S + STEP_S)
+    (refuse,) = pick(entry.effects, Refuse)
+    assert (refuse.kind, refuse.status) == (ErrorKind.ORIGIN_UNKNOWN, 503)
+    assert refuse.retry_after_s > 0
+    assert not find_started(entry, entry.handles)
+
+
+# Guards against a read for each stream that is taken up after a crash of entries.
+def test_one_read_serves_all_streams_that_wait_for_it() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    entry = world.entries[0]
+    world.silence(0)
+    handles = []
+    for number in range(50):
+        world.take_up(entry, f"elsewhere {number}")
+        handles.append(entry.handles)
+    world.run(STEP_S)
+    reads = len(pick(entry.effects, ObjectGet))
+    world.hear(0)
+    world.run(CALL_S + RETRY_S)
+    assert len(pick(entry.effects, ObjectGet)) <= reads + 2
+    assert all(find_started(entry, handle) for handle in handles)
+
+
+# Guards against more reads than the platform answers when callers come back to all
+# entries at once.
+def test_streams_that_are_taken_up_one_by_one_share_reads() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    entry = world.entries[0]
+    reads = len(pick(entry.effects, ObjectGet))
+    arrived: dict[int, float] = {}
+    until = world.now + 1.0
+    while world.now < until:
+        world.now += 0.01
+        entry.now = world.now
+        world.handle(entry, Ticked())
+        world.take_up(entry, f"elsewhere {world.now}")
+        arrived[entry.handles] = world.now
+        for handle, at in arrived.items():
+            is_late = world.now > at + READ_GAP_S + STEP_S
+            assert find_started(entry, handle) or not is_late
+    assert len(pick(entry.effects, ObjectGet)) - reads <= 1.0 / READ_GAP_S + 1
+
+
+# Guards against a version that is taken for gone, since an entry that hears late of its
+# upstreams, or stood still, has read of it in the record first (ORDER).
+@pytest.mark.parametrize("frozen_s", [0.0, 20.0])
+def test_a_version_that_an_entry_has_not_heard_of_yet_is_not_recorded_as_gone(
+    frozen_s: float,
+) -> None:
+    world = World(2, make_engine("engines-1", "v1"))
+    if frozen_s:
+        world.freeze(1)
+    world.upstreams["engines-2"] = make_engine("engines-2", "v2")
+    world.learn(0)
+    world.run(SETTLE_S + frozen_s)
+    world.take_up(world.wake(1), "elsewhere")
+    for _ in range(5):
+        world.run(STEP_S)
+    assert world.platform.read().versions["engines"] == {"v1": 0.0, "v2": 0.0}
+
+
+# Guards against streams that begin at a version before it is recorded (ORDER).
+def test_no_stream_begins_at_a_version_that_can_not_be_recorded() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    world.platform.failing = [ObjectStatus.REJECTED] * 10
+    world.add("engines-2", "v2")
+    entry = world.entries[0]
+    while world.platform.failing:
+        assert world.begin(entry, f"s{world.now}") == "v1"
+        world.run(STEP_S)
+    world.run(SETTLE_S)
+    begun = {world.begin(entry, f"s{number}") for number in range(50)}
+    assert begun == {"v1", "v2"}
 
 
 # Guards against streams joined from two versions by an entry that has started after the
@@ -230,7 +180,7 @@
         world.remove("engines-2")
     world.run(SETTLE_S)
     world.reconnect(1)
-    assert not world.goes_on(world.entries[1])
+    assert world.goes_on(world.entries[1]) is not came
     world.run(SETTLE_S)
     assert world.goes_on(world.entries[1]) is not came
 
@@ -261,7 +211,7 @@
     world.platform.restore()
     world.tell(StoreRestored(2, 1))
     new = world.restart(0)
-    world.run(2 * SETTLE_S)
+    world.run(REREGISTER_S + SETTLE_S)
     assert world.goes_on(new) and world.platform.read().era == 2
 
 
