--- a/tests/core/test_outofstep.py
+++ b/tests/core/test_outofstep.py
@@ -153,6 +153,8 @@
         self.engines = 2
         self.software = {f"engines-{n}": "v0" for n in range(3)}
         self.went_on = 0
+        self.saved_at = 0.0
+        self.eras: dict[int, int] = {}
 
     def play(self) -> None:
         for _ in range(120):
@@ -177,6 +179,11 @@
                 self.back_at[place] = self.world.now + self.random.uniform(1.0, 12.0)
             case 3 if is_calm:
                 self.restart(place)
+            case 4:
+                self.world.platform.save()
+                self.saved_at = self.world.now
+            case 5 if self.world.now < self.saved_at + 9.0:
+                self.restore()
 
     def replace_engine(self) -> None:
         """Let a newer engine join, at most one version in a stream's life."""
@@ -194,6 +201,20 @@
     def restart(self, place: int) -> None:
         self.check()
         self.world.restart(place)
+        self.eras[place] = self.world.platform.era
+
+    def restore(self) -> None:
+        """Let the platform come back from its copy; all that reach it hear of it."""
+        self.world.platform.restore()
+        for place in range(len(self.world.entries)):
+            self.tell_era(place)
+
+    def tell_era(self, place: int) -> None:
+        era = self.world.platform.era
+        if self.world.reaches(place) and self.eras.get(place, 1) < era:
+            entry = self.world.entries[place]
+            self.world.handle(entry, StoreRestored(era, self.eras.get(place, 1)))
+            self.eras[place] = era
 
     def return_entries(self) -> None:
         for place, at in list(self.back_at.items()):
@@ -202,10 +223,11 @@
             del self.back_at[place]
             if place in self.world.silent:
                 self.world.hear(place)
-                continue
-            self.world.wake(place)
-            self.use(place)
-            self.world.learn(place)
+            else:
+                self.world.wake(place)
+                self.use(place)
+                self.world.learn(place)
+            self.tell_era(place)
 
     def spread_news(self) -> None:
         for place, at in list(self.learns_at.items()):
