Hold new streams until the first version of their service is recorded

Change: while no version of its service is recorded, a new stream waits for it, 1 s or half of its time at most. It costs a look-up a stream. With one version recorded, servers of the others wait alone.

--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -17,6 +17,7 @@
 from masticdrum.core.exchangeclose import ORIGIN
 from masticdrum.core.exchangestate import Exchange, ExchangeState, OriginSearch
 from masticdrum.core.invariants import require
+from masticdrum.model.directory import RouteKind
 from masticdrum.model.exchange import ExchangeEffect
 from masticdrum.model.origins import (
     OriginQuery,
@@ -30,6 +31,7 @@
 READ_PATIENCE_S = 0.2  # for the record, before agents are queried too
 READ_WAIT_S = 3.0  # for the record, from a platform that is away
 READ_WAIT_FRACTION = 0.5  # of the time left, so that as much is left for the stream
+FIRST_WAIT_S = 1.0  # for the record of a service's first version
 COPIES = 2  # agents that keep a stream's origin
 # Upstreams that registered since a stream began move its agents down in rank.
 QUERIED_PER_VERSION = 6
@@ -47,9 +49,12 @@
 def begin_resumption(
     state: ExchangeState, exchange: Exchange, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
-    """Find the version that began an exchange's stream, or query the agents for it."""
+    """Find the version that began an exchange's stream, or search for it.
+
+    A new stream only waits while no version of its service is recorded.
+    """
     if exchange.last_event is None:
-        return Resumption.ALLOWED, []
+        return _begin_stream(state, exchange, now)
     known = state.origins.find(exchange.resumes, now)
     if known is not None:
         return _allow(state, exchange, known, "own record", now)
@@ -64,6 +69,28 @@
     return Resumption.SEARCHING, []
 
 
+def _begin_stream(
+    state: ExchangeState, exchange: Exchange, now: float
+) -> tuple[Resumption, list[ExchangeEffect]]:
+    if _may_begin(state, exchange):
+        return Resumption.ALLOWED, []
+    wait_s = min(FIRST_WAIT_S, READ_WAIT_FRACTION * (exchange.deadline - now))
+    exchange.search = OriginSearch(now, now + wait_s)
+    state.awaiting_record.add(exchange.handle)
+    state.timers.set((ORIGIN, exchange.handle), exchange.search.until)
+    return Resumption.SEARCHING, []
+
+
+def _may_begin(state: ExchangeState, exchange: Exchange) -> bool:
+    """Return whether a stream may begin at a version, or none of them serves."""
+    service = exchange.service
+    registered = state.cluster_state.software.list_registered(service)
+    if exchange.route.kind is not RouteKind.STREAM or not registered:
+        return True
+    records = state.software_records
+    return any(records.has_confirmed(service, version) for version in registered)
+
+
 def use_record(
     state: ExchangeState, exchange: Exchange, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
@@ -72,6 +99,11 @@
     records = state.software_records
     if search is None:
         return Resumption.SEARCHING, []
+    if exchange.last_event is None:
+        if not _may_begin(state, exchange):
+            return Resumption.SEARCHING, []
+        _end_search(state, exchange)
+        return Resumption.ALLOWED, []
     if records.read_at < search.begun_at:
         records.request_read(now)
         return Resumption.SEARCHING, []
@@ -126,6 +158,9 @@
     search = exchange.search
     if search is None:
         return Resumption.SEARCHING, []
+    if exchange.last_event is None:
+        _end_search(state, exchange)
+        return Resumption.ALLOWED, []
     if search.unanswered is None:
         return _query_agents(state, exchange, now)
     search.unanswered = 0
--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -5,7 +5,7 @@
 import pytest
 
 from masticdrum.core.clusterstate import OUTAGE_S, REREGISTER_S
-from masticdrum.core.resumption import READ_WAIT_S, SEARCH_S
+from masticdrum.core.resumption import FIRST_WAIT_S, READ_WAIT_S, SEARCH_S
 from masticdrum.core.servedsoftware import MAX_STREAM_LIFE_S, MIN_STREAM_LIFE_S
 from masticdrum.core.softwarerecords import CLOCK_SLACK_S, READ_GAP_S, RETRY_S
 from masticdrum.model.cluster_events import StoreRestored
@@ -20,6 +20,7 @@
     World,
     find_started,
     make_engine,
+    make_request,
 )
 
 
@@ -128,6 +129,23 @@
     assert world.platform.read().versions["engines"] == {"v1": 0.0, "v2": 0.0}
 
 
+# Guards against the refusal of streams in the moment before the first version of a
+# service is recorded, as a system starts.
+@pytest.mark.parametrize("rejected", [0, 1, 9])
+def test_streams_wait_until_the_first_version_is_recorded(rejected: int) -> None:
+    world = World(2)
+    world.run(SETTLE_S)
+    world.platform.failing = [ObjectStatus.REJECTED] * rejected
+    world.add("engines-1", "v1")
+    entry = world.entries[0]
+    entry.handles += 1
+    world.handle(entry, make_request(entry))
+    assert not find_started(entry, entry.handles)
+    world.run(FIRST_WAIT_S + STEP_S)
+    assert len(find_started(entry, entry.handles)) == (rejected < 9)
+    assert len(pick(entry.effects, Refuse)) == (rejected == 9)
+
+
 # Guards against streams that begin at a version before it is recorded (ORDER).
 def test_no_stream_begins_at_a_version_that_can_not_be_recorded() -> None:
     world = World(1, make_engine("engines-1", "v1"))
