Refuse a request with a number that is too large

What callers saw: a connection that was closed without an answer.

Cause: a time of 400 digits raises OverflowError as it is converted to seconds; only ValueError was expected. Other numbers of any length were taken for counts of tokens.

Evidence: test_a_number_too_large_in_a_request_is_refused on the code before printed "Server disconnected without sending a response." for 400 digits and "assert 200 == 400" else, test_headers.py "integer division result too large for a float".

Change: a whole number in a caller's header has at most 20 digits; a longer one is malformed (400).

--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -39,6 +39,7 @@
     }
 )
 MS_PER_S = 1000
+MAX_DIGITS = 20  # of a whole number; with 400, arithmetic overflows
 MIN_MS = 1  # the platform counts whole milliseconds
 SINGLE_HEADERS = (
     REQUEST,
@@ -70,9 +71,11 @@
                 CallerHeaders(
                     request=values[REQUEST].decode("latin-1"),
                     key=read_key(values.get(AUTHORIZATION, b"")),
-                    deadline_s=None if deadline is None else int(deadline) / MS_PER_S,
+                    deadline_s=None
+                    if deadline is None
+                    else read_number(deadline) / MS_PER_S,
                     prompt=read_prompt(values),
-                    last_event=None if last is None else int(last),
+                    last_event=None if last is None else read_number(last),
                     resumes=values.get(RESUMES, b"").decode("latin-1"),
                 )
             )
@@ -146,15 +149,22 @@
     return Prompt(
         model=model.decode("latin-1"),
         parts=tuple(
-            PromptPart(name.strip().decode("latin-1"), int(count))
+            PromptPart(name.strip().decode("latin-1"), read_number(count))
             for name, _, count in parts
             if name
         ),
-        tokens_in=int(tokens[0] or 0),
-        tokens_out=int(tokens[2] or 0),
+        tokens_in=read_number(tokens[0] or b"0"),
+        tokens_out=read_number(tokens[2] or b"0"),
     )
 
 
+def read_number(value: bytes) -> int:
+    """Return a whole number; raises ``ValueError``, also for one that is too large."""
+    if len(value) > MAX_DIGITS:
+        raise ValueError(f"a number of {len(value)} digits")
+    return int(value)
+
+
 def read_limit(value: bytes | None) -> float | None:
     """Return the requests a second that an upstream takes, None if it names none."""
     if value is None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,6 +1,7 @@
 """What is read of the platform's headers."""
 
 import pytest
+from returns.result import Failure, Success
 
 from masticdrum.platform.headers import PlatformHeaderCodec
 
@@ -63,3 +64,24 @@
     headers = [(b"x-request-id", b"r1"), (b"retry-after", value)]
     assert PlatformHeaderCodec().read_upstream(status, headers).pause_s == pause_s
     assert PlatformHeaderCodec().read_upstream(status, headers[:1]).pause_s == 0.0
+
+
+TOO_LARGE = [b"9" * digits for digits in (21, 400, 5000)]
+
+
+# Guards against a caller whose connection is closed without an answer since a number
+# of its request is too large.
+@pytest.mark.parametrize("number", [*TOO_LARGE, b"-" + b"9" * 400, b"1e3", b"nan"])
+@pytest.mark.parametrize("name", [b"x-deadline-ms", b"last-event-id", b"tokens"])
+def test_a_callers_number_that_is_too_large_is_refused(
+    name: bytes, number: bytes
+) -> None:
+    headers = [(b"x-request-id", b"r1"), (name, number)]
+    if name == b"tokens":
+        usage = (b"x-token-usage", number + b",1")
+        headers = [headers[0], (b"x-model", b"m1"), usage]
+    assert isinstance(PlatformHeaderCodec().read_caller(headers), Failure)
+    parts = (b"x-prefix-hash", b"a:" + number)
+    headers = [headers[0], (b"x-model", b"m1"), parts]
+    assert isinstance(PlatformHeaderCodec().read_caller(headers), Failure)
+    assert isinstance(PlatformHeaderCodec().read_caller(headers[:1]), Success)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -245,6 +245,21 @@
     assert "Traceback" not in fleet.read_logs()
 
 
+# Guards against a caller whose connection is closed without an answer since a number
+# of its request is too large.
+@pytest.mark.parametrize("digits", [21, 400, 5000])
+def test_a_number_too_large_in_a_request_is_refused(fleet: Fleet, digits: int) -> None:
+    number = "9" * digits
+    for odd in (
+        {"X-Deadline-Ms": number},
+        {"Last-Event-Id": number},
+        {"X-Model": "m1", "X-Token-Usage": f"{number},{number}"},
+        {"X-Model": "m1", "X-Prefix-Hash": f"a:{number}"},
+    ):
+        assert fleet.ask("/stream/7", "r1", **odd).status == 400
+    assert fleet.ask("/look/7", "r2").status == 200
+
+
 def test_a_store_that_forgets_its_history_is_listed_again(fleet: Fleet) -> None:
     fleet.control("store", do="forget")
     fleet.put("config", "main", make_config(9, ["new-key"]))
