Don't end at an answer that names its weights with too many digits

What callers saw: nothing yet. One answer of a server would have ended the entry.

Cause: more than 4,300 digits raise ValueError, and nothing catches that between the attempt and the process's own nursery.

Evidence: test_the_weights_of_an_answer_are_a_number_or_unknown on the code before printed "Exceeds the limit (4300 digits) for integer string conversion: value has 5000 digits". That the process ends was read in the code, not run.

Change: such a number counts as unknown, like one that is none.

Result: these cases pass.

--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -112,7 +112,6 @@
     def read_upstream(self, status: int, headers: Headers) -> UpstreamHeaders:
         """Decode the headers of an upstream's answer."""
         values = dict(headers)
-        weights = values.get(WEIGHTS, b"")
         kind = values.get(b"content-type", b"")
         return UpstreamHeaders(
             request=values.get(REQUEST, b"").decode("latin-1"),
@@ -120,7 +119,7 @@
             not_run=NOT_RUN in values,
             plain=b"content-encoding" not in values,
             events=kind.startswith(b"text/event-stream"),
-            weights=int(weights) if weights.isdigit() else 0,
+            weights=read_weights(values.get(WEIGHTS, b"")),
             idle_s=read_idle_timeout(values.get(KEEP_ALIVE, b"")),
             limit_per_s=read_limit(values.get(LIMIT)),
             pause_s=read_seconds(values.get(RETRY_AFTER)) if status == 503 else 0.0,
@@ -165,6 +164,11 @@
     return int(value)
 
 
+def read_weights(value: bytes) -> int:
+    """Return the version of an upstream's weights, zero if none can be read."""
+    return int(value) if value.isdigit() and len(value) <= MAX_DIGITS else 0
+
+
 def read_limit(value: bytes | None) -> float | None:
     """Return the requests a second that an upstream takes, None if it names none."""
     if value is None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -85,3 +85,16 @@
     headers = [headers[0], (b"x-model", b"m1"), parts]
     assert isinstance(PlatformHeaderCodec().read_caller(headers), Failure)
     assert isinstance(PlatformHeaderCodec().read_caller(headers[:1]), Success)
+
+
+# Guards against an entry that ends at an answer whose upstream names its weights with
+# too many digits (LOST).
+@pytest.mark.parametrize(
+    ("value", "weights"),
+    [(b"2", 2), (b"", 0), (b"-2", 0), (b"m1", 0), *((n, 0) for n in TOO_LARGE)],
+)
+def test_the_weights_of_an_answer_are_a_number_or_unknown(
+    value: bytes, weights: int
+) -> None:
+    headers = [(b"x-request-id", b"r1"), (b"x-weight-versions", value)]
+    assert PlatformHeaderCodec().read_upstream(200, headers).weights == weights
