Replace a record of software versions that is nested deeply

What callers saw: nothing yet. Each entry would have ended as it read the record.

Cause: an unreadable record is replaced, but RecursionError wasn't taken for one.

Evidence: test_a_nested_record_is_replaced_but_not_trusted failed on the code before for the nested record.

Change: it is decoded by core/decoding.py, and replaced like other unreadable ones.

Result: the test passes.

--- a/masticdrum/core/softwarerecords.py
+++ b/masticdrum/core/softwarerecords.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.core.permits import FIRST_ERA
 from masticdrum.core.servedsoftware import MAX_STREAM_LIFE_S, ServedSoftware
 from masticdrum.model.platform import (
@@ -224,6 +225,6 @@
 def decode_record(body: bytes) -> SoftwareRecord:
     """Decode the stored object; an unreadable one is replaced."""
     try:
-        return msgspec.json.decode(body, type=SoftwareRecord)
-    except msgspec.MsgspecError:
+        return read_json(body, SoftwareRecord)
+    except Undecodable:
         return SoftwareRecord(era=-1)
--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -361,3 +361,16 @@
         open_since = world.now - MIN_STREAM_LIFE_S + OUTAGE_S + 2 * SETTLE_S
         assert {v for v, at in used.items() if at > open_since} <= known
     return complete
+
+
+# Guards against entries that end at a record that is nested deeply (RecursionError).
+@pytest.mark.parametrize(
+    "body", [b'{"more":' + b"[" * 2000 + b"]" * 2000 + b"}", b"", b'{"era":1e400}']
+)
+def test_a_nested_record_is_replaced_but_not_trusted(body: bytes) -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    world.platform.body = body
+    entry = world.restart(0)
+    world.run(SETTLE_S)
+    assert not world.goes_on(entry)
+    assert world.platform.read().versions == {"engines": {"v1": 0.0}}
