Bound the numbers of engines' reports and of cache stores' events

What callers saw: nothing yet.

Cause: negative numbers, and ones of up to 4,300 digits, passed as versions, counts of orders, and numbers of events, which are sent back in the next call.

Evidence: on the code before test_a_store_with_an_odd_answer_is_lost_until_it_is_sound failed for a negative number and for one of 400 digits.

Change: these numbers have the bounds of a registration's.

A store or an engine with such an answer counts as lost, is asked again after the usual pause, and is back with its next sound answer.

--- a/masticdrum/platform/cachestores.py
+++ b/masticdrum/platform/cachestores.py
@@ -10,6 +10,7 @@
 from masticdrum.core.decoding import read_json
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.core.storepolls import StorePolls
+from masticdrum.platform.objects import Count
 from masticdrum.platform.store import StoreFailed, decode
 from masticdrum.shell.upstreamstream import UpstreamBackend
 
@@ -27,8 +28,8 @@
 class CacheEvents(Struct):
     """A store's answer; the next call continues at ``next``."""
 
-    bootEpoch: int  # noqa: N815
-    next: int
+    bootEpoch: Count  # noqa: N815
+    next: Count
     events: list[Event]
     lost: bool = False
 
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -18,7 +18,7 @@
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered, RunsAtLoad
 from masticdrum.model.cluster_events import Source, SourceLost, SourceRegained
 from masticdrum.model.settings import EngineControllerSettings
-from masticdrum.platform.objects import WireWeights
+from masticdrum.platform.objects import Count, WireWeights
 from masticdrum.platform.store import StoreFailed, decode
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.reachability import Reachability
@@ -45,7 +45,7 @@
 
     models: list[WireWeights] = field(default_factory=list)
     busy: bool = False
-    sequence: int = 0
+    sequence: Count = 0
 
     def describe(self) -> EngineView:
         """Convert the report to this project's types."""
--- a/tests/platform/test_cachestores.py
+++ b/tests/platform/test_cachestores.py
@@ -3,11 +3,13 @@
 import json
 from collections.abc import Callable
 
+import pytest
 import trio
 
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.core.storepolls import StorePolls
 from masticdrum.platform.cachestores import CacheEventPoller
+from tests.platform.oddobjects import ODD_SPECS, ODD_VALUES
 
 Submitted = list[PrefixesReported | PrefixStoreLost]
 
@@ -89,3 +91,29 @@
 def test_a_failing_store_is_reported_as_lost() -> None:
     submitted, _ = poll([(200, describe_events(1, 1, "a")), (500, b"")])
     assert submitted[1] == PrefixStoreLost("store")
+
+
+ODD_EVENTS = {
+    **ODD_SPECS,
+    **ODD_VALUES,
+    **{
+        f"{k} in an unread field": b'{"bootEpoch":1,"next":2,"events":[],"more":%s}' % v
+        for k, v in ODD_VALUES.items()
+    },
+    "a negative number": b'{"bootEpoch":1,"next":-2,"events":[]}',
+    "a number of 400 digits": b'{"bootEpoch":1,"next":%s,"events":[]}' % (b"9" * 400),
+    "a number of 5,000 digits": b'{"bootEpoch":%s,"next":2,"events":[]}'
+    % (b"9" * 5000),
+    "an odd event": b'{"bootEpoch":1,"next":2,"events":[[7]]}',
+}
+
+
+# Guards against an entry that ends at a store's answer that is nested deeply
+# (RecursionError) or has a number too large (LOST).
+@pytest.mark.parametrize("body", ODD_EVENTS.values(), ids=ODD_EVENTS)
+def test_a_store_with_an_odd_answer_is_lost_until_it_is_sound(body: bytes) -> None:
+    sound = describe_events(1, 1, "a")
+    submitted, requests = poll([(200, sound), (200, body), (200, sound)])
+    reported = PrefixesReported("store", 1, (("s1", "a"),))
+    assert submitted[:3] == [reported, PrefixStoreLost("store"), reported]
+    assert "since=0" in requests[2]
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -4,24 +4,28 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 
 from masticdrum.core.enginecontroller import EngineReported
 from masticdrum.model.cluster_events import Source, SourceLost, SourceRegained
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.platform.engine import Engine
+from tests.platform.oddobjects import ODD_SPECS, ODD_VALUES
 
 REPORT = json.dumps({"models": [{"name": "m1", "version": 3}]}).encode()
 
 
 @asynccontextmanager
-async def serve_report(listener: trio.SocketListener) -> AsyncIterator[None]:
+async def serve_report(
+    listener: trio.SocketListener, report: bytes = REPORT
+) -> AsyncIterator[None]:
     """Answer each connection's first request with the report."""
 
     async def answer(stream: trio.SocketStream) -> None:
         await stream.receive_some()
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(REPORT)}\r\n\r\n"
-        await stream.send_all(head.encode() + REPORT)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n"
+        await stream.send_all(head.encode() + report)
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, answer, [listener])
@@ -51,3 +55,37 @@
     assert isinstance(lost, SourceLost) and lost.source is Source.ENGINE
     assert isinstance(regained, SourceRegained)
     assert reported == EngineReported({"m1": 3})
+
+
+# Each field has a default, and others aren't looked at.
+SOUND_SPECS = {"an empty object", "bytes that aren't UTF-8"}
+ODD_REPORTS = {
+    **{k: v for k, v in ODD_SPECS.items() if k not in SOUND_SPECS},
+    **ODD_VALUES,
+    **{f"{k} in an unread field": b'{"more":%s}' % v for k, v in ODD_VALUES.items()},
+    "a negative version": b'{"models":[{"name":"m1","version":-3}]}',
+    "a version of 400 digits": b'{"models":[{"name":"m1","version":%s}]}'
+    % (b"9" * 400),
+    "a sequence of 5,000 digits": b'{"sequence":%s}' % (b"9" * 5000),
+}
+
+
+# Guards against an agent that ends at its engine's report since that is nested deeply
+# (RecursionError) or has a number too large.
+@pytest.mark.parametrize("report", ODD_REPORTS.values(), ids=ODD_REPORTS)
+def test_an_odd_report_of_an_engine_is_one_that_cant_be_read(report: bytes) -> None:
+    submitted: list[object] = []
+
+    async def run() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        settings = EngineControllerSettings(
+            "side-1", "north", f"127.0.0.1:{port}", "", ""
+        )
+        engine = Engine(submitted.append, settings)
+        async with serve_report(listener, report):
+            assert await engine.read_report() is None
+
+    trio.run(run)
+    (lost,) = submitted
+    assert isinstance(lost, SourceLost) and "can't be decoded" in lost.reason
