Log an object that can't be read once until it changes

What callers saw: nothing. The log had a line for an odd member or version of weights at each change of any other, up to two a second with many members.

Cause: these kinds are reported as a whole at each change, and each report logged again.

Evidence: test_an_odd_object_is_logged_once_until_it_changes failed on the code before for both kinds; with a count added to it there, in a scratch copy, it printed nine lines for nine reports of one odd object.

Change: the reason that was logged for an object is kept until the object changes or is gone.

Result: one line for nine reports, and another when the object changes.

--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -50,6 +50,7 @@
 MIN_PAUSE_S = 0.1  # after a failed read
 MAX_PAUSE_S = 0.8  # so that a store that returns is noticed within a second
 CONFIRM_MARGIN_S = 0.05  # for clock drift over one wait
+MAX_NAME_CHARS = 100  # of an object's name in a log line
 DIRECTORY_NAME = "main"  # the one object that is used of its kind
 Submit = Callable[[ClusterEvent], None]
 
@@ -95,6 +96,7 @@
         self._random = random
         self._objects: dict[str, StoredObject] = {}
         self._removed: set[str] = set()
+        self._logged: dict[str, str] = {}  # by name, why an object can't be read
         self._since = 0
         self._era = 0
         self._list_again_at = float("inf")
@@ -139,6 +141,7 @@
                 raise StoreFailed(f"no object after {after!r} has a name")
         self._objects, self._since = objects, since
         self._removed.clear()
+        self._logged = {n: why for n, why in self._logged.items() if n in objects}
         self._list_again_at = float("inf")
         if 0 < self._era < era:
             self._list_again_at = requested_at + REWRITE_S
@@ -188,6 +191,7 @@
 
     def _apply_change(self, stored: StoredObject, deleted: bool) -> None:
         name = stored.metadata.name
+        self._logged.pop(name, None)
         if deleted:
             self._objects.pop(name, None)
             self._removed.add(name)
@@ -293,7 +297,11 @@
         self._reachability.record_success()
 
     def _log_unreadable(self, name: str, error: Exception) -> None:
-        facts = {"kind": self._watched.kind, "object": name}
+        """Log why an object can't be read, once until it changes."""
+        if name and self._logged.get(name) == str(error):
+            return
+        self._logged[name] = str(error)
+        facts = {"kind": self._watched.kind, "object": name[:MAX_NAME_CHARS]}
         write_event(
             Log(LogNumber.OBJECT_UNREADABLE, detail=str(error), facts={**facts})
         )
--- a/tests/platform/test_oddobjects.py
+++ b/tests/platform/test_oddobjects.py
@@ -309,3 +309,20 @@
     events, _ = follow(DIRECTORY, [make_page([sound])], [make_changes([config])])
     versions = [e.directory.version for e in events if isinstance(e, DirectoryRead)]
     assert versions == [1]
+
+
+# Guards against a log that is full of one odd object, at each change of any other.
+@pytest.mark.parametrize("watched", [MEMBERS, WEIGHTS], ids=lambda w: w.kind)
+def test_an_odd_object_is_logged_once_until_it_changes(
+    watched: WatchedKind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    logged = record_logs(monkeypatch, "masticdrum.platform.watchers")
+    odd, other = make_object("a" * 5000, NESTED), make_object("b", b'{"model":"b"}')
+    both = b'{"model":"b","version":1,"name":"b","role":"entry","data_centre":"n"}'
+    sound = make_object("b", both)
+    watches = [make_changes([sound])] * 8
+    follow(watched, [make_page([odd])], watches, for_s=30.0)
+    assert [log.facts["object"] for log in logged] == ["a" * 100]
+    logged.clear()
+    follow(watched, [make_page([odd])], [make_changes([other]), make_changes([odd])])
+    assert [log.facts["object"][:1] for log in logged] == ["a", "b", "a"]
