Expect nested bytes in the product's own interface and links

What callers saw: nothing yet. A completion's body that is nested deeply was no malformed request, and such a log line ended the tool that reads it; a message between processes, an instance list, an engine's load or events could have ended a process.

Cause: RecursionError isn't an error of the decoder's own kind.

Evidence: tests/core/test_decoding.py on the code before printed "maximum recursion depth exceeded while deserializing an object" for a completion, a log line and an envelope. The other readers were read in the code; heads, segments and frames were not seen to fail, since the bytes of the test aren't of their shape.

Change: all readers of bytes from outside use core/decoding.py.

Result: the tests pass, also from 600 calls further down the stack.

--- a/masticdrum/core/frames.py
+++ b/masticdrum/core/frames.py
@@ -10,10 +10,12 @@
 from hashlib import blake2b
 from hmac import compare_digest
 
-from msgspec import MsgspecError, Struct
-from msgspec.msgpack import decode, encode
+from msgspec import Struct
+from msgspec.msgpack import Decoder, encode
 from returns.result import Failure, Result, Success
 
+from masticdrum.core.decoding import Undecodable, read_msgpack
+
 MAGIC = b"MDB1"
 LENGTH_BYTES = 4
 CHECKSUM_BYTES = 16
@@ -41,6 +43,9 @@
     checksum: bytes
 
 
+HEADER = Decoder(FrameHeader)
+
+
 class BlockName(Struct, frozen=True):
     """The block that a reader expects: its key, workspace and weight version."""
 
@@ -87,8 +92,8 @@
     if len(frame) < end:
         return Failure(FrameFault.TRUNCATED)
     try:
-        header = decode(frame[start:end], type=FrameHeader)
-    except MsgspecError:
+        header = read_msgpack(frame[start:end], HEADER)
+    except Undecodable:
         return Failure(FrameFault.MALFORMED)
     return Success((header, frame[end:]))
 
--- a/masticdrum/core/requesttrace.py
+++ b/masticdrum/core/requesttrace.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Struct
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.telemetry import LogNumber
 
 LEAD_TIME_S = 2.0  # a state change this shortly before a request may explain it
@@ -89,10 +90,10 @@
         if start < 0:
             continue
         try:
-            line = msgspec.json.decode(text[start:], type=LogLine)
-            everything = msgspec.json.decode(text[start:], type=dict[str, object])
+            line = read_json(text[start:], LogLine)
+            everything = read_json(text[start:], dict[str, object])
             at = msgspec.convert(line.time, type=datetime)
-        except msgspec.MsgspecError:
+        except (Undecodable, msgspec.MsgspecError):
             continue
         facts = {key: v for key, v in everything.items() if key not in COMMON_FIELDS}
         yield at.timestamp(), line, facts
--- a/masticdrum/core/segments.py
+++ b/masticdrum/core/segments.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 from returns.result import Failure, Result, Success
 
+from masticdrum.core.decoding import Undecodable, read_msgpack
 from masticdrum.model.ledger import Head, Record, Segment, SegmentRef
 
 NUMBER_BYTES = 16
@@ -47,6 +48,10 @@
     return xxhash.xxh3_128_digest(f"{len(route)}:{route}".encode() + body)
 
 
+HEAD = msgspec.msgpack.Decoder(Head)
+SEGMENT = msgspec.msgpack.Decoder(Segment)
+
+
 def make_path_prefix(partition: int) -> str:
     """Return the path prefix of a partition's objects."""
     return f"ledger/{partition:03d}/"
@@ -70,16 +75,16 @@
 def decode_head(body: bytes) -> Result[Head, str]:
     """Decode a head, or return the decoder's error message."""
     try:
-        return Success(msgspec.msgpack.decode(body, type=Head))
-    except msgspec.MsgspecError as error:
+        return Success(read_msgpack(body, HEAD))
+    except Undecodable as error:
         return Failure(str(error))
 
 
 def decode_segment(body: bytes) -> Result[Segment, str]:
     """Decode a segment, or return the decoder's error message."""
     try:
-        return Success(msgspec.msgpack.decode(body, type=Segment))
-    except msgspec.MsgspecError as error:
+        return Success(read_msgpack(body, SEGMENT))
+    except Undecodable as error:
         return Failure(str(error))
 
 
--- a/masticdrum/shell/blockclient.py
+++ b/masticdrum/shell/blockclient.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 import httpcore
-import msgspec
 import trio
 from msgspec import Struct
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.core.frames import derive_key
 from masticdrum.model.agent_events import (
     BlockExported,
@@ -89,6 +89,6 @@
             body = await call_http(
                 self._pool, "GET", f"{self._url}/events?after={after}"
             )
-            return msgspec.json.decode(body, type=EventsAnswer)
-        except (TransferFailed, msgspec.MsgspecError):
+            return read_json(body, EventsAnswer)
+        except (TransferFailed, Undecodable):
             return None
--- a/masticdrum/shell/engineclient.py
+++ b/masticdrum/shell/engineclient.py
@@ -7,6 +7,7 @@
 import trio
 from msgspec import Struct
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.agent_events import (
     CancelRun,
     IssueOrder,
@@ -72,7 +73,6 @@
         self._timeouts = timeouts
         self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
         self._scopes: dict[str, trio.CancelScope] = {}
-        self._lines = msgspec.json.Decoder(StreamLine)
 
     def start(self, effect: StartRun) -> None:
         """Start a run; its tokens arrive as events."""
@@ -165,7 +165,7 @@
         except (
             *CONNECTION_ERRORS,
             httpcore.TimeoutException,
-            msgspec.MsgspecError,
+            Undecodable,
         ) as error:
             return RunFailed(attempt, True, detail=repr(error))
 
@@ -173,7 +173,7 @@
         self, attempt: str, chunks: AsyncIterator[bytes]
     ) -> RunFailed | None:
         async for data in split_lines(chunks):
-            line = self._lines.decode(data)
+            line = read_json(data, StreamLine)
             if line.tokens:
                 self._submit(RunTokens(attempt, line.first, line.tokens))
             elif line.begun:
@@ -224,8 +224,8 @@
                 response = await self._pool.request("GET", f"{self._url}/load")
                 if response.status != 200:
                     return LoadReported(False)
-                answer = msgspec.json.decode(response.content, type=LoadAnswer)
-            except (*CONNECTION_ERRORS, msgspec.MsgspecError):
+                answer = read_json(response.content, LoadAnswer)
+            except (*CONNECTION_ERRORS, Undecodable):
                 return LoadReported(False)
             return LoadReported(True, answer.running, answer.boot, answer.version)
         return LoadReported(False)
--- a/masticdrum/shell/fleet.py
+++ b/masticdrum/shell/fleet.py
@@ -4,10 +4,10 @@
 from secrets import token_hex
 
 import httpcore
-import msgspec
 import trio
 from msgspec import Struct
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.core.placement import Hint
 from masticdrum.core.tablebody import pack_tables
 from masticdrum.model.entry_events import FrameReceived
@@ -106,14 +106,12 @@
         url = f"http://{report.address.split('://')[-1]}/status"
         try:
             response = await self._pool.request("GET", url)
-            report.serial = msgspec.json.decode(
-                response.content, type=StatusBody
-            ).serial
+            report.serial = read_json(response.content, StatusBody).serial
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
-            msgspec.MsgspecError,
             OSError,
+            Undecodable,
         ):
             return
 
--- a/masticdrum/shell/instanceclient.py
+++ b/masticdrum/shell/instanceclient.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.platform import Instance, InstancesListed
 
 MAX_ROWS_PER_S = 50  # bounds the average number of rows that one process reads a second
@@ -49,12 +50,12 @@
         with trio.move_on_after(self._timeout_s):
             try:
                 response = await self._pool.request("GET", self._url)
-                rows = msgspec.json.decode(response.content, type=InstanceRows)
+                rows = read_json(response.content, InstanceRows)
             except (
                 httpcore.NetworkError,
                 httpcore.ProtocolError,
-                msgspec.MsgspecError,
                 OSError,
+                Undecodable,
             ):
                 return None
             return InstancesListed(tuple(rows.instances))
--- a/masticdrum/shell/requestbody.py
+++ b/masticdrum/shell/requestbody.py
@@ -1,10 +1,10 @@
 """Reads a request's body within limits, and validates a completion's body."""
 
-import msgspec
 import trio
 from msgspec import Struct
 from returns.result import Failure, Result, Success
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.settings import EntryLimits
 from masticdrum.shell.asgi import Receive
@@ -54,8 +54,8 @@
 def parse_completion(body: bytes) -> Result[CompletionBody, Refusal]:
     """Return a completion's body, or why it is malformed."""
     try:
-        parsed = msgspec.json.decode(body, type=CompletionBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        parsed = read_json(body, CompletionBody)
+    except Undecodable as error:
         return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, f"the body: {error}"))
     if parsed.max_tokens < 1:
         detail = f"the body: max_tokens: {parsed.max_tokens} is below 1"
--- a/masticdrum/shell/wire.py
+++ b/masticdrum/shell/wire.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from masticdrum.core.decoding import Undecodable, read_msgpack
 from masticdrum.model.messages import Envelope
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -16,6 +17,6 @@
 def decode_envelope(data: bytes) -> Envelope | None:
     """Return the envelope, or None for bytes that are not one."""
     try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError:
+        return read_msgpack(data, _DECODER)
+    except Undecodable:
         return None
