Count an answer of the object API that can't be decoded as lost

What callers saw: a process on the product's own interface would have ended at a list of names, or at an object's version, that isn't one.

Cause: neither was expected to fail.

Evidence: tests/shell/test_oddanswers.py on the code before printed "Expected `object`, got `null`", "Input data was truncated", "maximum recursion depth exceeded while deserializing an object", "invalid literal for int() with base 10: b'x'" and "Exceeds the limit (4300 digits)", and read the version -1 as one.

Change: such an answer leaves open whether the call was executed, as other broken ones do, and the log says why.

Result: the tests pass.

--- a/masticdrum/shell/objectclient.py
+++ b/masticdrum/shell/objectclient.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.platform import (
     ObjectAnswer,
     ObjectDelete,
@@ -15,9 +16,12 @@
     ObjectPut,
     ObjectStatus,
 )
+from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.shell.jsonlogging import write_event
 
 ObjectCall = ObjectGet | ObjectPut | ObjectDelete | ObjectList
 MAX_CONNECTIONS = 32
+MAX_VERSION_DIGITS = 20
 STATUSES = {
     200: ObjectStatus.OK,
     201: ObjectStatus.OK,
@@ -72,6 +76,9 @@
                 answer = ObjectAnswer(call.call, ObjectStatus.REJECTED)
             except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
                 pass
+            except Undecodable as error:
+                detail = f"answer to {call.call}: {error}"
+                write_event(Log(LogNumber.OBJECT_UNREADABLE, detail=detail))
         return answer
 
     async def _request(self, call: ObjectCall) -> ObjectAnswer:
@@ -86,7 +93,7 @@
         if status is not ObjectStatus.OK:
             return ObjectAnswer(call.call, status)
         if isinstance(call, ObjectList):
-            names = msgspec.json.decode(response.content, type=NameList).names
+            names = read_json(response.content, NameList).names
             return ObjectAnswer(call.call, status, names=tuple(names))
         version = read_version(response.headers)
         return ObjectAnswer(call.call, status, version, response.content)
@@ -117,8 +124,11 @@
 
 
 def read_version(headers: list[tuple[bytes, bytes]]) -> int:
-    """Return the version in an ``ETag`` header, or zero."""
+    """Return the version in an ``ETag`` header, or zero; raises ``Undecodable``."""
     for name, value in headers:
         if name.lower() == b"etag":
-            return int(value.strip(b'"'))
+            text = value.strip(b'"')
+            if not text.isdigit() or len(text) > MAX_VERSION_DIGITS:
+                raise Undecodable(f"its version is {text[:MAX_VERSION_DIGITS]!r}")
+            return int(text)
     return 0
