Keep what is known of suspects when their table can't be decoded

What callers saw: an agent on the product's own interface would have ended, again and again, while the stored table of suspects could not be decoded.

Cause: it was decoded without any handling of failures.

Evidence: test_an_odd_table_of_suspects_is_replaced_by_what_is_known on the code before failed for all four tables, with "Expected `object`, got `array`", "Input data was truncated" and "maximum recursion depth exceeded while deserializing an object".

Change: the agent goes on with the suspects that it knows, logs the fault once, as for an odd table of permits, and its next write replaces the odd table.

Result: all four pass.

--- a/masticdrum/core/agent.py
+++ b/masticdrum/core/agent.py
@@ -43,6 +43,7 @@
     handle_tables_timers,
 )
 from masticdrum.core.entrystate import TimerName
+from masticdrum.core.permits import PERMITS_PATH
 from masticdrum.core.runs import (
     CHECK,
     DEADLINE,
@@ -64,6 +65,7 @@
     refuse_waiting,
     start_waiting,
 )
+from masticdrum.core.suspects import SUSPECTS_PATH
 from masticdrum.model.agent_events import (
     AgentEffect,
     AgentEvent,
@@ -91,6 +93,7 @@
     Welcome,
 )
 from masticdrum.model.platform import InstancesListed, ObjectAnswer
+from masticdrum.model.telemetry import Log, LogNumber
 
 
 def reduce_agent(state: AgentState, event: AgentEvent, now: float) -> list[AgentEffect]:
@@ -156,13 +159,23 @@
     state: AgentState, answer: ObjectAnswer, now: float
 ) -> list[AgentEffect]:
     if answer.call.startswith(PERMITS_CALL):
+        permits, before = state.orders.permits, state.orders.permits.fault
         handle_permit_answer(state, answer, now)
-        return []
+        return _report_fault(PERMITS_PATH, before, permits.fault)
     if answer.call.startswith(SUSPECTS_CALL):
-        return _resolve_claims(state, answer, now)
+        before = state.suspects.fault
+        effects = _resolve_claims(state, answer, now)
+        return effects + _report_fault(SUSPECTS_PATH, before, state.suspects.fault)
     return handle_tables_object(state, answer, now)
 
 
+def _report_fault(path: str, before: str, fault: str) -> list[AgentEffect]:
+    """Log why an object can't be decoded, if that is new."""
+    if fault in ("", before):
+        return []
+    return [Log(LogNumber.OBJECT_UNREADABLE, detail=fault, facts={"object": path})]
+
+
 def _resolve_claims(
     state: AgentState, answer: ObjectAnswer, now: float
 ) -> list[AgentEffect]:
--- a/masticdrum/core/suspects.py
+++ b/masticdrum/core/suspects.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.platform import (
     ObjectAnswer,
     ObjectGet,
@@ -108,6 +109,7 @@
         "_watch_at",
         "_written",
         "table",
+        "fault",
         "holder",
         "reachable",
         "trials",
@@ -128,6 +130,7 @@
         self._retry_at = 0.0
         self._watch_at = 0.0
         self._observed: dict[str, ObservedRow] = {}
+        self.fault = ""  # why the object could not be decoded when last read
 
     def get_status(self, fingerprint: str) -> SuspectStatus:
         """Return whether a request may run, as far as this agent knows."""
@@ -192,7 +195,7 @@
             if wrote:
                 return self._handle_written(answer.version, now)
             self._version = answer.version
-            self._install(msgspec.json.decode(answer.body, type=SuspectTable), now)
+            self._install_read(answer.body, now)
             return []
         if answer.status is ObjectStatus.MISSING:
             self._version = ABSENT
@@ -237,6 +240,16 @@
                 self.trials[claim.fingerprint] = claim.token
         return claims
 
+    def _install_read(self, body: bytes, now: float) -> None:
+        """Use a table that was read; the next write replaces an odd one."""
+        try:
+            table = read_json(body, SuspectTable)
+        except Undecodable as error:
+            self.fault = str(error)
+            return
+        self.fault = ""
+        self._install(table, now)
+
     def _install(self, table: SuspectTable, now: float) -> None:
         seen = {}
         for fingerprint, row in table.rows.items():
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -15,6 +15,12 @@
 from masticdrum.core.segments import decode_head, decode_segment
 from masticdrum.core.suspects import SuspectRow, Suspects, SuspectTable
 from masticdrum.model.messages import Envelope, Hello
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectGet,
+    ObjectPut,
+    ObjectStatus,
+)
 from masticdrum.shell.requestbody import CompletionBody, parse_completion
 from masticdrum.shell.wire import decode_envelope, encode_envelope
 
@@ -87,6 +93,23 @@
     assert len(str(Undecodable("x" * 10_000))) == 200
 
 
+# Guards against agents that end, again and again, at an odd table of suspects, and
+# against suspects that are free since the table can't be read.
+@pytest.mark.parametrize("body", [NESTED_JSON, b"[]", b"", b'{"rows":{"a":7}}'])
+def test_an_odd_table_of_suspects_is_replaced_by_what_is_known(body: bytes) -> None:
+    suspects = Suspects("agent/1")
+    sound = SuspectTable({"culprit": SuspectRow(crashes=2)})
+    suspects._install(sound, 0.0)
+    read = suspects.plan_call(0.0)
+    assert isinstance(read, ObjectGet)
+    suspects.handle_answer(ObjectAnswer(read.call, ObjectStatus.OK, 7, body), 0.1)
+    assert suspects.fault
+    suspects.record_crash(("other",))
+    write = suspects.plan_call(0.2)
+    assert isinstance(write, ObjectPut) and write.expected == 7
+    assert set(read_json(write.body, SuspectTable).rows) == {"culprit", "other"}
+
+
 def test_an_envelope_with_a_nested_extra_field_is_refused_without_recursionerror() -> (
     None
 ):
