--- a/masticdrum/core/jsonparts.py
+++ b/masticdrum/core/jsonparts.py
@@ -10,6 +10,10 @@
 
 # A text, a run of brackets of one direction, or a comma.
 TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|,', re.DOTALL)
+# What is further inside, up to a run of brackets; nothing in it is looked at.
+INSIDE = re.compile(
+    rb'(?:[^"\[\]{}]++|"[^"\\]*+(?:\\.[^"\\]*+)*+")*+([\[{]++|[\]}]++)', re.DOTALL
+)
 MEMBER = re.compile(rb'\s*("[^"\\]*(?:\\.[^"\\]*)*")\s*:\s*(.*)', re.DOTALL)
 
 
@@ -20,20 +24,21 @@
     ``Undecodable`` if the outermost bracket is never closed.
     """
     parts: list[bytes] = []
-    depth = start = 0
-    for token in TOKEN.finditer(text):
-        run = token.group()
+    depth = start = at = 0
+    while token := INSIDE.match(text, at) if depth > 1 else TOKEN.search(text, at):
+        run, begins = token[token.re.groups], token.start(token.re.groups)
+        at = token.end()
         if run[0] in b"[{":
-            start = start if depth else token.start() + 1
+            start = start if depth else begins + 1
             depth += len(run)
         elif run[0] in b"]}":
             if len(run) >= depth:
-                parts.append(text[start : token.start() + max(0, depth - 1)])
+                parts.append(text[start : begins + max(0, depth - 1)])
                 return [part for part in map(bytes.strip, parts) if part]
             depth -= len(run)
         elif run == b"," and depth == 1:
-            parts.append(text[start : token.start()])
-            start = token.end()
+            parts.append(text[start:begins])
+            start = at
     raise Undecodable("its brackets don't match")
 
 
