--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -24,7 +24,7 @@
 )
 from masticdrum.model.cluster_events import Source, SourceLost, SourceRegained
 from masticdrum.model.settings import EngineControllerSettings
-from masticdrum.platform.objects import WireWeights
+from masticdrum.platform.objects import Count, WireWeights
 from masticdrum.platform.store import StoreFailed, decode
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.reachability import Reachability
@@ -55,8 +55,8 @@
 
     models: list[WireWeights] = field(default_factory=list)
     busy: bool = False
-    sequence: int = 0
-    born: int = 0
+    sequence: Count = 0
+    born: Count = 0
 
     def describe(self) -> EngineView:
         """Convert the report to this project's types."""
