Bound what an agent reads of a service's answers and an engine's reports

On the product's own interface a plain service or engine in trouble made its agent hold all that it sent for as long as a call may take, 30 s for a service.

--- a/masticdrum/shell/engineclient.py
+++ b/masticdrum/shell/engineclient.py
@@ -21,6 +21,7 @@
 )
 from masticdrum.model.settings import UpstreamTimeouts
 from masticdrum.model.tables import Urgency
+from masticdrum.shell.boundedcall import call_bounded
 from masticdrum.shell.streamlines import LineTooLong, split_lines
 
 MAX_CONNECTIONS = 512
@@ -188,7 +189,7 @@
     async def _delete(self, attempt: str) -> None:
         with trio.move_on_after(self._timeouts.silence_s):
             try:
-                await self._pool.request("DELETE", f"{self._url}/runs/{attempt}")
+                await call_bounded(self._pool, "DELETE", f"{self._url}/runs/{attempt}")
             except (*CONNECTION_ERRORS, httpcore.TimeoutException):
                 return
 
@@ -203,7 +204,8 @@
         )
         timeouts = dict.fromkeys(("connect", "read", "write", "pool"), ORDER_TIMEOUT_S)
         try:
-            answer = await self._pool.request(
+            answer = await call_bounded(
+                self._pool,
                 "POST",
                 f"{self._url}/orders",
                 content=body,
@@ -221,10 +223,10 @@
     async def _read_load(self) -> LoadReported:
         with trio.move_on_after(self._timeouts.silence_s):
             try:
-                response = await self._pool.request("GET", f"{self._url}/load")
-                if response.status != 200:
+                report = await call_bounded(self._pool, "GET", f"{self._url}/load")
+                if report.status != 200:
                     return LoadReported(False)
-                answer = msgspec.json.decode(response.content, type=LoadAnswer)
+                answer = msgspec.json.decode(report.body, type=LoadAnswer)
             except (*CONNECTION_ERRORS, msgspec.MsgspecError):
                 return LoadReported(False)
             return LoadReported(True, answer.running, answer.boot, answer.version)
--- a/masticdrum/shell/serviceclient.py
+++ b/masticdrum/shell/serviceclient.py
@@ -12,6 +12,7 @@
     ServiceFailed,
 )
 from masticdrum.model.settings import UpstreamTimeouts
+from masticdrum.shell.boundedcall import WholeAnswer, call_bounded
 
 ServiceEvent = ServiceAnswered | ServiceFailed | LoadReported
 MAX_CONNECTIONS = 256
@@ -57,10 +58,14 @@
         failed = ServiceFailed(effect.attempt, True, "no answer in time")
         with trio.move_on_after(self._timeouts.service_s):
             try:
-                response = await self._pool.request(
-                    "POST", f"{self._url}/calls", headers=headers, content=effect.body
+                answer = await call_bounded(
+                    self._pool,
+                    "POST",
+                    f"{self._url}/calls",
+                    headers=headers,
+                    content=effect.body,
                 )
-                self._submit(read_answer(effect.attempt, response))
+                self._submit(read_answer(effect.attempt, answer))
                 return
             except httpcore.ConnectError as error:
                 failed = ServiceFailed(effect.attempt, False, repr(error))
@@ -69,10 +74,10 @@
         self._submit(failed)
 
 
-def read_answer(attempt: str, response: httpcore.Response) -> ServiceAnswered:
-    """Return the event for a response."""
+def read_answer(attempt: str, answer: WholeAnswer) -> ServiceAnswered:
+    """Return the event for an answer."""
     content_type = DEFAULT_TYPE
-    for name, value in response.headers:
+    for name, value in answer.headers:
         if name.lower() == b"content-type":
             content_type = value.decode("latin-1")
-    return ServiceAnswered(attempt, response.status, content_type, response.content)
+    return ServiceAnswered(attempt, answer.status, content_type, answer.body)
