Use no connection to an engine again on which a second copy came

The agent beside an engine that sent a report twice took the second copy for the answer to its next call, a report or an order, and was one answer behind from then on: what httpcore has read beyond an answer is the start of the next one, and a connection that is polled all the time never idles out. Before, four calls to an engine whose versions rose gave 1, 1, 2, 3 (test_a_second_copy_of_a_report_answers_no_later_call).

The agent's calls use the connections of forwarded requests now, which are closed if more than the answer arrived on them. Now the calls give 1, 2, 3, 4 over 2 connections. Reports keep their bound of 2 MB, and heads and interim answers have those of forwarded ones.

--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import httpcore
 import msgspec
 import trio
 from msgspec import Struct, field
@@ -19,9 +18,10 @@
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.platform.objects import WireWeights
 from masticdrum.platform.store import StoreFailed, decode
+from masticdrum.shell.asgi import JSON, Headers
 from masticdrum.shell.clock import read_clock
+from masticdrum.shell.controlclient import CallFailed, ControlClient
 from masticdrum.shell.reachability import Reachability
-from masticdrum.shell.upstreamstream import UpstreamBackend
 
 CALL_TIMEOUT_S = 1.0  # the engine is on the same machine
 # A report from the same machine costs nothing; a load takes over 1 s.
@@ -75,17 +75,16 @@
     ) -> None:
         self._submit = submit
         self._reachability = Reachability(Source.ENGINE, submit)
-        self._url = f"http://{settings.upstream}"
         self._holder = settings.name
         self._runs = settings.runs_at_load
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=4, network_backend=UpstreamBackend(MAX_REPORT_BYTES)
+        self._client = ControlClient(
+            settings.upstream, CALL_TIMEOUT_S, MAX_REPORT_BYTES
         )
 
     async def read_report(self) -> EngineReport | None:
         """Read the report and submit it; returns None if there is none."""
         try:
-            status, body = await self._call("GET", "/v1/report", [], None)
+            status, body = await self._call("GET", "/v1/report", [])
             if status != 200:
                 raise StoreFailed(f"status {status}")
             report = decode(body, EngineReport)
@@ -124,8 +123,8 @@
             expect=order.accepted,
         )
         headers = [
-            ("Content-Type", "application/json"),
-            ("X-Expect-Instance", instance),
+            (b"content-type", JSON.encode()),
+            (b"x-expect-instance", instance.encode()),
         ]
         try:
             encoded = msgspec.json.encode(body)
@@ -135,22 +134,9 @@
         return REPLIES.get(status, OrderReply.LATER), f"status {status}"
 
     async def _call(
-        self,
-        method: str,
-        path: str,
-        headers: list[tuple[str, str]],
-        body: bytes | None,
+        self, method: str, path: str, headers: Headers, body: bytes = b""
     ) -> tuple[int, bytes]:
         try:
-            with trio.fail_after(CALL_TIMEOUT_S):
-                response = await self._pool.request(
-                    method, f"{self._url}{path}", headers=headers, content=body
-                )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            OSError,
-            trio.TooSlowError,
-        ) as error:
-            raise StoreFailed(f"{method} {path}: {error!r}") from error
-        return response.status, response.content
+            return await self._client.call(method, path, headers, body)
+        except CallFailed as error:
+            raise StoreFailed(str(error)) from error
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 import trio
@@ -75,3 +75,36 @@
     trio.run(run)
     (lost,) = submitted
     assert isinstance(lost, SourceLost) and lost.source is Source.ENGINE
+
+
+# Guards against an agent that takes the second copy of a report for the answer to its
+# next call, and is one answer behind from then on.
+def test_a_second_copy_of_a_report_answers_no_later_call() -> None:
+    submitted: list[object] = []
+    served = connections = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal served, connections
+        connections += 1
+        with suppress(trio.BrokenResourceError):
+            while await stream.receive_some():
+                served += 1
+                report = {"models": [{"name": "m1", "version": served}]}
+                body = json.dumps(report).encode()
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                await stream.send_all((head + body) * (2 if served == 1 else 1))
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            settings = EngineControllerSettings("side-1", "north", address, "", "")
+            engine = Engine(submitted.append, settings)
+            for _ in range(4):
+                await engine.read_report()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    assert submitted == [EngineReported({"m1": n}) for n in (1, 2, 3, 4)]
+    assert connections == 2  # the others are used again
