Give up an answer whose body is filled by an error behind it

An upstream that stopped within a body of a known length and then wrote an error gave callers a whole 200 that held a part of the error's head (MIXED), whenever that was long enough to fill the length.

test_a_body_that_is_filled_by_an_error_is_no_success puts errors behind each byte of a body; before, the 8 cases with a length failed ('assert (not True or 200 == 502)'), the 4 with chunks passed. Now all pass.

Where bytes follow a whole answer and a status line begins within its body, the answer is garbled. A body that only tells of an answer is passed on, as test_a_body_may_tell_of_an_answer shows, and the search is made only if bytes follow. If these come later than the body's end, nothing tells them apart.

--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -283,6 +283,10 @@
                 effect, AttemptEnd.TRUNCATED, answer.status, detail=repr(error)
             )
         answer.body = b"".join(parts)
+        if connection.runs_on(answer.body) and not upstream_headers.not_run:
+            connection.close()
+            detail = "another answer begins within the body"
+            return make_ended(effect, AttemptEnd.GARBLED, answer.status, detail=detail)
         self._sink.store_answer(effect.handle, effect.attempt, answer)
         return self._classify_answer(effect, answer, upstream_headers)
 
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -16,6 +16,7 @@
 MAX_INTERIM_ANSWERS = 8  # answers with a status below 200 before the final one
 # A head that broke off within a line runs on into that of an error behind it.
 STATUS_LINE = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\S)")
+MAX_STATUS_BYTES = 16  # the longest match, and a byte behind it
 
 
 class AnswerGarbled(Exception):
@@ -131,6 +132,17 @@
             if part is not None:
                 return part
 
+    def runs_on(self, body: bytes) -> bool:
+        """Return whether another answer begins within a whole body and ends behind it.
+
+        Then the body broke off, and the other answer filled its length.
+        """
+        behind, _ = self._http.trailing_data
+        if not behind:
+            return False
+        found = STATUS_LINE.search(body + behind[:MAX_STATUS_BYTES])
+        return found is not None and found.start() < len(body)
+
     def begin_next(self) -> bool:
         """Prepare for the next request; return False if the connection is spent.
 
--- a/tests/shell/test_brokenoff.py
+++ b/tests/shell/test_brokenoff.py
@@ -279,3 +279,40 @@
     for broken, received, _ in play_breaks("non_idempotent", scripts):
         _, is_whole = received.read_body()
         assert not is_whole or received.status >= 500, broken
+
+
+# Guards against a body that breaks off, whose length an error behind it fills, and that
+# callers get as a whole success (MIXED).
+@pytest.mark.parametrize("error", ERRORS, ids=["signed", "length", "close", "old"])
+@pytest.mark.parametrize("form", ["length", "chunks", "old length"])
+def test_a_body_that_is_filled_by_an_error_is_no_success(
+    form: str, error: bytes
+) -> None:
+    answer = PLAIN_FORMS[form]
+    size = len(answer.write("r000"))
+
+    def make_joined(broken: Break) -> Script:
+        async def script(side: UpstreamSide, number: int) -> None:
+            behind = error.replace(b"%s", side.request.encode())
+            await side.send(answer.write(side.request)[: broken.cut] + behind)
+            await side.end()
+
+        return script
+
+    # A close within the trailers comes after the whole body.
+    end = size if form != "chunks" else size - len(TRAILERS) + len(b"0\r\n")
+    breaks = [Break(cut, "close") for cut in range(size - len(answer.body), end)]
+    scripts = [(broken, make_joined(broken)) for broken in breaks]
+    for broken, received, sends in play_breaks("non_idempotent", scripts):
+        check_not_taken_for_whole(received)
+        assert (received.status, sends) == (502, 1), broken
+
+
+def test_a_body_may_tell_of_an_answer() -> None:
+    told = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+    answer = Answer(HEAD + f"Content-Length: {len(told)}\r\n\r\n", told)
+    whole = Break(len(answer.write("last")), "close")
+    ((_, received, _),) = play_breaks(
+        "idempotent", [(whole, make_script(answer, whole))]
+    )
+    assert (received.status, received.read_body()) == (200, (told, True))
