Take a permit over once its engine has the weights that it was for

Cause: nothing in a lease told which load it protects.

Evidence, with that rule taken out: test_permits.py prints "assert (None is not None) is True" (no order within 5 s), test_adviser.py "assert 0 == 1".

Change: a lease names its engine and target, and its holder orders only that target under it; for a newer one it writes the lease again first. Once the engine is registered with the target, or a newer one, no load can begin under the lease, so that others may take it over.

Leases of agents that are dark with an engine that hasn't loaded still block for 5 s.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -91,7 +91,11 @@
         self.upstream = upstream
         self.cluster_state = ClusterState(CLUSTER_BOUNDS)
         permits = Permits(
-            f"{name}/{incarnation}", seed, PERMIT_BOUNDS, holder_prefix=f"{name}/"
+            f"{name}/{incarnation}",
+            seed,
+            PERMIT_BOUNDS,
+            holder_prefix=f"{name}/",
+            is_loaded=self._is_registered_with,
         )
         self.orders = Orders(permits, ORDER_RETRY_S)
         self.copies = OrderCopies()
@@ -113,6 +117,14 @@
             return True
         return not self.orders.permits.is_idle
 
+    def _is_registered_with(self, upstream: str, target: str) -> bool:
+        """Return whether an upstream is registered with weights, or newer ones."""
+        known = self.cluster_state.known.get(upstream)
+        if known is None:
+            return False
+        model, version = read_weights(target)
+        return known.upstream.weights.get(model, 0) >= version
+
     def find_own_engine(self) -> KnownUpstream | None:
         """Return the newest engine registered at ``upstream``, if there is one."""
         registered = [
@@ -205,6 +217,8 @@
         wanted = ""
     permits = state.orders.permits
     permits.bounds = _compute_permit_bounds(state, own)
+    if run is not None and not state.orders.order:
+        permits.engine = run.name
     effects: list[EngineControllerEffect] = []
     if state.orders.unconfirmed and _is_loaded(state, state.orders.target):
         state.orders.confirm()
--- a/masticdrum/core/orders.py
+++ b/masticdrum/core/orders.py
@@ -66,7 +66,7 @@
         is_repeat = self.unconfirmed or wanted == self.target
         if now < self._next_at and (is_repeat or self._has_open_copies):
             return None
-        self.permits.request()
+        self.permits.request(wanted)
         fence = self.permits.get_valid_fence(now)
         if fence <= self.fence:
             return None
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -5,8 +5,10 @@
 at which it sent the write, and sends no order in its last ``MARGIN_S`` or later.
 Other agents take a lease over once they have seen it unchanged, by their own clock, for
 the time of a lease and a load. That covers an order sent at the last moment and the
-load that it started. After a lost answer the object is read: a lease with the agent's
-own token was granted.
+load that it started. A lease that names its engine and target is also taken over once
+the engine is registered with the target: its holder orders nothing else under it, and
+an engine loads no target that it has, so that no load is left to protect. After a lost
+answer the object is read: a lease with the agent's own token was granted.
 
 A platform that comes back from an older copy has lost leases and fencing numbers. Its
 answers name the era, which rises each time, and a table of an earlier era is settled
@@ -15,6 +17,7 @@
 has a range of fencing numbers of its own, above those of the eras before.
 """
 
+from collections.abc import Callable
 from enum import StrEnum
 from random import Random
 
@@ -41,11 +44,17 @@
 FENCES_PER_ERA = 2**32
 
 
-class Lease(Struct):
-    """One permit in use; its holder changes ``renewals`` for as long as it is alive."""
+class Lease(Struct, omit_defaults=True):
+    """One permit in use; its holder changes ``renewals`` for as long as it is alive.
+
+    It is for an order of ``target`` to the engine named ``engine``, or for any order if
+    these are empty.
+    """
 
     fence: int
     renewals: int = 0
+    engine: str = ""
+    target: str = ""
 
 
 class PermitTable(Struct):
@@ -92,7 +101,9 @@
 
     ``holder_prefix`` is the common prefix of the holder names of all incarnations of
     this agent. The earlier ones are over, so their leases are taken over at once. It is
-    empty if incarnations can't be recognised.
+    empty if incarnations can't be recognised. ``is_loaded`` tells whether an engine is
+    registered with a target. ``engine`` is the one that this agent orders; leases name
+    neither engine nor target while it is empty.
     """
 
     __slots__ = (
@@ -115,7 +126,10 @@
         "_token",
         "_version",
         "_next_call_at",
+        "_is_loaded",
+        "_target",
         "bounds",
+        "engine",
         "holder",
         "desired",
     )
@@ -126,7 +140,11 @@
         seed: int,
         bounds: PermitBounds | None = None,
         holder_prefix: str = "",
+        is_loaded: Callable[[str, str], bool] = lambda engine, target: False,
     ) -> None:
+        self._is_loaded = is_loaded
+        self._target = ""
+        self.engine = ""
         self._holder_prefix = holder_prefix
         self.bounds = PermitBounds() if bounds is None else bounds
         self.holder = holder
@@ -151,8 +169,13 @@
         self._next_call_at = 0.0
 
     def get_valid_fence(self, now: float) -> int:
-        """Return the fencing number under which an order may be sent now, or zero."""
-        return self._fence if now < self._expires_at else 0
+        """Return the fencing number under which an order may be sent now, or zero.
+
+        The order must be for the target that was requested.
+        """
+        if now >= self._expires_at or not self._has_requested_lease():
+            return 0
+        return self._fence
 
     @property
     def expires_at(self) -> float:
@@ -174,9 +197,12 @@
             "own_fence": self._fence,
         }
 
-    def request(self) -> None:
-        """Request a permit, or keep the one that is held."""
+    def request(self, target: str = "") -> None:
+        """Request a permit to order ``target``, or keep the one that is held."""
         self.desired = DesiredState.HOLD
+        self._target = target if self.engine else ""
+        if self._expires_at > 0.0 and not self._has_requested_lease():
+            self._next_call_at = 0.0
 
     def release(self) -> None:
         """Release the permit; a later one has another fencing number."""
@@ -278,10 +304,19 @@
         self._next_call_at = max(now, sent_at + self.bounds.renew_every_s)
         self._poll_s = self.bounds.min_poll_s
 
+    def _has_requested_lease(self) -> bool:
+        lease = self._table.leases.get(self._token)
+        if lease is None:
+            return False
+        return (lease.engine, lease.target) == (self.engine, self._target)
+
+    def _make_lease(self, fence: int, renewals: int = 0) -> Lease:
+        return Lease(fence, renewals, self.engine, self._target)
+
     def _propose(self, now: float) -> PermitTable | None:
         taken_over = [t for t in self._sightings if self._may_take_over(t, now)]
         leases = {
-            token: Lease(lease.fence, lease.renewals)
+            token: lease
             for token, lease in self._table.leases.items()
             if token not in taken_over
         }
@@ -290,14 +325,15 @@
         if settled:
             table.era = max(table.era, self._era)
         if self._was_forgotten(now):
-            leases[self._token] = Lease(self._fence, max(self._sent_at))
+            leases[self._token] = self._make_lease(self._fence, max(self._sent_at))
         own = leases.get(self._token)
         if self._released:
             leases.pop(self._token, None)
             return table
         if own is not None:
-            own.renewals += 1
-            self._sent_at[own.renewals] = now
+            renewals = own.renewals + 1
+            leases[self._token] = self._make_lease(own.fence, renewals)
+            self._sent_at[renewals] = now
             return table
         if len(leases) >= self.bounds.loads or not settled:
             return None
@@ -305,7 +341,7 @@
         self._token = f"{self.holder}/{self._calls}"
         self._released = False
         self._sent_at = {0: now}
-        leases[self._token] = Lease(table.fence)
+        leases[self._token] = self._make_lease(table.fence)
         return table
 
     def _find_era_fence(self) -> int:
@@ -317,6 +353,9 @@
             return False
         if self._holder_prefix and token.startswith(self._holder_prefix):
             return True
+        lease = self._table.leases[token]
+        if lease.target and self._is_loaded(lease.engine, lease.target):
+            return True
         unchanged_s = now - self._sightings[token].since
         takeover_s = self.bounds.lease_s + self.bounds.load_s
         return unchanged_s >= takeover_s
--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -218,6 +218,22 @@
     assert len(agent.orders) == 1
 
 
+# Guards against permits that block others though the loads that they protect are over.
+def test_permits_of_engines_that_have_loaded_are_not_waited_for() -> None:
+    target = f"{MODEL}@2"
+    leases = {"side-2/x/1": Lease(6, 0, "engines-1", target)}
+    agent = Agent(table=PermitTable(6, leases))
+    agent.handle_event(WeightsNamed(MODEL, 2))
+    agent.wait(1.5)
+    assert not agent.orders
+    loaded = make_upstream("engines-1", "engines", weights={MODEL: 2})
+    agent.handle_event(UpstreamsListed((loaded, *UPSTREAMS[4:], OWN)))
+    agent.wait(1.0)
+    assert len(agent.orders) == 1
+    (own,) = agent.table.leases.values()
+    assert (own.engine, own.target) == (OWN.name, target)
+
+
 def test_draining_and_unregistered_engines_get_no_order() -> None:
     agent = Agent()
     agent.handle_event(UpstreamsListed(UPSTREAMS))
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -22,6 +22,7 @@
 AGENTS = 6
 STEP_S = 0.25
 END_S = 1200.0
+REGISTERED_AFTER_S = 2.0
 FAULT_S = 240.0  # no faults after this time
 
 
@@ -35,13 +36,16 @@
     def __init__(self, checks: bool) -> None:
         self.checks = checks
         self.version, self.fence, self.loading = "v1", 0, 0
+        self.loaded: list[tuple[float, str]] = []
 
 
 class Fleet:
     """Agents that all want a new version, under faults drawn from a seed.
 
     ``restores`` are the times at which the store comes back as it was up to 15 s ago;
-    ``named`` are the times at which newer versions are wanted.
+    ``named`` are the times at which newer versions are wanted. With ``registers``,
+    leases name engines, which are registered some seconds later with what they load.
+    Such engines load one version at a time, and none that they have.
     """
 
     def __init__(
@@ -50,8 +54,10 @@
         faults: float,
         restores: tuple[float, ...] = (),
         named: tuple[float, ...] = (),
+        registers: bool = False,
     ) -> None:
         self.random = Random(seed)
+        self.registers = registers
         self.faults = faults
         self.now, self.order = 0.0, 0
         self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -85,7 +91,17 @@
     def make_agent(self, number: int) -> Orders:
         epoch = self.epochs[number]
         holder = f"agent-{number}/{epoch}"
-        return Orders(Permits(holder, self.random.getrandbits(32)))
+        seed = self.random.getrandbits(32)
+        if not self.registers:
+            return Orders(Permits(holder, seed))
+        permits = Permits(holder, seed, is_loaded=self.is_registered_with)
+        permits.engine = str(number)
+        return Orders(permits)
+
+    def is_registered_with(self, engine: str, target: str) -> bool:
+        until = self.now - REGISTERED_AFTER_S
+        loaded = self.engines[int(engine)].loaded
+        return any(at <= until and version >= target for at, version in loaded)
 
     def after(self, delay: float, call: Callable[..., None], *values: Any) -> None:
         self.order += 1
@@ -136,6 +152,9 @@
         engine = self.engines[number]
         if engine.checks and order.fence <= engine.fence:
             return self.answer_order(number, epoch, order, False)
+        if self.registers and (engine.version >= order.target or engine.loading):
+            done = engine.version >= order.target
+            return self.answer_order(number, epoch, order, done)
         self.lower_fences += order.fence < engine.fence
         engine.fence = order.fence
         engine.loading += 1
@@ -155,6 +174,7 @@
         done = self.random.random() < 0.8
         if done:
             engine.version = order.target
+            engine.loaded.append((self.now, order.target))
         if not self.draw_fault(10):
             self.answer_order(number, epoch, order, done)
 
@@ -220,6 +240,35 @@
     assert {engine.version for engine in fleet.engines} == {"v2"}
 
 
+# Guards against a third load beside leases that were taken over too early.
+@FIXED
+@given(
+    st.integers(0, 2**32),
+    st.sampled_from([0.005, 0.02, 0.05]),
+    st.lists(st.floats(5.0, 500.0), max_size=2).map(sorted),
+    st.lists(st.floats(20.0, 500.0), min_size=2, max_size=2).map(sorted),
+)
+def test_never_more_than_two_loads_beside_registered_engines(
+    seed: int, faults: float, restores: list[float], named: list[float]
+) -> None:
+    fleet = Fleet(seed, faults, tuple(restores), tuple(named), registers=True)
+    fleet.run()
+    assert {engine.version for engine in fleet.engines} == {"v4"}
+    assert not fleet.lower_fences
+
+
+def test_taking_over_leases_of_engines_that_still_load_is_caught() -> None:
+    def is_registered_with(self: Fleet, engine: str, target: str) -> bool:
+        return True
+
+    with (
+        patch.object(Fleet, "is_registered_with", is_registered_with),
+        pytest.raises(Violation),
+    ):
+        for seed in range(1, 20):
+            Fleet(seed, 0.02, named=(60.0, 120.0), registers=True).run()
+
+
 class OneAgentStore:
     """The store of a single agent, which answers at once and can be restored."""
 
@@ -395,6 +444,50 @@
     assert run_until_ordered(restarted, store, 400.0).fence > max(fences)
 
 
+def step_until(
+    agent: Orders, store: OneAgentStore, wanted: str, start: float, end: float
+) -> IssueOrder | None:
+    now = start
+    while now < end:
+        order = store.step(agent, wanted, now)
+        if order is not None:
+            return order
+        now += 0.1
+    return None
+
+
+# Guards against permits that are held up to 5 s longer than they protect a load, since
+# their holders stand still after they have ordered.
+@pytest.mark.parametrize("is_loaded", [True, False])
+def test_a_lease_is_taken_over_once_its_engine_has_its_target(is_loaded: bool) -> None:
+    table = permits.PermitTable(2, {})
+    for number in (1, 2):
+        table.leases[f"other/{number}"] = permits.Lease(number, 3, f"e{number}", "v2")
+    store = OneAgentStore()
+    store.version, store.body = 1, msgspec.json.encode(table)
+    held = Permits("agent/1", 1, is_loaded=lambda engine, _: is_loaded)
+    held.engine = "e3"
+    assert (step_until(Orders(held), store, "v2", 0.0, 5.0) is not None) is is_loaded
+
+
+# Guards against an order under a lease that others have taken over, since the engine
+# has the weights for which it was granted.
+def test_an_order_waits_until_its_lease_names_its_target() -> None:
+    agent = Orders(Permits("agent/1", 1))
+    agent.permits.engine = "e1"
+    write = hold(agent, 0.0)
+    agent.permits.handle_answer(ObjectAnswer(write.call, ObjectStatus.OK, 1), 0.1)
+    assert agent.decide("v3", "v1", 0.2) is None
+    renewal = agent.permits.plan_call(0.2)
+    assert isinstance(renewal, ObjectPut)
+    table = msgspec.json.decode(renewal.body, type=permits.PermitTable)
+    assert [lease.target for lease in table.leases.values()] == ["v3"]
+    assert agent.decide("v3", "v1", 0.2) is None
+    agent.permits.handle_answer(ObjectAnswer(renewal.call, ObjectStatus.OK, 2), 0.3)
+    order = agent.decide("v3", "v1", 0.3)
+    assert order is not None and order.target == "v3"
+
+
 # Guards against a third load while an agent holds a permit that the store forgot.
 def test_a_lease_that_the_store_forgot_is_written_again() -> None:
     agent, store = Orders(Permits("agent/1", 1)), OneAgentStore()
