Repeat an order without an answer while its permit is renewed

Cause: an order kept the end of the lease under which it was given.

Evidence, with repetition ended at the first lease: test_engineruns.py prints "assert 1 == 2" (the version loaded 3 s after orders are answered again).

Change: each renewal of the permit that the order was given under allows copies for longer, at least a second apart and only if a copy got no answer. They have the fencing number and the count of the first one, so that the engine takes at most one of them. An order of which nothing was sent ends with its first lease as before.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -20,7 +20,12 @@
 from masticdrum.core.orders import Orders
 from masticdrum.core.permits import PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
-from masticdrum.model.agent_events import IssueOrder, OrderAnswered, WithdrawOrder
+from masticdrum.model.agent_events import (
+    ExtendOrder,
+    IssueOrder,
+    OrderAnswered,
+    WithdrawOrder,
+)
 from masticdrum.model.cluster_events import ClusterEvent, Source, StoreRestored
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import (
@@ -68,6 +73,7 @@
 )
 EngineControllerEffect = (
     IssueOrder
+    | ExtendOrder
     | WithdrawOrder
     | ObjectGet
     | ObjectPut
@@ -101,6 +107,7 @@
         self.copies = OrderCopies()
         self.ordered_run = EngineRun("", 0)
         self.withdrawn = ""
+        self.extended_until = 0.0
         self.born = 0
         self.origins = StreamOrigins()
         self.weights: dict[str, int] = {}
@@ -225,6 +232,7 @@
     order = state.orders.decide(wanted, loaded, now)
     if order is not None and run is not None:
         state.ordered_run = run
+        state.extended_until = order.not_after
         effects.append(order)
         facts: Facts = {
             "target": order.target,
@@ -233,12 +241,24 @@
         }
         effects.append(Log(LogNumber.ORDER_GIVEN, detail=order.order, facts=facts))
     effects += _withdraw_replaced_order(state)
+    effects += _extend_order(state, now)
     call = permits.plan_call(now)
     if call is not None:
         effects.append(call)
     return effects
 
 
+def _extend_order(state: EngineControllerState, now: float) -> list[ExtendOrder]:
+    """Return the effect that lets an open order be repeated under a renewed lease."""
+    orders, permits = state.orders, state.orders.permits
+    if not orders.order or permits.get_valid_fence(now) != orders.fence:
+        return []
+    if permits.expires_at <= state.extended_until:
+        return []
+    state.extended_until = permits.expires_at
+    return [ExtendOrder(orders.order, permits.expires_at)]
+
+
 def _withdraw_replaced_order(state: EngineControllerState) -> list[WithdrawOrder]:
     """Return the effect that ends an order whose weights have been replaced."""
     orders = state.orders
--- a/masticdrum/core/orderexecution.py
+++ b/masticdrum/core/orderexecution.py
@@ -13,6 +13,7 @@
 from masticdrum.core.ordercopies import EngineRun
 from masticdrum.model.agent_events import IssueOrder, OrderAnswered, RunsAtLoad
 
+RESEND_S = 1.0  # between copies after the first lease
 # Covers a load that waits for runs to finish, and an order that is executed late.
 ORDER_TIMEOUT_S = 15.0
 
@@ -58,6 +59,7 @@
         "_deadline",
         "_is_withdrawn",
         "_model",
+        "_not_after",
         "_order",
         "_run",
         "_runs",
@@ -78,6 +80,7 @@
         now: float,
     ) -> None:
         self._order = order
+        self._not_after = order.not_after
         self._run = run
         self._runs = runs
         self._model = model
@@ -118,12 +121,16 @@
             return None
         if self._is_withdrawn and not self._may_be_executed():
             return self._finish(False, "withdrawn")
-        if has_lapsed:
+        if has_lapsed and not self._may_repeat(now):
             return None
         fence = self._order.fence
         self._sent_at = now
         return SendOrder(self._model, self._version, fence, view.accepted, self._runs)
 
+    def extend(self, not_after: float) -> None:
+        """Allow copies until then, in seconds, since the permit was renewed."""
+        self._not_after = max(self._not_after, not_after)
+
     def withdraw(self) -> None:
         """End the order with the next report if no copy of it can be executed."""
         self._is_withdrawn = True
@@ -141,6 +148,12 @@
             self._detail = detail
         return None
 
+    def _may_repeat(self, now: float) -> bool:
+        """Return whether a copy without an answer may be followed by another one."""
+        if self._unanswered_at is None or now >= self._not_after:
+            return False
+        return now >= self._sent_at + RESEND_S
+
     def _may_be_executed(self) -> bool:
         return self._was_accepted or self._unanswered_at is not None
 
--- a/masticdrum/model/agent_events.py
+++ b/masticdrum/model/agent_events.py
@@ -257,6 +257,13 @@
     not_after: float = float("inf")
 
 
+class ExtendOrder(Struct, frozen=True):
+    """Lets an order be sent until ``not_after``, since its permit was renewed."""
+
+    order: str
+    not_after: float
+
+
 class WithdrawOrder(Struct, frozen=True):
     """Ends an order, unless the upstream has accepted it or may still do so."""
 
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -16,6 +16,7 @@
     SendOrder,
 )
 from masticdrum.model.agent_events import (
+    ExtendOrder,
     IssueOrder,
     OrderAnswered,
     RunsAtLoad,
@@ -88,6 +89,7 @@
         self._holder = settings.name
         self._runs = settings.runs_at_load
         self._withdrawn = ""
+        self._extension = ExtendOrder("", 0.0)
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4, network_backend=UpstreamBackend()
         )
@@ -114,8 +116,7 @@
         while True:
             report = await self.read_report()
             view = None if report is None else report.describe()
-            if self._withdrawn == order.order:
-                execution.withdraw()
+            self._adjust(execution, order)
             step = execution.decide(view, read_clock())
             if isinstance(step, SendOrder):
                 step = execution.handle_reply(*await self._send_order(step, run.name))
@@ -124,6 +125,16 @@
                 return
             await trio.sleep(POLL_INTERVAL_S)
 
+    def _adjust(self, execution: OrderExecution, order: IssueOrder) -> None:
+        if self._withdrawn == order.order:
+            execution.withdraw()
+        if self._extension.order == order.order:
+            execution.extend(self._extension.not_after)
+
+    def extend(self, extension: ExtendOrder) -> None:
+        """Let an order be sent for longer."""
+        self._extension = extension
+
     def withdraw(self, order: WithdrawOrder) -> None:
         """End an order with the engine's next report if it can't be executed."""
         self._withdrawn = order.order
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -13,7 +13,7 @@
     reduce_engine_controller,
 )
 from masticdrum.core.ordercopies import EngineRun
-from masticdrum.model.agent_events import IssueOrder, WithdrawOrder
+from masticdrum.model.agent_events import ExtendOrder, IssueOrder, WithdrawOrder
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import OriginReply, SendOriginReply
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
@@ -48,6 +48,9 @@
     async def order(self, order: IssueOrder, run: EngineRun) -> None:
         """Send an order to a run of the engine and submit its outcome."""
 
+    def extend(self, extension: ExtendOrder) -> None:
+        """Let an order be sent for longer."""
+
     def withdraw(self, order: WithdrawOrder) -> None:
         """End an order that can't be executed any more."""
 
@@ -135,6 +138,8 @@
             case IssueOrder():
                 run = self.state.ordered_run
                 self._nursery.start_soon(self.engine.order, effect, run)
+            case ExtendOrder():
+                self.engine.extend(effect)
             case WithdrawOrder():
                 self.engine.withdraw(effect)
             case Log() | Count():
--- a/tests/core/test_engineruns.py
+++ b/tests/core/test_engineruns.py
@@ -73,6 +73,17 @@
     assert world.engine.version == 2
 
 
+# Guards against waiting 15 s for an order that was lost, though its permit is renewed.
+def test_an_order_without_an_answer_is_repeated_while_its_permit_is_renewed() -> None:
+    world = OrderWorld(1, ("lost",))
+    world.at(1.0, lambda: world.name_weights(2))
+    world.run_until(4.0)
+    world.fates = ("answered",)
+    world.run_until(7.0)
+    assert [version for _, version in world.given] == [2]
+    assert world.engine.version == 2
+
+
 def test_an_order_that_may_be_executed_is_not_withdrawn() -> None:
     world = OrderWorld(1, ("lost",))
     world.at(1.0, lambda: world.name_weights(2))
--- a/tests/core/test_ordercourse.py
+++ b/tests/core/test_ordercourse.py
@@ -88,6 +88,20 @@
     assert ended == OrderAnswered("o1", done=True)
 
 
+def test_copies_after_the_first_lease_are_a_second_apart_and_end_with_the_permit() -> (
+    None
+):
+    execution = make_execution(10.5)
+    execution.extend(12.0)
+    sent = []
+    for step in range(20):
+        now = 10.0 + 0.15 * step
+        if isinstance(execution.decide(view(), now), SendOrder):
+            sent.append(round(now, 2))
+            execution.handle_reply(OrderReply.NONE, "lost")
+    assert sent == [10.0, 10.15, 10.3, 10.45, 11.5]
+
+
 def test_a_refused_order_ends_at_once() -> None:
     execution = make_execution()
     execution.decide(view(), 10.0)
--- a/tests/orderworld.py
+++ b/tests/orderworld.py
@@ -20,6 +20,7 @@
 )
 from masticdrum.core.permits import PermitTable
 from masticdrum.model.agent_events import (
+    ExtendOrder,
     IssueOrder,
     OrderAnswered,
     RunsAtLoad,
@@ -134,6 +135,8 @@
                     self.start_order(effect)
                 if isinstance(effect, WithdrawOrder) and self.execution is not None:
                     self.execution.withdraw()
+                if isinstance(effect, ExtendOrder) and self.execution is not None:
+                    self.execution.extend(effect.not_after)
                 if isinstance(effect, ObjectGet | ObjectPut):
                     queue.append(self.answer(effect))
 
