--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -20,7 +20,12 @@
 from masticdrum.core.orders import Orders
 from masticdrum.core.permits import PERMITS_PATH, PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
-from masticdrum.model.agent_events import IssueOrder, OrderAnswered, WithdrawOrder
+from masticdrum.model.agent_events import (
+    ExtendOrder,
+    IssueOrder,
+    OrderAnswered,
+    WithdrawOrder,
+)
 from masticdrum.model.cluster_events import ClusterEvent, Source, StoreRestored
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import (
@@ -68,6 +73,7 @@
 )
 EngineControllerEffect = (
     IssueOrder
+    | ExtendOrder
     | WithdrawOrder
     | ObjectGet
     | ObjectPut
@@ -91,12 +97,17 @@
         self.upstream = upstream
         self.cluster_state = ClusterState(CLUSTER_BOUNDS)
         permits = Permits(
-            f"{name}/{incarnation}", seed, PERMIT_BOUNDS, holder_prefix=f"{name}/"
+            f"{name}/{incarnation}",
+            seed,
+            PERMIT_BOUNDS,
+            holder_prefix=f"{name}/",
+            is_loaded=self._is_registered_with,
         )
         self.orders = Orders(permits, ORDER_RETRY_S)
         self.copies = OrderCopies()
         self.ordered_run = EngineRun("", 0)
         self.withdrawn = ""
+        self.extended_until = 0.0
         self.born = 0
         self.origins = StreamOrigins()
         self.weights: dict[str, int] = {}
@@ -113,6 +124,14 @@
             return True
         return not self.orders.permits.is_idle
 
+    def _is_registered_with(self, upstream: str, target: str) -> bool:
+        """Return whether an upstream is registered with weights, or newer ones."""
+        known = self.cluster_state.known.get(upstream)
+        if known is None:
+            return False
+        model, version = read_weights(target)
+        return known.upstream.weights.get(model, 0) >= version
+
     def find_own_engine(self) -> KnownUpstream | None:
         """Return the newest engine registered at ``upstream``, if there is one."""
         registered = [
@@ -198,12 +217,15 @@
         wanted = ""
     permits = state.orders.permits
     permits.bounds = _compute_permit_bounds(state, own)
+    if run is not None and not state.orders.order:
+        permits.engine = run.name
     effects: list[EngineControllerEffect] = []
     if state.orders.unconfirmed and _is_loaded(state, state.orders.target):
         state.orders.confirm()
     order = state.orders.decide(wanted, loaded, now)
     if order is not None and run is not None:
         state.ordered_run = run
+        state.extended_until = order.not_after
         effects.append(order)
         facts: Facts = {
             "target": order.target,
@@ -212,12 +234,24 @@
         }
         effects.append(Log(LogNumber.ORDER_GIVEN, detail=order.order, facts=facts))
     effects += _withdraw_replaced_order(state)
+    effects += _extend_order(state, now)
     call = permits.plan_call(now)
     if call is not None:
         effects.append(call)
     return effects
 
 
+def _extend_order(state: EngineControllerState, now: float) -> list[ExtendOrder]:
+    """Return the effect that lets an open order be repeated under a renewed lease."""
+    orders, permits = state.orders, state.orders.permits
+    if not orders.order or permits.get_valid_fence(now) != orders.fence:
+        return []
+    if permits.expires_at <= state.extended_until:
+        return []
+    state.extended_until = permits.expires_at
+    return [ExtendOrder(orders.order, permits.expires_at)]
+
+
 def _withdraw_replaced_order(state: EngineControllerState) -> list[WithdrawOrder]:
     """Return the effect that ends an order whose weights have been replaced."""
     orders = state.orders
