Count how long a peer's tables are outdated from the first newer ones

An agent refuses calls and dispatches of an entry that uses tables which have been replaced for more than 2 s. The time was that of the latest install, so that each further edit let an entry that stayed behind use tables of any age for 2 s more (the product's own interface; not started on the users' platform).

Evidence: the new test of tests/core/test_tablesync.py, with an edit each 1.5 s, printed [False, False, ...] == [False, True, True, True, True, True] on the code before.

Change: core/tableinstalls.py keeps when each serial was put in force, as far as the last 2 s need it; a peer's tables are outdated since the first newer ones were.

--- a/masticdrum/core/tablesync.py
+++ b/masticdrum/core/tablesync.py
@@ -30,6 +30,7 @@
 from masticdrum.core.tablebody import pack_tables, unpack_tables
 from masticdrum.core.tablecheck import decode_tables
 from masticdrum.core.tableedit import TABLES_PATH, digest_tables
+from masticdrum.core.tableinstalls import TableInstalls
 from masticdrum.core.timers import Timers
 from masticdrum.model.faults import Fault
 from masticdrum.model.platform import Instance, ObjectAnswer, ObjectGet, ObjectStatus
@@ -63,7 +64,7 @@
         "_received_at",
         "_last_received_at",
         "_peer_answered",
-        "_installed_at",
+        "_installs",
         "_instances",
         "_number",
         "_connected_at",
@@ -88,7 +89,7 @@
         self.timers: Timers[str] = Timers()
         self._packed = b""
         self._version = 0
-        self._installed_at = 0.0
+        self._installs = TableInstalls(options.stale_s)
         self._instances: Sequence[Instance] | None = None
         self._peers = SyncPeers(processes=UNLISTED_PROCESSES)
         self._calls: dict[str, PlatformCall] = {}
@@ -121,9 +122,7 @@
 
     def is_stale(self, serial: int, now: float) -> bool:
         """Return whether a peer with ``serial`` has been behind for too long."""
-        if serial >= self.serial:
-            return False
-        return now - self._installed_at > self._options.stale_s
+        return self._installs.is_stale(serial, now)
 
     @property
     def is_unconfirmed(self) -> bool:
@@ -157,7 +156,7 @@
         )
         self.tables = tables
         self._packed = b""
-        self._installed_at = now
+        self._installs.record(tables.serial, now)
         self._unconfirmed_since = None
 
     def _start(self, now: float) -> list[SyncEffect]:
@@ -386,7 +385,7 @@
         )
         self.tables = tables
         self._packed = b""
-        self._installed_at = now
+        self._installs.record(tables.serial, now)
         self._requests = 0
         self._requested_at = float("-inf")
         self._newer_serials = {
--- a/tests/core/test_tablesync.py
+++ b/tests/core/test_tablesync.py
@@ -212,6 +212,20 @@
     assert not sync.is_stale(2, world.driver.now)
 
 
+# Guards against runs by tables of any age while edits follow closely: each edit let all
+# older tables be used anew.
+def test_a_peer_that_stays_behind_is_stale_though_further_edits_follow() -> None:
+    world = make_world()
+    sync = world.driver.processes["agent-0"].state.sync
+    behind: list[bool] = []
+    for _ in range(6):
+        world.edit("dc-1")
+        world.run(1.5)
+        behind.append(sync.is_stale(1, world.driver.now))
+    assert behind == [False, *[True] * 5]
+    assert not sync.is_stale(sync.serial - 1, world.driver.now)
+
+
 FAULTS = ["edit", "push", "outage", "hang", "replace", "pause", "silence", "lose"]
 
 
