Break the bound on superseded weights on purpose in tests

Four mutants, each caught by the test that tests/core/test_forwardmutants.py names for it: a bound that each version starts anew, prompts that wait past it, a slow answer and a freeze that are taken for an outage. The random tests of the bound have no time limit, since the one of the outages exceeded Hypothesis' 200 ms once on a busy machine, and fixed seeds.

--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -12,6 +12,7 @@
     requestlimits,
     resumption,
     storedprefixes,
+    storeoutages,
 )
 from masticdrum.core.attemptends import END_RULES
 from masticdrum.core.clusterstate import ClusterState
@@ -26,6 +27,7 @@
 from masticdrum.core.servedsoftware import ServedSoftware
 from masticdrum.core.softwarerecords import SoftwareRecords
 from masticdrum.core.storedprefixes import StoredPrefixes
+from masticdrum.core.supersededweights import SupersededWeights
 from masticdrum.core.upstreampauses import UpstreamPauses
 from masticdrum.model.exchange import Execution
 
@@ -102,6 +104,35 @@
     patch.setattr(ClusterState, "find_superseded_at", lambda *given: None)
 
 
+def start_the_bound_at_each_version(patch: Patch) -> None:
+    """Count the bound on all superseded weights from the newest version."""
+    find_oldest = SupersededWeights.find_oldest
+
+    def find(self: SupersededWeights, model: str, since: float) -> int:
+        newest = self._named.get(model, ())[-1:]
+        return find_oldest(self, model, since) if _is_past(newest, since) else 0
+
+    def _is_past(newest: Any, since: float) -> bool:
+        return all(named.not_before <= since for named in newest)
+
+    patch.setattr(SupersededWeights, "find_oldest", find)
+
+
+def begin_on_any_weights(patch: Patch) -> None:
+    """Let prompts wait at their engines past the bound on superseded weights."""
+    patch.setattr(exchanges, "may_begin", lambda *given: True)
+
+
+def take_any_silence_for_an_outage(patch: Patch) -> None:
+    """Take one slow answer of the store for an outage."""
+    patch.setattr(storeoutages, "OUTAGE_S", 0.0)
+
+
+def count_no_freeze_in_an_outage(patch: Patch) -> None:
+    """Count the time in which the process stood still as one in an outage."""
+    patch.setattr(storeoutages, "MAX_GAP_S", float("inf"))
+
+
 def forget_when_prefixes_were_stored(patch: Patch) -> None:
     """Treat each reported prefix as if it had always been stored."""
     handle_report = StoredPrefixes.handle_report
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -13,12 +13,15 @@
     test_keptparts,
     test_leavingupstreams,
     test_ordercourse,
+    test_replacedweights,
     test_requestlimits,
     test_resumption,
     test_saturation,
     test_softwarerecords,
+    test_storeoutages,
     test_upstreamlists,
     test_upstreampauses,
+    test_weightsbound,
 )
 
 Check = Callable[[], None]
@@ -67,6 +70,22 @@
         forwardmutants.fetch_for_superseded_weights,
         test_exchanges.test_no_cache_is_fetched_from_an_engine_for_superseded_weights,
     ),
+    (
+        forwardmutants.start_the_bound_at_each_version,
+        test_replacedweights.test_a_second_version_does_not_prolong_the_use_of_the_first,
+    ),
+    (
+        forwardmutants.begin_on_any_weights,
+        test_weightsbound.test_no_prompt_begins_on_weights_superseded_for_too_long,
+    ),
+    (
+        forwardmutants.take_any_silence_for_an_outage,
+        test_replacedweights.test_a_slow_answer_is_no_outage,
+    ),
+    (
+        forwardmutants.count_no_freeze_in_an_outage,
+        test_storeoutages.test_the_time_in_which_the_store_was_reached_is_never_taken_for_shorter,
+    ),
     (
         forwardmutants.forget_when_prefixes_were_stored,
         test_keptparts.test_superseded_weights_fetch_what_was_whole_before_and_save_nothing,
--- a/tests/core/test_storeoutages.py
+++ b/tests/core/test_storeoutages.py
@@ -1,6 +1,6 @@
 """How long the store could be reached, as a process counts it."""
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from masticdrum.core.storeoutages import MAX_GAP_S, NOTICE_S, StoreOutages
@@ -18,6 +18,7 @@
 
 # Guards against prompts on superseded weights after outages and freezes of any length,
 # since the time in which engines could be ordered was taken for shorter than it was.
+@settings(deadline=None, derandomize=True)
 @given(PHASES, st.integers(1, 100))
 def test_the_time_in_which_the_store_was_reached_is_never_taken_for_shorter(
     phases: list[tuple[str, int, int]], bound: int
--- a/tests/core/test_supersededweights.py
+++ b/tests/core/test_supersededweights.py
@@ -1,6 +1,6 @@
 """Since when weights are superseded, whatever was named and learned when."""
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from masticdrum.core.supersededweights import SupersededWeights
@@ -14,6 +14,7 @@
 
 # Guards against a bound that a further version sets anew, and against a table that
 # grows with each version.
+@settings(deadline=None, derandomize=True)
 @given(NAMED, st.integers(0, 41))
 def test_weights_are_never_taken_for_younger_than_the_first_newer_ones(
     named: list[tuple[int, float]], version: int
@@ -31,6 +32,7 @@
 
 
 # Guards against two answers to one question: which weights are too old, and since when.
+@settings(deadline=None, derandomize=True)
 @given(NAMED, st.integers(0, 41), st.floats(0.0, 80.0))
 def test_the_oldest_weights_allowed_are_those_not_superseded_for_too_long(
     named: list[tuple[int, float]], version: int, now: float
--- a/tests/platform/test_revisiontimes.py
+++ b/tests/platform/test_revisiontimes.py
@@ -4,7 +4,7 @@
 
 import httpcore
 import trio
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from trio.testing import MockClock
 
@@ -17,6 +17,7 @@
 
 
 # Guards against a time that is later than the write, whatever calls overtake another.
+@settings(deadline=None, derandomize=True)
 @given(CALLS, WRITES)
 def test_no_revision_is_taken_for_younger_than_it_is(
     calls: list[tuple[float, float]], writes: list[float]
