Show that an odd target in the table of permits ends agents

What callers would see: agents that want a permit end, again and again, for as long as the table of permits has a lease whose engine is registered and whose target isn't MODEL@NUMBER. Since the target is read without a check (read_weights, core/enginecontroller.py).

Evidence: without its entry the test prints "ValueError: invalid literal for int() with base 10: 'm1'", '', 'x', and "Exceeds the limit (4300 digits)". The fault is open.

--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -259,3 +259,14 @@
     agent.handle_event(WeightsNamed(MODEL, 2))
     agent.wait(3.0)
     assert not agent.orders
+
+
+# Guards against agents that end, again and again, as they read a lease whose target
+# names no weights (LOST).
+def test_a_lease_with_an_odd_target_ends_no_agent() -> None:
+    for target in ("m1", "m1@", "m1@x", f"m1@1{'0' * 5000}"):
+        lease = Lease(7, 0, UPSTREAMS[-1].name, target)
+        agent = Agent(table=PermitTable(7, {"side-2/a/1": lease}))
+        agent.handle_event(WeightsNamed(MODEL, 2))
+        agent.wait(20.0)
+        assert len(agent.orders) == 1
