Show that an agent calls a rejecting store without a pause

What callers would see: an agent whose permit is granted for weights that have been replaced meanwhile changes its lease. While the store turns these calls away (429, 503) it makes the next one at once, at each event and each answer: Permits.request sets the time of the next call to zero, also after Permits._back_off has set it.

Evidence: without its entry the test prints "assert 100 < 10". The fault is open.

--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -553,3 +553,23 @@
     with patch.object(Fleet, "send", send), pytest.raises(Violation):
         for seed in range(1, 20):
             check_loads(seed)
+
+
+# Guards against agents that call the store without a pause while it turns calls away,
+# since newer weights were named before their permit was granted.
+def test_a_lease_for_replaced_weights_is_changed_with_pauses() -> None:
+    agent = Orders(Permits("agent/1", 1))
+    agent.permits.engine = "e1"
+    write = hold(agent, 0.0)
+    assert agent.decide("v3", "v1", 0.05) is None
+    agent.permits.handle_answer(ObjectAnswer(write.call, ObjectStatus.OK, 1), 0.1)
+    calls = 0
+    for _ in range(100):
+        assert agent.decide("v3", "v1", 0.2) is None
+        call = agent.permits.plan_call(0.2)
+        if call is None:
+            break
+        calls += 1
+        rejected = ObjectAnswer(call.call, ObjectStatus.REJECTED)
+        agent.permits.handle_answer(rejected, 0.2)
+    assert calls < 10
