Show that streams which are taken up put the record's write off

What callers see: while an entry's calls take longer than the time between two streams that are taken up there, it makes read after read of the record and neither confirms nor writes a version. No stream begins at a new version of any service, and after a restore all streams that are taken up are refused (origin_unknown), until the callers stop.

Cause: next_call reads for as long as a read is wanted, and a read that was asked before the latest caller came back wants another one (core/softwarerecords.py).

The fault is open.

--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -11,8 +11,8 @@
 from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import Refuse, Ticked
-from masticdrum.model.platform import ObjectGet, ObjectStatus
-from tests.forwarding import pick
+from masticdrum.model.platform import ObjectGet, ObjectPut, ObjectStatus
+from tests.forwarding import make_upstream, pick
 from tests.softwareworld import (
     CALL_S,
     SETTLE_S,
@@ -342,3 +342,64 @@
     world.run(SETTLE_S)
     assert not world.goes_on(entry)
     assert world.platform.read().versions == {"engines": {"v1": 0.0}}
+
+
+class SlowLink:
+    """An entry's connection to a platform that answers each call after ``CALL_S``."""
+
+    CALL_S = 0.25
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.pending: list[tuple[float, ObjectGet | ObjectPut]] = []
+
+    def execute(self, call: ObjectGet | ObjectPut) -> None:
+        self.pending.append((self.world.now + self.CALL_S, call))
+
+    def deliver(self) -> None:
+        due = [call for at, call in self.pending if at <= self.world.now]
+        self.pending = [(at, c) for at, c in self.pending if at > self.world.now]
+        for call in due:
+            answer = self.world.platform.execute(call)
+            self.world.handle(self.world.entries[0], answer)
+
+
+def take_up_streams(world: World, for_s: float) -> list[int]:
+    """Let a caller take a stream up ten times a second; return those not sent."""
+    (entry,) = world.entries
+    assert isinstance(entry.platform, SlowLink)
+    handles = []
+    until = world.now + for_s
+    while world.now < until:
+        world.run(STEP_S)
+        entry.platform.deliver()
+        world.take_up(entry, f"elsewhere {world.now}")
+        handles.append(entry.handles)
+        for handle in handles:
+            if find_started(entry, handle):
+                entry.disconnect(handle)
+    return [handle for handle in handles if not find_started(entry, handle)]
+
+
+# Guards against versions that aren't recorded, so that no stream begins at them, for as
+# long as callers take streams of another service up.
+def test_a_version_is_recorded_while_streams_are_taken_up() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    world.entries[0].platform = SlowLink(world)
+    world.upstreams["desk-1"] = make_upstream("desk-1", "desk", software="v2")
+    world.learn(0)
+    take_up_streams(world, 5.0)
+    assert world.platform.read().versions.get("desk") == {"v2": 0.0}
+
+
+# Guards against the refusal of all streams that are taken up after a restore, for as
+# long as others are taken up, since the record isn't completed (LOST).
+def test_a_restored_record_is_completed_while_streams_are_taken_up() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    world.platform.save()
+    world.platform.restore()
+    world.entries[0].platform = SlowLink(world)
+    world.tell(StoreRestored(world.platform.era, 1))
+    take_up_streams(world, 5.0)
+    unsent = take_up_streams(world, 3.0)
+    assert len(unsent) < 10
