Show that a lease is taken over because of an engine's run before

What callers see: more engines load at once than permitted, which takes each longer. An engine crashed with version 2 and is back at version 1 under its name; its agent is given a permit and orders. Another agent, whose list is older (such reads may be seconds old), sees the engine registered with version 2 and takes the lease over at once.

Cause: a lease names the engine, not its run (Lease, core/permits.py; _is_registered_with, core/enginecontroller.py). What is waited for isn't bound to the run that it is awaited of.

Evidence: without its entry the test prints "assert not [IssueOrder(order= 'side-2/c/order/1', ...)]". The fault is open.

--- a/tests/core/test_adviser.py
+++ b/tests/core/test_adviser.py
@@ -1,6 +1,7 @@
 """An agent orders only its own engine, once, and under a permit."""
 
 import msgspec
+from msgspec.structs import replace
 
 from masticdrum.core.enginecontroller import (
     EngineControllerState,
@@ -270,3 +271,22 @@
         agent.handle_event(WeightsNamed(MODEL, 2))
         agent.wait(20.0)
         assert len(agent.orders) == 1
+
+
+# Guards against one load more than permitted: an engine crashed and is back under its
+# name, and agents that haven't heard of it take the weights of its run before for its.
+def test_a_lease_of_an_engine_that_is_back_is_not_taken_over() -> None:
+    holder = Agent()
+    back = replace(OWN, born=2)
+    holder.handle_event(UpstreamsListed((*UPSTREAMS, back)))
+    holder.handle_event(EngineReported({MODEL: 1}, born=2))
+    holder.handle_event(WeightsNamed(MODEL, 2))
+    assert len(holder.orders) == 1
+    other = Agent(table=holder.table)
+    other.state = EngineControllerState("side-2", "c", UPSTREAMS[-1].address, 1)
+    before = replace(OWN, born=1, weights={MODEL: 2})
+    other.handle_event(UpstreamsListed((*UPSTREAMS, before)))
+    other.handle_event(EngineReported({MODEL: 1}))
+    other.handle_event(WeightsNamed(MODEL, 2))
+    other.wait(1.0)
+    assert not other.orders
