Show that a quarantine begins anew at each entry that starts

What callers see: requests that share parts with what crashed upstreams are refused again at an entry that has started, long after this has ended at the others (LOST, if the parts are sound).

Cause: claims count from when this process has learnt of them (learnt_at in core/crashsuspicion.py), though each says when it was made (CrashClaim.at).

The fault is open.

--- a/tests/core/test_crashsuspicion.py
+++ b/tests/core/test_crashsuspicion.py
@@ -10,6 +10,7 @@
     MAX_CLAIMS,
     MAX_CLEARANCES,
     MAX_KNOWN_CLAIMS,
+    MAX_QUARANTINE_S,
     QUARANTINE_S,
     CrashSuspicion,
 )
@@ -100,6 +101,22 @@
     assert refuse.retry_after_s > 30
 
 
+# Guards against a quarantine that begins anew at each entry that starts, long after the
+# last crash and after it has ended at the others (LOST).
+def test_an_entry_that_starts_later_counts_a_quarantine_from_the_crashes() -> None:
+    world = CrashWorld(1)
+    play(world, 12.0, shared_subject=True)
+    world.finish(2.0)
+    (running, *_) = world.entries
+    for entry in (running, Entry(9, name="entry-0")):
+        entry.now = world.now + MAX_QUARANTINE_S
+        entry.confirm()
+        entry.handle_event(CrashReportsListed(tuple(world.stored.values())))
+        before = len(pick(entry.effects, StartAttempt))
+        world.request((FIRST_PART, "subject-0", CRASHING_PART), entry)
+        assert len(pick(entry.effects, StartAttempt)) == before + 1
+
+
 # Guards against an entry that serves before it knows what crashes upstreams.
 def test_an_entry_is_ready_only_when_it_has_read_the_reports() -> None:
     entry = Entry()
