Let no lease with an odd target end an agent

Agents ended, again and again, while the table of permits held a lease whose engine is registered and whose target names no weights.

Cause: taking a lease over once its engine is registered with its target read the target, a text of the store, as if it were our own.

Change: a target that names no weights is never loaded, so that the lease is taken over after the time of a lease and a load, as any other.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -40,6 +40,7 @@
 # Loads take longer with more than 2 of 6 engines, 9 of 23 or 11 of 28 loading at once,
 # as operators report.
 MAX_LOADING_FRACTION = 0.4
+MAX_VERSION_DIGITS = 19  # of a target that another writer may have named
 ORDER_RETRY_S = 0.5  # after a failed order, often since the engine was replaced
 CLUSTER_BOUNDS = ClusterBounds(revoke_s=0.0, drain_s=0.0)  # an agent sends no requests
 PERMIT_BOUNDS = PermitBounds(
@@ -129,8 +130,10 @@
         known = self.cluster_state.known.get(upstream)
         if known is None:
             return False
-        model, version = read_weights(target)
-        return known.upstream.weights.get(model, 0) >= version
+        model, _, version = target.rpartition("@")
+        if not version.isdecimal() or len(version) > MAX_VERSION_DIGITS:
+            return False
+        return known.upstream.weights.get(model, 0) >= int(version)
 
     def find_own_engine(self) -> KnownUpstream | None:
         """Return the newest engine registered at ``upstream``, if there is one."""
