Change a lease for replaced weights with pauses while the store turns calls away

An agent whose permit was granted after newer weights had been named called a store that answered 429 or 503 again at once, as often as it was answered.

Cause: each request for a permit undid the pause after a rejected call as long as the lease named the replaced target.

Found by a review.

Change: the pause is left out once, when another target is requested or an answer shows the lease with one that is no longer wanted.

--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -206,8 +206,8 @@
     def request(self, target: str = "") -> None:
         """Request a permit to order ``target``, or keep the one that is held."""
         self.desired = DesiredState.HOLD
-        self._target = target if self.engine else ""
-        if self._expires_at > 0.0 and not self._has_requested_lease():
+        before, self._target = self._target, target if self.engine else ""
+        if self._expires_at > 0.0 and self._target != before:
             self._next_call_at = 0.0
 
     def release(self) -> None:
@@ -321,6 +321,8 @@
         sent_at = self._sent_at.get(lease.renewals, 0.0)
         self._expires_at = sent_at + self.bounds.lease_s - MARGIN_S
         self._next_call_at = max(now, sent_at + self.bounds.renew_every_s)
+        if not self._has_requested_lease():
+            self._next_call_at = now
         self._poll_s = self.bounds.min_poll_s
 
     def _has_requested_lease(self) -> bool:
