Take no lease over because of its engine's run before

An agent whose list still held an engine's run before, with the target, took over the lease of its present run, and one engine more than permitted loaded, so that all loads took longer.

Cause: a lease named its engine, but not which run of it the order was given to, and agents read registrations that may be seconds old.

Found by a review.

Change: a lease names when its engine's run was born, and an earlier registration says nothing of it. The play of tests/core/test_permits.py gives whole leases to the question whether they are loaded; what it checks is the same.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -18,7 +18,7 @@
 )
 from masticdrum.core.ordercopies import EngineRun, OrderCopies
 from masticdrum.core.orders import Orders
-from masticdrum.core.permits import PERMITS_PATH, PermitBounds, Permits
+from masticdrum.core.permits import PERMITS_PATH, Lease, PermitBounds, Permits
 from masticdrum.core.streamorigins import StreamOrigins
 from masticdrum.model.agent_events import (
     ExtendOrder,
@@ -102,7 +102,7 @@
             seed,
             PERMIT_BOUNDS,
             holder_prefix=f"{name}/",
-            is_loaded=self._is_registered_with,
+            is_loaded=self._is_loaded,
         )
         self.orders = Orders(permits, ORDER_RETRY_S)
         self.copies = OrderCopies()
@@ -125,12 +125,15 @@
             return True
         return not self.orders.permits.is_idle
 
-    def _is_registered_with(self, upstream: str, target: str) -> bool:
-        """Return whether an upstream is registered with weights, or newer ones."""
-        known = self.cluster_state.known.get(upstream)
-        if known is None:
+    def _is_loaded(self, lease: Lease) -> bool:
+        """Return whether a lease's engine is registered with its target, or newer.
+
+        A registration of a run before that of the lease says nothing of it.
+        """
+        known = self.cluster_state.known.get(lease.engine)
+        if known is None or known.upstream.born < lease.born:
             return False
-        model, _, version = target.rpartition("@")
+        model, _, version = lease.target.rpartition("@")
         if not version.isdecimal() or len(version) > MAX_VERSION_DIGITS:
             return False
         return known.upstream.weights.get(model, 0) >= int(version)
@@ -221,7 +224,7 @@
     permits = state.orders.permits
     permits.bounds = _compute_permit_bounds(state, own)
     if run is not None and not state.orders.order:
-        permits.engine = run.name
+        permits.engine, permits.born = run.name, run.born
     effects: list[EngineControllerEffect] = []
     if state.orders.unconfirmed and _is_loaded(state, state.orders.target):
         state.orders.confirm()
--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -50,14 +50,15 @@
 class Lease(Struct, omit_defaults=True):
     """One permit in use; its holder changes ``renewals`` for as long as it is alive.
 
-    It is for an order of ``target`` to the engine named ``engine``, or for any order if
-    these are empty.
+    It is for an order of ``target`` to the run of ``engine`` that was ``born`` then, or
+    for any order if these are empty.
     """
 
     fence: Number
     renewals: Number = 0
     engine: str = ""
     target: str = ""
+    born: Number = 0
 
 
 class PermitTable(Struct):
@@ -104,10 +105,10 @@
 
     ``holder_prefix`` is the common prefix of the holder names of all incarnations of
     this agent. The earlier ones are over, so their leases are taken over at once. It is
-    empty if incarnations can't be recognised. ``is_loaded`` tells whether an engine is
-    registered with a target. ``engine`` is the one that this agent orders; leases name
-    neither engine nor target while it is empty. ``fault`` is why the table could not be
-    decoded when it was last read, or empty.
+    empty if incarnations can't be recognised. ``is_loaded`` tells whether the engine of
+    a lease is registered with the lease's target. ``engine`` is the one that this agent
+    orders, ``born`` its run; leases name neither engine nor target while it is empty.
+    ``fault`` is why the table could not be decoded when it was last read, or empty.
     """
 
     __slots__ = (
@@ -132,6 +133,7 @@
         "_next_call_at",
         "_is_loaded",
         "_target",
+        "born",
         "bounds",
         "engine",
         "holder",
@@ -145,11 +147,12 @@
         seed: int,
         bounds: PermitBounds | None = None,
         holder_prefix: str = "",
-        is_loaded: Callable[[str, str], bool] = lambda engine, target: False,
+        is_loaded: Callable[[Lease], bool] = lambda lease: False,
     ) -> None:
         self._is_loaded = is_loaded
         self._target = ""
         self.engine = ""
+        self.born = 0
         self._holder_prefix = holder_prefix
         self.bounds = PermitBounds() if bounds is None else bounds
         self.holder = holder
@@ -329,10 +332,11 @@
         lease = self._table.leases.get(self._token)
         if lease is None:
             return False
-        return (lease.engine, lease.target) == (self.engine, self._target)
+        wanted = (self.engine, self.born, self._target)
+        return (lease.engine, lease.born, lease.target) == wanted
 
     def _make_lease(self, fence: int, renewals: int = 0) -> Lease:
-        return Lease(fence, renewals, self.engine, self._target)
+        return Lease(fence, renewals, self.engine, self._target, self.born)
 
     def _propose(self, now: float) -> PermitTable | None:
         taken_over = [t for t in self._sightings if self._may_take_over(t, now)]
@@ -375,7 +379,7 @@
         if self._holder_prefix and token.startswith(self._holder_prefix):
             return True
         lease = self._table.leases[token]
-        if lease.target and self._is_loaded(lease.engine, lease.target):
+        if lease.target and self._is_loaded(lease):
             return True
         unchanged_s = now - self._sightings[token].since
         takeover_s = self.bounds.lease_s + self.bounds.load_s
--- a/tests/core/test_permits.py
+++ b/tests/core/test_permits.py
@@ -94,14 +94,14 @@
         seed = self.random.getrandbits(32)
         if not self.registers:
             return Orders(Permits(holder, seed))
-        permits = Permits(holder, seed, is_loaded=self.is_registered_with)
+        permits = Permits(holder, seed, is_loaded=self.is_loaded)
         permits.engine = str(number)
         return Orders(permits)
 
-    def is_registered_with(self, engine: str, target: str) -> bool:
+    def is_loaded(self, lease: permits.Lease) -> bool:
         until = self.now - REGISTERED_AFTER_S
-        loaded = self.engines[int(engine)].loaded
-        return any(at <= until and version >= target for at, version in loaded)
+        loaded = self.engines[int(lease.engine)].loaded
+        return any(at <= until and version >= lease.target for at, version in loaded)
 
     def after(self, delay: float, call: Callable[..., None], *values: Any) -> None:
         self.order += 1
@@ -258,11 +258,11 @@
 
 
 def test_taking_over_leases_of_engines_that_still_load_is_caught() -> None:
-    def is_registered_with(self: Fleet, engine: str, target: str) -> bool:
+    def is_loaded(self: Fleet, lease: permits.Lease) -> bool:
         return True
 
     with (
-        patch.object(Fleet, "is_registered_with", is_registered_with),
+        patch.object(Fleet, "is_loaded", is_loaded),
         pytest.raises(Violation),
     ):
         for seed in range(1, 20):
@@ -499,7 +499,7 @@
         table.leases[f"other/{number}"] = permits.Lease(number, 3, f"e{number}", "v2")
     store = OneAgentStore()
     store.version, store.body = 1, msgspec.json.encode(table)
-    held = Permits("agent/1", 1, is_loaded=lambda engine, _: is_loaded)
+    held = Permits("agent/1", 1, is_loaded=lambda lease: is_loaded)
     held.engine = "e3"
     assert (step_until(Orders(held), store, "v2", 0.0, 5.0) is not None) is is_loaded
 
