Let the gateway of the tests answer calls on the record of software versions

Streams begin only at versions that are recorded, and the tests of broken answers had no store: each of their streams was held for a second and refused.

--- a/tests/shell/gateway.py
+++ b/tests/shell/gateway.py
@@ -26,6 +26,7 @@
 from masticdrum.shell.tcpconnection import TcpConnection
 from tests.forwarding import HOST, make_route, make_upstream
 from tests.shell.callers import make_tcp_pair
+from tests.softwareplatform import Platform
 
 RESET = struct.pack("ii", 1, 0)
 UPSTREAM_COUNT = 3  # at one address
@@ -155,6 +156,7 @@
             MembersListed((Member("entry-1", "entry", "north"),)),
         ):
             self.process.loop.submit(event)
+        self._nursery.start_soon(self._execute_store_calls)
         self._nursery.start_soon(self.process.loop.run_timers)
         self._nursery.start_soon(self.process.tick)
 
@@ -184,6 +186,12 @@
         await stream.aclose()
         return received
 
+    async def _execute_store_calls(self) -> None:
+        platform = Platform()
+        while True:
+            call = await self.process.store_call.wait()
+            self.process.loop.submit(platform.execute(call))
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while data := bytes(await stream.receive_some()):
