Count a quarantine from the crashes, not from when an entry learnt of them

What callers saw: requests that share parts with what crashed upstreams were refused again at an entry that has started, for up to 16 minutes, long after this had ended at the others (LOST, if the parts are sound). Claims were kept, and counted, for 1,800 s from each start.

Cause: the end of a quarantine and the age of a claim were counted from when this process had learnt of the claim (learnt_at), though each claim has the time of day of the crash (CrashClaim.at).

Change: apply_reports is given the time of day, and find_crashed_at puts a claim's date on this entry's clock. It takes 5 s off a claim's age (CLOCK_SLACK_S, as for the record of software versions), so that a clock that is ahead by that much ends no quarantine early, and a claim that is dated later than now counts as of now. Claims older than RETENTION_S are left out when they are read. Clearances and the look at registrations still go by learnt_at: there, what matters is since when this entry has known a claim.

Tests: new are test_a_clock_that_is_ahead_ends_no_quarantine_early, test_a_claim_that_is_dated_ahead_counts_as_of_now and test_claims_that_are_too_old_are_left_out_at_a_start. With crashes counted from when they were learnt the last one prints "assert 2 == 1"; with dates taken as they are the first two print "AssertionError: -5.0" and "AssertionError: 1700000200.0". Both faults are mutants now.

A fourth crash is dated when it is read. What these tests expect is unchanged.

--- a/masticdrum/core/crashclaims.py
+++ b/masticdrum/core/crashclaims.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from masticdrum.core.softwarerecords import CLOCK_SLACK_S
 from masticdrum.model.crashes import PART_PREFIX, CrashClaim
 
 MIN_CRASHES = 3
@@ -11,10 +12,15 @@
 
 
 class KnownClaim(Struct):
-    """A claim, when this entry learnt of it, and which keys it still incriminates."""
+    """A claim, and which keys it still incriminates.
+
+    ``learnt_at`` is when this entry learnt of it, ``crashed_at`` when the upstream
+    crashed, both by this entry's clock in seconds.
+    """
 
     claim: CrashClaim
     learnt_at: float
+    crashed_at: float
     suspects: frozenset[str]
 
     @property
@@ -23,6 +29,15 @@
         return self.claim.upstream, self.claim.born
 
 
+def find_crashed_at(claim: CrashClaim, now: float, unix_now: float) -> float:
+    """Return when a claimed crash happened, by the clock of ``now``, in seconds.
+
+    ``unix_now`` is the time of day now. Another machine's clock may be some seconds
+    behind, so the crash counts as that much later, but not as later than now.
+    """
+    return now - max(0.0, unix_now - CLOCK_SLACK_S - claim.at)
+
+
 def is_implicated(key: str, claims: list[KnownClaim]) -> bool:
     """Return whether a key with these claims is implicated."""
     if count_crashes(claims) < MIN_CRASHES:
--- a/masticdrum/core/crashes.py
+++ b/masticdrum/core/crashes.py
@@ -68,9 +68,10 @@
     state: ExchangeState, event: CrashReportsListed | CrashReportChanged, now: float
 ) -> list[Log]:
     """Add what other entries have reported."""
-    if isinstance(event, CrashReportsListed):
-        return state.suspicion.apply_reports(event.reports, now, is_list=True)
-    return state.suspicion.apply_reports([event.report], now, is_list=False)
+    is_list = isinstance(event, CrashReportsListed)
+    reports = event.reports if isinstance(event, CrashReportsListed) else [event.report]
+    unix_now = now + state.clock_offset
+    return state.suspicion.apply_reports(reports, now, unix_now, is_list=is_list)
 
 
 def review_crashes(state: ExchangeState, now: float) -> list[ExchangeEffect]:
--- a/masticdrum/core/crashsuspicion.py
+++ b/masticdrum/core/crashsuspicion.py
@@ -16,8 +16,9 @@
 each lost request had the parts ``a`` and ``b``, one with ``a`` alone is still sent, and
 its answer clears ``a``.
 
-A quarantine ends some time after the last crash. If the next such request crashes an
-upstream once more, it starts again and lasts twice as long.
+A quarantine ends some time after the last crash, whenever an entry learns of it. If
+the next such request crashes an upstream once more, it starts again and lasts twice as
+long.
 
 Claims of upstreams that turn out to live don't count. Entries learn of each other's
 claims through one object of each at the platform, so that none of them leads, and what
@@ -36,6 +37,7 @@
     MIN_CRASHES,
     KnownClaim,
     count_crashes,
+    find_crashed_at,
     is_implicated,
     list_likeliest,
 )
@@ -138,7 +140,7 @@
                 "begun_s": -1.0 if claim.begun_s is None else claim.begun_s,
             },
         )
-        self._add_claim(claim, now)
+        self._add_claim(claim, now, now)
         return [log, *self._judge(claim.keys)]
 
     def record_answer(
@@ -164,16 +166,28 @@
         return self._judge({clearance.key for clearance in cleared})
 
     def apply_reports(
-        self, reports: Iterable[CrashReport], now: float, *, is_list: bool
+        self,
+        reports: Iterable[CrashReport],
+        now: float,
+        unix_now: float,
+        *,
+        is_list: bool,
     ) -> list[Log]:
-        """Add what entries have reported; an entry's own earlier report is resumed."""
+        """Add what entries have reported; an entry's own earlier report is resumed.
+
+        ``unix_now`` is the time of day in seconds, by which claims are dated. Those
+        that are too old are left out.
+        """
         changed: set[str] = set()
         for report in reports:
             own = report.publisher == self._name
             for claim in report.claims:
                 if claim.claim in self._claims or claim.claim in self._dropped:
                     continue
-                self._add_claim(claim, now)
+                crashed_at = find_crashed_at(claim, now, unix_now)
+                if now - crashed_at >= RETENTION_S:
+                    continue
+                self._add_claim(claim, now, crashed_at)
                 changed.update(claim.keys)
                 if own:
                     self._own_claims[claim.claim] = None
@@ -205,8 +219,8 @@
 
         ``is_alive`` tells whether an upstream answered after a time, which is asked of
         own claims that are not published yet. ``is_registered`` tells whether the
-        incarnation of a claim of this age in seconds would not be listed any more if it
-        had crashed, but is.
+        incarnation of a claim that has been known for this many seconds would not be
+        listed any more if it had crashed, but is.
         """
         pending = [self._claims[n] for n, at in self._own_claims.items() if at]
         dropped = [
@@ -219,7 +233,7 @@
             dropped += [
                 known
                 for known in self._claims.values()
-                if now - known.learnt_at >= RETENTION_S
+                if now - known.crashed_at >= RETENTION_S
                 or is_registered(known.claim, now - known.learnt_at)
             ]
         excess = max(0, len(self._claims) - MAX_KNOWN_CLAIMS)
@@ -272,13 +286,13 @@
     def _request_publication(self, at: float) -> None:
         self._publish_at = at if self._publish_at is None else min(self._publish_at, at)
 
-    def _add_claim(self, claim: CrashClaim, now: float) -> None:
+    def _add_claim(self, claim: CrashClaim, now: float, crashed_at: float) -> None:
         suspects = frozenset(
             key
             for key in claim.keys
             if Clearance(claim.claim, key) not in self._cleared
         )
-        known = self._claims[claim.claim] = KnownClaim(claim, now, suspects)
+        known = self._claims[claim.claim] = KnownClaim(claim, now, crashed_at, suspects)
         for key in claim.keys:
             self._claims_by_key.setdefault(key, []).append(known)
 
@@ -349,7 +363,7 @@
         crashes = count_crashes(matching)
         if crashes < MIN_MATCHES:
             return float("-inf")
-        last = max(known.learnt_at for known in matching)
+        last = max(known.crashed_at for known in matching)
         relapses = max(0, crashes - MIN_CRASHES)
         lasts_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** min(relapses, 10))
         return last + lasts_s
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -8,6 +8,7 @@
 from masticdrum.core import (
     attemptstart,
     clusterstate,
+    crashsuspicion,
     exchanges,
     requestlimits,
     resumption,
@@ -27,6 +28,7 @@
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.supersededweights import SupersededWeights
 from masticdrum.core.upstreampauses import UpstreamPauses
+from masticdrum.model.crashes import CrashClaim
 from masticdrum.model.exchange import Execution
 
 Patch = pytest.MonkeyPatch
@@ -195,13 +197,27 @@
     apply = CrashSuspicion.apply_reports
 
     def apply_nothing(
-        suspicion: CrashSuspicion, reports: Any, now: float, *, is_list: bool
+        suspicion: CrashSuspicion, reports: Any, *given: float, is_list: bool
     ) -> Any:
-        return apply(suspicion, (), now, is_list=is_list)
+        return apply(suspicion, (), *given, is_list=is_list)
 
     patch.setattr(CrashSuspicion, "apply_reports", apply_nothing)
 
 
+def begin_each_quarantine_anew(patch: Patch) -> None:
+    """Count crashes from when this entry learnt of them."""
+    patch.setattr(crashsuspicion, "find_crashed_at", lambda claim, now, unix_now: now)
+
+
+def trust_clocks_to_agree(patch: Patch) -> None:
+    """Date crashes by their claims alone, as if all machines' clocks agreed."""
+
+    def find(claim: CrashClaim, now: float, unix_now: float) -> float:
+        return now - (unix_now - claim.at)
+
+    patch.setattr(crashsuspicion, "find_crashed_at", find)
+
+
 def refuse_any_implicated_part(patch: Patch) -> None:
     """Refuse any implicated part, also one that was beside the crashing one."""
 
--- a/tests/core/test_crashsuspicion.py
+++ b/tests/core/test_crashsuspicion.py
@@ -12,6 +12,7 @@
     MAX_KNOWN_CLAIMS,
     MAX_QUARANTINE_S,
     QUARANTINE_S,
+    RETENTION_S,
     CrashSuspicion,
 )
 from masticdrum.model.cluster_events import (
@@ -28,7 +29,7 @@
 )
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import AttemptEnd, Refuse, StartAttempt, Ticked
-from tests.crashworld import CRASHING_PART, FIRST_PART, STEP_S, CrashWorld
+from tests.crashworld import CRASHING_PART, FIRST_PART, NOON, STEP_S, CrashWorld
 from tests.forwarding import BOUNDS, Entry, get_start, make_upstream, pick
 
 STABLE_S = 3.0  # after the fifth crash all entries are to know
@@ -90,7 +91,7 @@
     world = CrashWorld(1)
     play(world, 12.0, shared_subject=True)
     world.finish(2.0)
-    started = Entry(9, name="entry-0")
+    started = world.make_entry(9, "entry-0")
     started.now = world.now
     started.confirm()
     reports = CrashReportsListed(tuple(world.stored.values()))
@@ -108,7 +109,7 @@
     play(world, 12.0, shared_subject=True)
     world.finish(2.0)
     (running, *_) = world.entries
-    for entry in (running, Entry(9, name="entry-0")):
+    for entry in (running, world.make_entry(9, "entry-0")):
         entry.now = world.now + MAX_QUARANTINE_S
         entry.confirm()
         entry.handle_event(CrashReportsListed(tuple(world.stored.values())))
@@ -191,7 +192,7 @@
         "claim": f"c{number}",
         "upstream": f"engines-{number}",
         "born": 1,
-        "at": 10.0 * number,
+        "at": NOON + 80.0 + 10.0 * number,
         "request": f"r{number}",
         "keys": ("part p", f"request {number}"),
         "begun_s": 0.1,
@@ -201,10 +202,17 @@
 
 def make_suspicion(*claims: CrashClaim) -> CrashSuspicion:
     suspicion = CrashSuspicion("entry-1", Random(1))
-    suspicion.apply_reports([CrashReport("entry-2", claims)], 100.0, is_list=True)
+    apply(suspicion, CrashReport("entry-2", claims), 100.0)
     return suspicion
 
 
+def apply(
+    suspicion: CrashSuspicion, report: CrashReport, now: float, ahead_s: float = 0.0
+) -> None:
+    """Read a report at an entry whose time of day is some seconds ahead."""
+    suspicion.apply_reports([report], now, NOON + now + ahead_s, is_list=True)
+
+
 def is_refused(suspicion: CrashSuspicion, *keys: str, now: float = 101.0) -> bool:
     return suspicion.compute_quarantine(keys, now) > 0
 
@@ -212,7 +220,7 @@
 # Guards against a quarantine of what merely was there when a data centre lost power.
 def test_upstreams_that_crash_at_the_same_moment_count_once() -> None:
     spread = [make_claim(number) for number in range(3)]
-    at_once = [make_claim(number, at=5.0 + number / 500) for number in range(9)]
+    at_once = [make_claim(number, at=NOON + 95.0 + number / 500) for number in range(9)]
     assert is_refused(make_suspicion(*spread), "part p")
     assert not is_refused(make_suspicion(*at_once), "part p")
 
@@ -223,12 +231,52 @@
     assert is_refused(suspicion, "part p", now=100.0 + QUARANTINE_S - 1)
     later = 100.0 + QUARANTINE_S + 1
     assert not is_refused(suspicion, "part p", now=later)
-    report = CrashReport("entry-3", (make_claim(3),))
-    suspicion.apply_reports([report], later, is_list=False)
+    apply(suspicion, CrashReport("entry-3", (make_claim(3, at=NOON + later),)), later)
     assert is_refused(suspicion, "part p", now=later + 2 * QUARANTINE_S - 1)
     assert not is_refused(suspicion, "part p", now=later + 2 * QUARANTINE_S + 1)
 
 
+# Guards against a quarantine that ends early, while crashes go on, at an entry whose
+# clock is ahead of those of the others (BUDGET).
+def test_a_clock_that_is_ahead_ends_no_quarantine_early() -> None:
+    for ahead_s in (-5.0, 0.0, 5.0):
+        suspicion = CrashSuspicion("entry-1", Random(1))
+        claims = tuple(make_claim(number) for number in range(3))
+        apply(suspicion, CrashReport("entry-2", claims), 100.0, ahead_s)
+        assert is_refused(suspicion, "part p", now=100.0 + QUARANTINE_S - 0.1), ahead_s
+        assert not is_refused(suspicion, "part p", now=100.0 + QUARANTINE_S), ahead_s
+
+
+# Guards against a quarantine without end because the writer's clock was wrong.
+def test_a_claim_that_is_dated_ahead_counts_as_of_now() -> None:
+    for at in (NOON + 200.0, NOON + 1e6, 1e300):
+        claims = [make_claim(number, at=at + number) for number in range(3)]
+        claims += [make_claim(number + 3) for number in range(3)]
+        suspicion = make_suspicion(*claims)
+        lasts_s = suspicion.compute_quarantine(("part p",), 100.0)
+        assert QUARANTINE_S <= lasts_s <= MAX_QUARANTINE_S, at
+        assert not is_refused(suspicion, "part p", now=100.0 + MAX_QUARANTINE_S)
+        suspicion.review(100.0 + RETENTION_S, lambda *_: False, lambda *_: False)
+        assert suspicion.count_claims() == 0, at
+
+
+# Guards against claims that are kept, and count as crashes, for as long again after
+# each start.
+def test_claims_that_are_too_old_are_left_out_at_a_start() -> None:
+    report = CrashReport("entry-1", (make_claim(1), make_claim(2, at=-1e300)))
+    started_at = NOON + 90.0 + RETENTION_S
+    for own_name in ("entry-1", "entry-2"):
+        suspicion = CrashSuspicion(own_name, Random(1))
+        suspicion.apply_reports([report], 50.0, started_at, is_list=True)
+        assert suspicion.count_claims() == 1
+        suspicion.review(56.0, lambda *_: False, lambda *_: False)
+        assert suspicion.count_claims() == 0
+        late = CrashSuspicion(own_name, Random(1))
+        late.apply_reports([report], 50.0, started_at + 6.0, is_list=True)
+        assert late.count_claims() == 0
+        assert late.is_listed
+
+
 # Guards against a quarantine because connections broke while the upstreams lived.
 def test_claims_of_upstreams_that_are_still_registered_are_dropped() -> None:
     suspicion = make_suspicion(*(make_claim(number) for number in range(3)))
@@ -246,7 +294,7 @@
     report = suspicion.take_report(104.0)
     assert report is not None
     elsewhere = make_suspicion(*(make_claim(number) for number in range(3)))
-    elsewhere.apply_reports([report], 104.0, is_list=False)
+    apply(elsewhere, report, 104.0)
     assert not is_refused(elsewhere, "part p", now=104.0)
 
 
@@ -284,10 +332,10 @@
     reports += [CrashReport(f"q{n}", (), (item,)) for n, item in enumerate(clearances)]
     shuffled = random.sample(reports, len(reports))
     together = CrashSuspicion("entry-1", Random(1))
-    together.apply_reports(reports, 100.0, is_list=True)
+    together.apply_reports(reports, 100.0, NOON + 100.0, is_list=True)
     one_by_one = CrashSuspicion("entry-2", Random(2))
     for report in shuffled + shuffled[:3]:
-        one_by_one.apply_reports([report], 100.0, is_list=False)
+        one_by_one.apply_reports([report], 100.0, NOON + 100.0, is_list=False)
     for keys in (("part a",), ("part b", "part c"), ("part a", "part b", "part c")):
         quarantines = [
             suspicion.compute_quarantine(keys, 101.0)
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -119,6 +119,22 @@
         forwardmutants.ignore_what_others_saw_crash,
         test_crashsuspicion.test_an_entry_that_starts_later_refuses_what_others_saw_crash,
     ),
+    (
+        forwardmutants.begin_each_quarantine_anew,
+        test_crashsuspicion.test_an_entry_that_starts_later_counts_a_quarantine_from_the_crashes,
+    ),
+    (
+        forwardmutants.begin_each_quarantine_anew,
+        test_crashsuspicion.test_claims_that_are_too_old_are_left_out_at_a_start,
+    ),
+    (
+        forwardmutants.trust_clocks_to_agree,
+        test_crashsuspicion.test_a_clock_that_is_ahead_ends_no_quarantine_early,
+    ),
+    (
+        forwardmutants.trust_clocks_to_agree,
+        test_crashsuspicion.test_a_claim_that_is_dated_ahead_counts_as_of_now,
+    ),
     (
         forwardmutants.refuse_any_implicated_part,
         partial(
--- a/tests/crashworld.py
+++ b/tests/crashworld.py
@@ -3,7 +3,7 @@
 Each engine begins to answer a prompt 0.2 s after it was sent and is done 0.6 s later.
 A prompt with the crashing part ends the engine 0.07 s after it began, and with it all
 that runs there; 3 s later another engine takes its place. What an entry publishes is
-known to all others half a second later.
+known to all others half a second later. The entries' times of day are up to 3 s apart.
 """
 
 from random import Random
@@ -34,6 +34,8 @@
 CRASH_S = 0.07
 RESTART_S = 3.0
 SPREAD_S = 0.5  # until what one entry writes is known to all
+CLOCKS_APART_S = 3.0
+NOON = 1.7e9  # the time of day when the world's clock is at 0
 FIRST_PART = "instructions"
 CRASHING_PART = "crashing"
 
@@ -72,9 +74,8 @@
         self.reports: list[tuple[float, CrashReport]] = []
         self.stored: dict[str, CrashReport] = {}
         self.crashing: set[tuple[Entry, int]] = set()
-        upstreams = tuple(self.make_engine(name) for name in self.names)
         self.entries = [
-            Entry(seed * 100 + number, upstreams, f"entry-{number}")
+            self.make_entry(seed * 100 + number, f"entry-{number}")
             for number in range(entries)
         ]
         self.engines_made = engines
@@ -82,6 +83,14 @@
     def make_engine(self, name: str):
         return make_upstream(name, "engines", born=int(self.now * 1000))
 
+    def make_entry(self, seed: int, name: str) -> Entry:
+        """Start an entry before the engines that are there now."""
+        upstreams = tuple(self.make_engine(name) for name in self.names)
+        entry = Entry(seed, upstreams, name)
+        apart_s = Random(seed).uniform(0.0, CLOCKS_APART_S)
+        entry.state.clock_offset = NOON + apart_s
+        return entry
+
     def request(
         self, parts: tuple[str, ...], entry: Entry | None = None, route: str = "stream"
     ) -> list[ExchangeEffect]:
