Let streams that are taken up put the record's write off no longer

What callers saw: while an entry's calls took longer than the time between two streams that are taken up there, no stream began at a new version of any service, and after a restore all streams that were taken up were refused (origin_unknown), until the callers stopped.

Cause: a caller that came back while a read was in flight made the entry read once more, and it read before it confirmed or wrote a version. One flag stood for two demands: that the copy is newer than what the entry has last seen of the registrations, which confirming and writing need, and that a read is newer than a caller, which they don't.

Evidence: on the code before, the two tests print "assert None == {'v2': 0.0}" and "assert 30 < 10".

Change: the two demands have a time each. After a read that is newer than the last review the entry confirms, and writes what has to be written, before it reads again for streams. A write that succeeds counts as a read that was asked when it was sent, since it is conditional on the revision. One call is in flight at most, as before.

Two tests are new, for what the change must keep: a write serves no stream that was taken up after it was sent, and a read that was asked before a version came back confirms nothing. Both pass on the code before; with the write counted as of its answer the first fails, and with no read after a review the second.

--- a/masticdrum/core/softwarerecords.py
+++ b/masticdrum/core/softwarerecords.py
@@ -55,7 +55,8 @@
     """One entry's copy of the record, with at most one call to the platform at a time.
 
     ``next_call`` and ``handle_answer`` are called with a clock in seconds. ``read_at``
-    is when the last read that was answered had been asked, minus infinity before.
+    is when the last read that was answered had been asked, minus infinity before. A
+    write that has succeeded counts as a read, since nobody else has written in between.
     """
 
     __slots__ = (
@@ -75,6 +76,7 @@
         "_random",
         "_record",
         "_retry_at",
+        "_reviewed_at",
         "_revision",
         "_spreads_write",
         "_stalled_at",
@@ -98,6 +100,7 @@
         self._must_read = True
         self._asked_at = -NEVER
         self._retry_at = -NEVER
+        self._reviewed_at = -NEVER
         self._wanted_at = -NEVER
         self._spreads_write = True
         self._stalled_at = -NEVER
@@ -186,8 +189,10 @@
 
     def request_read(self, now: float) -> None:
         """Read the record as soon as possible; the read is asked after ``now``."""
-        self._must_read = True
         self._wanted_at = now
+        if self._pending:
+            return
+        self._must_read = True
         due_at = max(now, self._retry_at, self._asked_at + READ_GAP_S)
         self._due_at = min(self._due_at, due_at)
 
@@ -195,7 +200,7 @@
         """Compare the record with what this entry sees, soon."""
         spread_s = self._random.uniform(0.0, SPREAD_S) if self._is_read else 0.0
         self._must_read = True
-        self._wanted_at = now
+        self._reviewed_at = now
         self._due_at = min(self._due_at, now + spread_s)
 
     def record_interruption(self, now: float) -> None:
@@ -219,25 +224,33 @@
         """Return the call to make now, if any."""
         if self._pending or now < self._due_at:
             return None
-        if self._must_read:
-            self._begin_call("software read", now)
-            return ObjectGet(self._pending, SOFTWARE_PATH)
-        self._confirm(software)
-        self._proposed = self._merge(software, now, unix_now)
-        if self._proposed == self._record:
-            # Another entry may complete the record.
-            self._must_read = self._record.era < self._era
-            self._due_at = now + REREAD_S if self._must_read else NEVER
-            return None
-        if self._spreads_write:
+        if not self._must_read:
+            # Before another read for streams, which may be wanted all the time.
+            self._confirm(software)
+            self._proposed = self._merge(software, now, unix_now)
+            if self._proposed != self._record and not self._spreads_write:
+                self._begin_call("software write", now)
+                body = msgspec.json.encode(self._proposed)
+                return ObjectPut(self._pending, SOFTWARE_PATH, body, self._revision)
+            self._schedule_read(now)
+            if now < self._due_at:
+                return None
+        self._begin_call("software read", now)
+        return ObjectGet(self._pending, SOFTWARE_PATH)
+
+    def _schedule_read(self, now: float) -> None:
+        self._due_at = NEVER
+        if self._proposed != self._record:
             # All entries may have started together, and one write is enough.
             self._spreads_write = False
-            self._must_read = True
             self._due_at = now + self._random.uniform(0.0, SPREAD_S)
-            return None
-        self._begin_call("software write", now)
-        body = msgspec.json.encode(self._proposed)
-        return ObjectPut(self._pending, SOFTWARE_PATH, body, self._revision)
+        elif self._record.era < self._era:
+            # Another entry may complete the record.
+            self._due_at = now + REREAD_S
+        if self.read_at < self._wanted_at:
+            due_at = max(now, self._asked_at + READ_GAP_S)
+            self._due_at = min(self._due_at, due_at)
+        self._must_read = self._due_at < NEVER
 
     def _begin_call(self, name: str, now: float) -> None:
         self._calls += 1
@@ -294,7 +307,7 @@
             self._may_complete_at = now + life_s
         self._record, self._revision = record, revision
         self._is_read = True
-        self._must_read = self._asked_at < self._wanted_at
+        self._must_read = self._asked_at < self._reviewed_at
         if self._must_read:
             self._due_at = max(now, self._asked_at + READ_GAP_S)
         self.read_at = self._asked_at
--- a/tests/core/test_softwarerecords.py
+++ b/tests/core/test_softwarerecords.py
@@ -376,7 +376,7 @@
         entry.platform.deliver()
         world.take_up(entry, f"elsewhere {world.now}")
         handles.append(entry.handles)
-        for handle in handles:
+        for handle in sorted(entry.state.exchanges):
             if find_started(entry, handle):
                 entry.disconnect(handle)
     return [handle for handle in handles if not find_started(entry, handle)]
@@ -406,6 +406,62 @@
     assert len(unsent) < 10
 
 
+# Guards against streams joined from two versions, since a write that was sent before
+# their caller came back counts as a read (ORDER).
+def test_a_write_serves_only_the_streams_that_were_taken_up_before_it() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    (entry,) = world.entries
+    link = SlowLink(world)
+    entry.platform = link
+    world.upstreams["desk-1"] = make_upstream("desk-1", "desk", software="v2")
+    world.learn(0)
+    run_until_sent(world, link, ObjectGet)
+    world.run(STEP_S)
+    world.take_up(entry, "before the write")
+    before = entry.handles
+    run_until_sent(world, link, ObjectPut)
+    world.run(STEP_S)
+    world.take_up(entry, "after the write")
+    run_until_sent(world, link, ObjectGet)
+    assert find_started(entry, before)
+    assert not find_started(entry, entry.handles)
+    world.run(link.CALL_S)
+    link.deliver()
+    assert find_started(entry, entry.handles)
+
+
+def run_until_sent(
+    world: World, link: SlowLink, kind: type[ObjectGet | ObjectPut]
+) -> None:
+    """Run until a call of one kind is on its way, the only one."""
+    until = world.now + 2 * SETTLE_S
+    while not any(isinstance(call, kind) for _, call in link.pending):
+        assert world.now < until, "it isn't sent"
+        world.run(STEP_S)
+        link.deliver()
+    assert len(link.pending) == 1
+
+
+# Guards against streams that begin at a version that is recorded as gone, by a read
+# that was asked before the version came back (ORDER).
+def test_a_read_asked_before_a_version_came_back_lets_no_stream_begin() -> None:
+    world = World(1, make_engine("engines-1", "v1"))
+    (entry,) = world.entries
+    link = SlowLink(world)
+    entry.platform = link
+    world.take_up(entry, "elsewhere")
+    world.remove("engines-1")
+    world.run(STEP_S)
+    world.add("engines-1", "v1")
+    assert [type(call) for _, call in link.pending] == [ObjectGet]
+    world.run(link.CALL_S)
+    link.deliver()
+    assert not entry.state.software_records.has_confirmed("engines", "v1")
+    world.run(link.CALL_S + STEP_S)
+    link.deliver()
+    assert entry.state.software_records.has_confirmed("engines", "v1")
+
+
 # Guards against the refusal of streams while all upstreams of the recorded version
 # leave, and those of the next one are about to be recorded.
 def test_streams_wait_for_the_next_version_while_the_one_before_leaves() -> None:
