Hold new streams while no usable server runs a recorded version

What callers saw: new streams were refused at once (503), and not held for the record as for a service's first version, while all servers of the recorded version left and the next version wasn't recorded yet.

Cause: _may_begin in core/resumption.py asked whether any registered version is recorded; servers that leave are registered, and get no new streams.

Evidence: on the code before the test prints "assert 0 == 1" (no attempt started).

Change: it asks for the versions of usable servers. The list is the one that is kept for choosing a server; the search ends at the first server of a recorded version.

--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -51,7 +51,7 @@
 ) -> tuple[Resumption, list[ExchangeEffect]]:
     """Find the version that began an exchange's stream, or search for it.
 
-    A new stream only waits while no version of its service is recorded.
+    A new stream only waits while no version that serves is recorded.
     """
     if exchange.last_event is None:
         return _begin_stream(state, exchange, now)
@@ -72,7 +72,7 @@
 def _begin_stream(
     state: ExchangeState, exchange: Exchange, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
-    if _may_begin(state, exchange):
+    if _may_begin(state, exchange, now):
         return Resumption.ALLOWED, []
     wait_s = min(FIRST_WAIT_S, READ_WAIT_FRACTION * (exchange.deadline - now))
     exchange.search = OriginSearch(now, now + wait_s)
@@ -81,14 +81,16 @@
     return Resumption.SEARCHING, []
 
 
-def _may_begin(state: ExchangeState, exchange: Exchange) -> bool:
-    """Return whether a stream may begin at a version, or none of them serves."""
+def _may_begin(state: ExchangeState, exchange: Exchange, now: float) -> bool:
+    """Return whether a stream may begin at a usable upstream, or there is none."""
     service = exchange.service
-    registered = state.cluster_state.software.list_registered(service)
-    if exchange.route.kind is not RouteKind.STREAM or not registered:
+    if exchange.route.kind is not RouteKind.STREAM:
         return True
+    usable = state.cluster_state.list_usable_upstreams(service, now)
     records = state.software_records
-    return any(records.has_confirmed(service, version) for version in registered)
+    return not usable or any(
+        records.has_confirmed(service, known.upstream.software) for known in usable
+    )
 
 
 def use_record(
@@ -100,7 +102,7 @@
     if search is None:
         return Resumption.SEARCHING, []
     if exchange.last_event is None:
-        if not _may_begin(state, exchange):
+        if not _may_begin(state, exchange, now):
             return Resumption.SEARCHING, []
         _end_search(state, exchange)
         return Resumption.ALLOWED, []
