Let streams that can't be taken up begin at any version

What callers saw: new streams of routes that aren't resumable were held for up to 1 s and then refused (503) while the version of their servers couldn't be recorded, though nobody takes such a stream up and its version never matters.

Cause: neither the decision to hold a stream (core/resumption.py) nor the choice of a server (core/candidatelist.py) asked whether the route is resumable.

Change: both ask for routes of streams that may be resumed, by one property of the route.

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -4,7 +4,6 @@
 from masticdrum.core.coldstartpacing import Place
 from masticdrum.core.exchangestate import Exchange, ExchangeState
 from masticdrum.core.weightsbound import filter_by_weights
-from masticdrum.model.directory import RouteKind
 
 
 def list_candidates(
@@ -78,7 +77,7 @@
     """Leave out upstreams of versions at which a stream may not begin, or go on."""
     if exchange.software is not None:
         return [k for k in usable if k.upstream.software == exchange.software]
-    if exchange.route.kind is not RouteKind.STREAM:
+    if not exchange.route.streams_resumable:
         return usable
     records, service = state.software_records, exchange.service
     registered = state.cluster_state.software.list_registered(service)
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -17,7 +17,6 @@
 from masticdrum.core.exchangeclose import ORIGIN
 from masticdrum.core.exchangestate import Exchange, ExchangeState, OriginSearch
 from masticdrum.core.invariants import require
-from masticdrum.model.directory import RouteKind
 from masticdrum.model.exchange import ExchangeEffect
 from masticdrum.model.origins import (
     OriginQuery,
@@ -51,7 +50,8 @@
 ) -> tuple[Resumption, list[ExchangeEffect]]:
     """Find the version that began an exchange's stream, or search for it.
 
-    A new stream only waits while no version that serves is recorded.
+    A new stream only waits while no version that serves is recorded, if a caller may
+    take it up.
     """
     if exchange.last_event is None:
         return _begin_stream(state, exchange, now)
@@ -84,7 +84,7 @@
 def _may_begin(state: ExchangeState, exchange: Exchange, now: float) -> bool:
     """Return whether a stream may begin at a usable upstream, or there is none."""
     service = exchange.service
-    if exchange.route.kind is not RouteKind.STREAM:
+    if not exchange.route.streams_resumable:
         return True
     usable = state.cluster_state.list_usable_upstreams(service, now)
     records = state.software_records
--- a/masticdrum/model/directory.py
+++ b/masticdrum/model/directory.py
@@ -51,6 +51,11 @@
         """Whether a request that may have run already may be retried."""
         return self.kind is RouteKind.IDEMPOTENT or self.resumable
 
+    @property
+    def streams_resumable(self) -> bool:
+        """Whether a caller may take up a stream of this route."""
+        return self.kind is RouteKind.STREAM and self.resumable
+
 
 class EngineShape(Struct, frozen=True):
     """The size of a service's engines: concurrent runs and tokens in memory."""
