--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -10,6 +10,7 @@
 from msgspec import Raw
 
 from masticdrum.core.decoding import Undecodable
+from masticdrum.core.revisiontimes import RevisionTimes
 from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.platform import (
     ObjectAnswer,
@@ -24,7 +25,6 @@
     read_own_object,
     read_page,
 )
-from masticdrum.platform.revisiontimes import RevisionTimes
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.upstreamstream import UpstreamBackend
 
--- a/tests/platform/test_revisiontimes.py
+++ b/tests/platform/test_revisiontimes.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from trio.testing import MockClock
 
+from masticdrum.core.revisiontimes import RevisionTimes
 from masticdrum.platform import store as store_module
-from masticdrum.platform.revisiontimes import RevisionTimes
 from masticdrum.platform.store import Store
 
 CALLS = st.lists(st.tuples(st.floats(0.0, 30.0), st.floats(0.0, 10.0)), max_size=60)
