Keep the places of unused fields in messages of where streams began

What callers would have seen: while this version is rolled out, streams that are taken up at an entry of one version, and whose origin only agents of the other know, are refused (origin_unknown).

Cause: the messages are arrays. Queries and replies lost two fields each, and the version before wants both, so its agents dropped the queries of new entries and its entries the replies of new agents, as unreadable.

Evidence, with a copy of the messages of the version before: without this change test_older_processes_decode_messages fails in three of four cases, "Expected `array` of at least length 5, got 3" for the query and "of at least length 6, got 4" for the replies. The other direction worked already, since surplus fields are passed over; its test passes on the code before.

Change: the fields are back at their places, optional, with values that tell an older process nothing: no versions, which are not complete, for no service. Nothing reads them here.

Measured: the tests pass. No processes of the two versions were run against each other.

--- a/masticdrum/model/origins.py
+++ b/masticdrum/model/origins.py
@@ -3,6 +3,9 @@
 Agents keep which version of the upstreams' software began a stream, for the entry to
 which its caller comes back. One of them stands beside an upstream of that version, and
 one beside an upstream of another, since all of one version may leave together.
+
+The messages are arrays, so a field keeps its place for as long as an older process may
+read it.
 """
 
 from msgspec import Struct
@@ -16,18 +19,29 @@
 
 
 class OriginQuery(Struct, frozen=True, array_like=True, tag="query"):
-    """Asks which version began a stream; ``handle`` is echoed in the reply."""
+    """Asks which version began a stream; ``handle`` is echoed in the reply.
+
+    ``service`` and ``life_s`` are there for older agents, which list versions by them.
+    """
 
     handle: int
     request: str
+    service: str = ""
+    life_s: float = 0.0
 
 
 class OriginReply(Struct, frozen=True, array_like=True, tag="reply"):
-    """The version that began a stream, or None if the agent doesn't know it."""
+    """The version that began a stream, or None if the agent doesn't know it.
+
+    ``versions`` and ``is_complete`` are there for older entries, which take a version
+    for the only one if an agent vouches for it.
+    """
 
     handle: int
     request: str
     software: str | None
+    versions: tuple[str, ...] = ()
+    is_complete: bool = False
 
 
 OriginMessage = OriginRecord | OriginQuery | OriginReply
--- a/tests/shell/test_datagrams.py
+++ b/tests/shell/test_datagrams.py
@@ -8,6 +8,8 @@
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import Struct
+from msgspec.structs import astuple
 
 from masticdrum.core.decoding import Undecodable, read_msgpack
 from masticdrum.model.origins import (
@@ -29,6 +31,35 @@
 RECORD = OriginRecord("r1", "v1")
 
 
+class OlderRecord(Struct, frozen=True, array_like=True, tag="record"):
+    """What processes of the version before send and decode."""
+
+    request: str
+    software: str
+
+
+class OlderQuery(Struct, frozen=True, array_like=True, tag="query"):
+    """What entries of the version before send, and agents decode."""
+
+    handle: int
+    request: str
+    service: str
+    life_s: float
+
+
+class OlderReply(Struct, frozen=True, array_like=True, tag="reply"):
+    """What agents of the version before send, and entries decode."""
+
+    handle: int
+    request: str
+    software: str | None
+    versions: tuple[str, ...]
+    is_complete: bool
+
+
+OlderMessage = OlderRecord | OlderQuery | OlderReply
+
+
 def exchange(messages: list[OriginMessage | bytes]) -> list[DatagramEvent]:
     """Send messages and raw datagrams, then a record; return what arrived before it."""
     port = assign_free_ports(("datagrams",))["datagrams"]
@@ -102,3 +133,39 @@
 
 def test_messages_that_are_too_long_are_not_sent() -> None:
     assert exchange([OriginRecord("r" * MAX_DATAGRAM_BYTES, "v2")]) == []
+
+
+# Guards against refused streams while a new version of this system is rolled out, since
+# its processes and those of the version before can't decode each other's messages.
+@pytest.mark.parametrize(
+    ("sent", "decoded"),
+    [
+        (RECORD, OlderRecord("r1", "v1")),
+        (OriginQuery(7, "r2"), OlderQuery(7, "r2", "", 0.0)),
+        (OriginReply(7, "r2", "v1"), OlderReply(7, "r2", "v1", (), False)),
+        (OriginReply(7, "r2", None), OlderReply(7, "r2", None, (), False)),
+    ],
+)
+def test_older_processes_decode_messages(
+    sent: OriginMessage, decoded: OlderMessage
+) -> None:
+    decoder = msgspec.msgpack.Decoder(OlderMessage)
+    assert read_msgpack(msgspec.msgpack.encode(sent), decoder) == decoded
+
+
+@pytest.mark.parametrize(
+    ("sent", "kind", "values"),
+    [
+        (OlderRecord("r1", "v1"), OriginRecord, ("r1", "v1")),
+        (OlderQuery(7, "r2", "desk", 30.0), OriginQuery, (7, "r2")),
+        (OlderReply(7, "r2", "v1", ("v1",), True), OriginReply, (7, "r2", "v1")),
+        (OlderReply(7, "r2", None, (), False), OriginReply, (7, "r2", None)),
+    ],
+)
+def test_messages_of_older_processes_are_decoded(
+    sent: OlderMessage, kind: type[OriginMessage], values: tuple[object, ...]
+) -> None:
+    decoder = msgspec.msgpack.Decoder(OriginMessage)
+    message = read_msgpack(msgspec.msgpack.encode(sent), decoder)
+    assert type(message) is kind
+    assert astuple(message)[: len(values)] == values
