Name the wait for a version apart from the bound on weights

_may_begin in core/resumption.py answered another question than may_begin in core/weightsbound.py; it is _awaits_version now, and true where it was false. _query_agents gets its search, instead of requiring one and then asking again whether there is one. No behaviour changes.

--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -16,7 +16,6 @@
 
 from masticdrum.core.exchangeclose import ORIGIN
 from masticdrum.core.exchangestate import Exchange, ExchangeState, OriginSearch
-from masticdrum.core.invariants import require
 from masticdrum.model.exchange import ExchangeEffect
 from masticdrum.model.origins import (
     OriginQuery,
@@ -59,10 +58,10 @@
     if known is not None:
         return _allow(state, exchange, known, "own record", now)
     wait_s = min(READ_WAIT_S, READ_WAIT_FRACTION * (exchange.deadline - now))
-    exchange.search = OriginSearch(now, now + wait_s)
+    exchange.search = search = OriginSearch(now, now + wait_s)
     if len(state.list_software(exchange.service, now)) > 1:
-        exchange.search.awaits_record = False
-        return _query_agents(state, exchange, now)
+        search.awaits_record = False
+        return _query_agents(state, exchange, search, now)
     state.awaiting_record.add(exchange.handle)
     state.software_records.request_read(now)
     state.timers.set((ORIGIN, exchange.handle), now + READ_PATIENCE_S)
@@ -72,7 +71,7 @@
 def _begin_stream(
     state: ExchangeState, exchange: Exchange, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
-    if _may_begin(state, exchange, now):
+    if not _awaits_version(state, exchange, now):
         return Resumption.ALLOWED, []
     wait_s = min(FIRST_WAIT_S, READ_WAIT_FRACTION * (exchange.deadline - now))
     exchange.search = OriginSearch(now, now + wait_s)
@@ -81,14 +80,14 @@
     return Resumption.SEARCHING, []
 
 
-def _may_begin(state: ExchangeState, exchange: Exchange, now: float) -> bool:
-    """Return whether a stream may begin at a usable upstream, or there is none."""
-    service = exchange.service
+def _awaits_version(state: ExchangeState, exchange: Exchange, now: float) -> bool:
+    """Return whether upstreams may get a new stream, but none of a recorded version."""
     if not exchange.route.streams_resumable:
-        return True
+        return False
+    service = exchange.service
     usable = state.cluster_state.list_usable_upstreams(service, now)
     records = state.software_records
-    return not usable or any(
+    return bool(usable) and not any(
         records.has_confirmed(service, known.upstream.software) for known in usable
     )
 
@@ -102,7 +101,7 @@
     if search is None:
         return Resumption.SEARCHING, []
     if exchange.last_event is None:
-        if not _may_begin(state, exchange, now):
+        if _awaits_version(state, exchange, now):
             return Resumption.SEARCHING, []
         _end_search(state, exchange)
         return Resumption.ALLOWED, []
@@ -119,7 +118,7 @@
     state.awaiting_record.discard(exchange.handle)
     search.awaits_record = False
     if search.unanswered is None:
-        return _query_agents(state, exchange, now)
+        return _query_agents(state, exchange, search, now)
     if search.unanswered == 0:
         return _refuse(state, exchange, now)
     return Resumption.SEARCHING, []
@@ -164,7 +163,7 @@
         _end_search(state, exchange)
         return Resumption.ALLOWED, []
     if search.unanswered is None:
-        return _query_agents(state, exchange, now)
+        return _query_agents(state, exchange, search, now)
     search.unanswered = 0
     if search.awaits_record and now < search.until:
         state.timers.set((ORIGIN, exchange.handle), search.until)
@@ -173,13 +172,10 @@
 
 
 def _query_agents(
-    state: ExchangeState, exchange: Exchange, now: float
+    state: ExchangeState, exchange: Exchange, search: OriginSearch, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
-    search = exchange.search
-    require(search is not None, "agents are queried in a search only")
     addresses = _list_queried(state, exchange)
-    if search is not None:
-        search.unanswered = len(addresses)
+    search.unanswered = len(addresses)
     if not addresses:
         return continue_search(state, exchange, now)
     state.timers.set((ORIGIN, exchange.handle), now + SEARCH_S)
