End the stream whose event id can't be read, not the entry

One of six servers wrote event ids of 5,000 digits.

Cause: the id of each event is converted with int(), which raises ValueError from 4,301 digits on. The task that reads the answer expects no such error, so its nursery ended, and with it the process and all requests on it.

Change: no event id has over 20 digits, as many as a caller may name in Last-Event-Id. A longer one is none of the stream: the events before it are forwarded, the attempt ends as garbled, and the stream goes on at another upstream.

Why it works: whatever the digits are, no number is converted that exceeds the bound.

--- a/masticdrum/core/decoding.py
+++ b/masticdrum/core/decoding.py
@@ -17,6 +17,7 @@
 
 PATH = re.compile(r"^(?P<text>.*) - at `\$\.?(?P<path>.*)`$", re.DOTALL)
 MAX_REASON_CHARS = 200  # since a reason may quote what was read
+MAX_DIGITS = 20  # of a whole number; with 400, arithmetic overflows
 # ``OverflowError`` and ``ValueError`` are raised for numbers with too many digits.
 DECODER_ERRORS = (msgspec.MsgspecError, RecursionError, OverflowError, ValueError)
 
@@ -36,6 +37,15 @@
         raise Undecodable(str(error)) from error
 
 
+def read_digits(text: bytes) -> int:
+    """Return a whole number that only digits spell; raises ``Undecodable``."""
+    if not text.isdigit():
+        raise Undecodable(f"{text[:MAX_DIGITS]!r} is no whole number")
+    if len(text) > MAX_DIGITS:
+        raise Undecodable(f"a number of {len(text)} digits")
+    return int(text)
+
+
 def read_msgpack(body: bytes, decoder: msgspec.msgpack.Decoder[T]) -> T:
     """Decode msgpack; raises ``Undecodable``."""
     try:
--- a/masticdrum/shell/eventsplitter.py
+++ b/masticdrum/shell/eventsplitter.py
@@ -7,8 +7,11 @@
 
 import re
 
+from masticdrum.core.decoding import MAX_DIGITS, read_digits
+
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)(?=[\r\n])")
+LONG_ID = re.compile(rb"id:[ ]?\d{%d}" % (MAX_DIGITS + 1))
 MAX_EVENT_BYTES = 256 * 1024
 # The head of another answer, in a stream that its connection's end ends. It may
 # follow a part of an event on the same line; no line of an event begins like a header.
@@ -28,15 +31,15 @@
 class EventSplitter:
     """Buffers the last event until it has arrived completely.
 
-    ``is_garbled`` means that the head of another answer followed the last event.
+    ``fault`` says why what follows the last event is none, or is empty.
     """
 
-    __slots__ = ("_max_event_bytes", "_rest", "is_garbled", "last_event")
+    __slots__ = ("_max_event_bytes", "_rest", "fault", "last_event")
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self._max_event_bytes = max_event_bytes
         self._rest = b""
-        self.is_garbled = False
+        self.fault = ""
         self.last_event: int | None = None
 
     @property
@@ -62,6 +65,8 @@
                 raise EventTooLong(f"an event is over {self._max_event_bytes} bytes")
         if ANSWER_MARK in whole:
             whole = self._cut_off_answer(whole)
+        if LONG_ID.search(whole) is not None:
+            whole = self._cut_off_long_id(whole)
         last_event = find_last_id(whole)
         if last_event is not None:
             self.last_event = last_event
@@ -72,22 +77,41 @@
         head = ANSWER_HEAD.search(events)
         if head is None:
             return events
-        self.is_garbled = True
-        end = 0
-        for found in EVENT_END.finditer(events, 0, head.start() + 1):
-            end = found.end()
-        return events[:end]
+        self.fault = "another answer follows the last event"
+        return cut_events(events, head.start() + 1)
+
+    def _cut_off_long_id(self, events: bytes) -> bytes:
+        """Return the events before one whose id has too many digits, if there is one.
+
+        No caller could name it to go on behind it.
+        """
+        for found in EVENT_ID.finditer(events):
+            if len(found[1]) > MAX_DIGITS:
+                self.fault = f"an event id of {len(found[1])} digits"
+                return cut_events(events, found.start(1))
+        return events
+
+
+def cut_events(events: bytes, until: int) -> bytes:
+    """Return the events that end before a position."""
+    end = 0
+    for found in EVENT_END.finditer(events, 0, until):
+        end = found.end()
+    return events[:end]
 
 
 def find_last_id(events: bytes) -> int | None:
-    """Return the id of the last event that has one, or None."""
+    """Return the id of the last event that has one, or None.
+
+    Raises ``Undecodable`` for an id that has too many digits.
+    """
     at = events.rfind(b"\nid:") + 1
     end = events.find(b"\n", at)
     if end > 0 and b"\r" not in events and events.startswith(b"id:", at):
         digits = events[at + 3 : end].removeprefix(b" ")
         if digits.isdigit():
-            return int(digits)
+            return read_digits(digits)
     last_event = None
     for found in EVENT_ID.finditer(events):
-        last_event = int(found[1])
+        last_event = read_digits(found[1])
     return last_event
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -229,10 +229,11 @@
                 part = await connection.receive_body()
             while not scope.cancel_called:
                 forwarder.forward(part.data, hold=part.is_last)
-                if forwarder.is_garbled:
+                if forwarder.fault:
                     connection.close()
-                    detail = "another answer follows the last event"
-                    return forwarder.make_ended(AttemptEnd.GARBLED, detail=detail)
+                    return forwarder.make_ended(
+                        AttemptEnd.GARBLED, detail=forwarder.fault
+                    )
                 if part.is_last:
                     break
                 if self._sink.is_blocked(effect.handle):
@@ -341,9 +342,9 @@
         return self._splitter.is_whole and (self._has_events or not last.is_closed)
 
     @property
-    def is_garbled(self) -> bool:
-        """Whether bytes that belong to another answer followed the events."""
-        return self._splitter.is_garbled
+    def fault(self) -> str:
+        """Why what followed the events is none of the stream, or an empty string."""
+        return self._splitter.fault
 
     def begin(self, begun: StreamBegun) -> None:
         """Report the start of the stream; its head is sent with what follows at once.
--- a/tests/shell/test_eventsplitter.py
+++ b/tests/shell/test_eventsplitter.py
@@ -72,12 +72,38 @@
     whole = b""
     for at in range(0, len(data), size):
         whole += splitter.feed(data[at : at + size])
-        if splitter.is_garbled:
+        if splitter.fault:
             break
-    assert splitter.is_garbled
+    assert splitter.fault
     assert (whole, splitter.last_event) == (before, 2)
 
 
+LONG_ID = b"7" * 5000
+
+
+# Guards against an entry that ends at an event id with more digits than Python
+# converts, and loses the requests of all others (LOST).
+@pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("behind", [b"", b"id: 3"])
+def test_an_event_with_an_id_of_thousands_of_digits_is_no_event(
+    end: bytes, behind: bytes
+) -> None:
+    splitter = EventSplitter()
+    before = b"id: 2" + end + b"data: b" + end + end
+    odd = b"id: " + LONG_ID + end + b"data: c" + end + end
+    after = behind + end + b"data: d" + end + end if behind else b""
+    assert splitter.feed(before + odd + after) == before
+    assert "5000 digits" in splitter.fault
+    assert splitter.last_event == 2
+
+
+def test_an_event_may_hold_a_long_number_elsewhere() -> None:
+    splitter = EventSplitter()
+    event = b"id: 1\ndata: id: " + LONG_ID + b"\n\n"
+    assert splitter.feed(event) == event
+    assert not splitter.fault and splitter.last_event == 1
+
+
 @pytest.mark.parametrize(
     "event",
     [
@@ -89,4 +115,4 @@
 def test_an_event_may_tell_of_an_answers_head(event: bytes) -> None:
     splitter = EventSplitter()
     assert splitter.feed(event) == event
-    assert not splitter.is_garbled and splitter.last_event == 1
+    assert not splitter.fault and splitter.last_event == 1
