Take an era of the platform's store with thousands of digits for none

Cause: find_era converts digits of any number, and ValueError isn't among the errors that a call of the store ends with.

--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -9,7 +9,7 @@
 import trio
 from msgspec import Raw
 
-from masticdrum.core.decoding import Undecodable
+from masticdrum.core.decoding import MAX_DIGITS, Undecodable
 from masticdrum.core.revisiontimes import RevisionTimes
 from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.platform import (
@@ -228,7 +228,7 @@
 def find_era(response: httpcore.Response) -> int:
     """Return how often the store has come back from a copy, zero if it isn't told."""
     for name, value in response.headers:
-        if name.lower() == ERA_HEADER and value.isdigit():
+        if name.lower() == ERA_HEADER and value.isdigit() and len(value) <= MAX_DIGITS:
             return int(value)
     return 0
 
