Keep an unexpected error within the task that raises it

Cause: attempts, timers, datagrams and the readers of the platform run in one nursery, which ends all when one fails. Only callers' connections were guarded.

Change: shell/supervision.py. An attempt that fails unexpectedly ends as garbled, within a stream with what was forwarded, so that the stream goes on behind it. The tasks of an entry and an agent are logged (task_failed, with the place) and run again; an order or a call that fails is reported as unanswered.

--- a/masticdrum/core/invariants.py
+++ b/masticdrum/core/invariants.py
@@ -1,4 +1,4 @@
-"""Checks of invariants; a violation ends the process."""
+"""Checks of invariants; a violation ends the work in which it is found."""
 
 
 class InvariantBroken(Exception):
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -71,6 +71,7 @@
     UPSTREAM_PAUSED = 88
     SOFTWARE_MIXED = 89
     SOFTWARE_RECORDED = 90
+    TASK_FAILED = 91
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/cachestores.py
+++ b/masticdrum/platform/cachestores.py
@@ -61,6 +61,7 @@
 
     async def run(self) -> None:
         """Poll the chosen stores; runs for ever."""
+        self._scopes.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 wanted = {(p.store, p.address): p for p in self._choose()}
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -2,6 +2,7 @@
 
 import secrets
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -13,10 +14,20 @@
     reduce_engine_controller,
 )
 from masticdrum.core.ordercopies import EngineRun
-from masticdrum.model.agent_events import ExtendOrder, IssueOrder, WithdrawOrder
+from masticdrum.model.agent_events import (
+    ExtendOrder,
+    IssueOrder,
+    OrderAnswered,
+    WithdrawOrder,
+)
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
 from masticdrum.model.origins import OriginReply, SendOriginReply
-from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
+from masticdrum.model.platform import (
+    ObjectAnswer,
+    ObjectGet,
+    ObjectPut,
+    ObjectStatus,
+)
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.model.telemetry import Count, Log, LogNumber
 from masticdrum.shell.callerserver import CallerServer
@@ -27,6 +38,7 @@
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.probes import ProbeHandler, Probes
 from masticdrum.shell.signals import watch_signals
+from masticdrum.shell.supervision import log_failure, run_supervised
 from masticdrum.shell.telemetry import carry_out_telemetry
 
 ROLE = "agent"
@@ -137,7 +149,7 @@
                 self._nursery.start_soon(self._execute_call, effect)
             case IssueOrder():
                 run = self.state.ordered_run
-                self._nursery.start_soon(self.engine.order, effect, run)
+                self._nursery.start_soon(self._execute_order, effect, run)
             case ExtendOrder():
                 self.engine.extend(effect)
             case WithdrawOrder():
@@ -156,7 +168,27 @@
             self.loop.submit(event)
 
     async def _execute_call(self, call: ObjectGet | ObjectPut) -> None:
-        self.loop.submit(await self.store.execute(call))
+        try:
+            answer = await self.store.execute(call)
+        except Exception as error:
+            log_failure("permit", error)
+            answer = ObjectAnswer(call.call, ObjectStatus.LOST)
+        self.loop.submit(answer)
+
+    async def _execute_order(self, order: IssueOrder, run: EngineRun) -> None:
+        try:
+            await self.engine.order(order, run)
+        except Exception as error:
+            log_failure("order", error)
+            self.loop.submit(
+                OrderAnswered(
+                    order.order,
+                    done=False,
+                    settled=False,
+                    detail=repr(error),
+                    unanswered_at=read_clock(),
+                )
+            )
 
     def _describe(self) -> dict[str, object]:
         return {
@@ -180,9 +212,10 @@
             lambda: process.loop.submit(StopRequested(settings.grace_s)),
         )
         for run in platform.make_watch_tasks(process.loop.submit):
-            nursery.start_soon(run)
-        nursery.start_soon(process.read_reports)
+            nursery.start_soon(run_supervised, "platform", run)
+        nursery.start_soon(run_supervised, "reports", process.read_reports)
         if process.datagrams is not None:
-            nursery.start_soon(process.datagrams.receive, process.submit_datagram)
+            receive = partial(process.datagrams.receive, process.submit_datagram)
+            nursery.start_soon(run_supervised, "datagrams", receive)
         await process.server.serve(process.ended.wait, lambda: STOP_S)
         nursery.cancel_scope.cancel()
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -7,6 +7,7 @@
 import secrets
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 from msgspec import Struct
@@ -50,6 +51,7 @@
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.probes import ProbeHandler, Probes
 from masticdrum.shell.signals import watch_reloads, watch_signals
+from masticdrum.shell.supervision import run_supervised
 from masticdrum.shell.telemetry import carry_out_telemetry
 
 ROLE = "entry"
@@ -275,10 +277,11 @@
 
         nursery.start_soon(watch_signals, process.request_shutdown)
         nursery.start_soon(watch_reloads, reload)
-        nursery.start_soon(process.loop.run_timers)
-        nursery.start_soon(process.tick)
+        nursery.start_soon(run_supervised, "timers", process.loop.run_timers)
+        nursery.start_soon(run_supervised, "tick", process.tick)
         if process.datagrams is not None:
-            nursery.start_soon(process.datagrams.receive, process.submit_reply)
+            receive = partial(process.datagrams.receive, process.submit_reply)
+            nursery.start_soon(run_supervised, "datagrams", receive)
         ports = PlatformPorts(
             process.loop.submit,
             process.meters,
@@ -288,7 +291,7 @@
             lambda: process.state.cluster_state.version,
         )
         for run in make_platform_tasks(ports):
-            nursery.start_soon(run)
+            nursery.start_soon(run_supervised, "platform", run)
         await process.server.serve(
             until=process.ended.wait,
             grace_s=lambda: process.state.compute_remaining_grace(read_clock()),
--- a/masticdrum/shell/callerserver.py
+++ b/masticdrum/shell/callerserver.py
@@ -3,13 +3,13 @@
 import errno
 import socket
 from collections.abc import Awaitable, Callable
-from traceback import format_exception
 
 import trio
 
 from masticdrum.model.telemetry import Log, LogNumber
 from masticdrum.shell.callerconnection import CallerConnection, RequestHandler
 from masticdrum.shell.jsonlogging import write_event
+from masticdrum.shell.supervision import describe_failure
 from masticdrum.shell.tcpconnection import TcpConnection
 
 BACKLOG = 1024  # connections that the kernel completes before they are accepted
@@ -17,7 +17,6 @@
 # No descriptors are left; they return as connections close.
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 EXHAUSTED_WAIT_S = 0.1
-TRACED_CALLS = -4  # the innermost calls of an unexpected error that are logged
 WRITE_TIMEOUT_MS = (
     10_000  # until the kernel gives up a caller that acknowledges nothing
 )
@@ -93,8 +92,8 @@
         try:
             await connection.serve()
         except Exception as error:
-            place = "".join(format_exception(error, limit=TRACED_CALLS))
-            write_event(Log(LogNumber.CONNECTION_FAILED, detail=place))
+            detail = describe_failure(error)
+            write_event(Log(LogNumber.CONNECTION_FAILED, detail=detail))
         finally:
             self._connections.discard(connection)
 
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -23,6 +23,7 @@
 from masticdrum.shell.asgi import Headers
 from masticdrum.shell.eventsplitter import EventSplitter, EventTooLong
 from masticdrum.shell.headercodec import HeaderCodec, UpstreamHeaders, drop_hop_headers
+from masticdrum.shell.supervision import log_failure
 from masticdrum.shell.upstreamconnection import (
     AnswerCutOff,
     AnswerGarbled,
@@ -128,6 +129,9 @@
         try:
             with scope:
                 ended = await self._attempt(effect, request, scope)
+        except Exception as error:
+            log_failure("attempt", error, request.request)
+            ended = make_ended(effect, AttemptEnd.GARBLED, detail=repr(error))
         finally:
             del self._scopes[effect.attempt]
         if ended is not None and not scope.cancel_called:
@@ -194,7 +198,9 @@
                 upstream_headers.limit_per_s,
                 upstream_headers.leaving,
             )
-            ended = await self._read_events(effect, connection, answer, scope, begun)
+            ended = await self._read_events(
+                effect, connection, answer, scope, begun, request.request
+            )
         else:
             ended = await self._read_whole(effect, connection, answer, upstream_headers)
             ended = replace(
@@ -218,6 +224,7 @@
         answer: UpstreamAnswer,
         scope: trio.CancelScope,
         begun: StreamBegun,
+        request: str,
     ) -> AttemptEnded:
         self._sink.store_answer(effect.handle, effect.attempt, answer)
         forwarder = StreamForwarder(effect, self._submit, self._sink)
@@ -246,6 +253,10 @@
             connection.close()
             detail = f"mid-stream {error!r}"
             return forwarder.make_ended(AttemptEnd.LOST, detail=detail)
+        except Exception as error:
+            connection.close()
+            log_failure("stream", error, request)
+            return forwarder.make_ended(AttemptEnd.GARBLED, detail=repr(error))
         if not forwarder.is_whole(part):
             detail = "the stream ended within an event, or closed before the first"
             return forwarder.make_ended(AttemptEnd.TRUNCATED, detail=detail)
