Let agents live through SIGHUP and take over changed settings

An order to load weights that was open was given up.

Cause: only the entry handled SIGHUP; the agent left it to the default action. The same holds for both while they import their modules, some 0.3 s after each start.

Change: an agent reads its settings again at SIGHUP, as docs/CONFIGURATION.md says: runs_at_load and grace_s are taken over, a broken file is refused with a log line. Entries and agents block SIGHUP from their start until they can handle it.

Evidence: on all three new tests of test_whole_path.py fail: the agent ends before it refuses the broken file, and neither process blocks SIGHUP at its start.

Why it works: the default action can't be met from the first line of the program on; a signal that arrived while blocked is delivered when its handler is there.

--- a/masticdrum/platform/agent.py
+++ b/masticdrum/platform/agent.py
@@ -1,7 +1,14 @@
 """``python -m masticdrum.platform.agent``: the agent beside an engine."""
 
+import signal
 import sys
+
+if __name__ == "__main__":
+    # The default action ends a process whose imports are still running.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -22,7 +29,7 @@
 from masticdrum.programs.enginecontroller import Submit, run_engine_controller
 from masticdrum.shell.jsonlogging import configure_bounded_logging
 from masticdrum.shell.metrics import Metrics
-from masticdrum.shell.settings import load_settings
+from masticdrum.shell.settings import load_settings, reread_settings
 
 
 class AgentPlatform:
@@ -70,7 +77,8 @@
         click.echo(f"{settings}: ok")
         return
     configure_bounded_logging("masticdrum-agent", loaded.name, sys.stdout.fileno())
-    trio.run(run_engine_controller, loaded, AgentPlatform(loaded))
+    reread = partial(reread_settings, settings, EngineControllerSettings)
+    trio.run(run_engine_controller, loaded, AgentPlatform(loaded), reread)
 
 
 if __name__ == "__main__":
--- a/masticdrum/platform/engine.py
+++ b/masticdrum/platform/engine.py
@@ -135,6 +135,10 @@
         if self._extension.order == order.order:
             execution.extend(self._extension.not_after)
 
+    def set_runs_at_load(self, runs: RunsAtLoad) -> None:
+        """Set what happens to the engine's runs at the orders that follow."""
+        self._runs = runs
+
     def extend(self, extension: ExtendOrder) -> None:
         """Let an order be sent for longer."""
         self._extension = extension
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -1,6 +1,12 @@
 """``python -m masticdrum.platform.entry``: the forwarding entry on the platform."""
 
+import signal
 import sys
+
+if __name__ == "__main__":
+    # The default action ends a process whose imports are still running.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -8,11 +14,10 @@
 
 import click
 import trio
-from returns.result import Failure
 
 from masticdrum.model.cluster_events import Member
 from masticdrum.model.settings import ForwardSettings
-from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
+from masticdrum.model.telemetry import Count, Counter
 from masticdrum.platform.cachestores import CacheEventPoller
 from masticdrum.platform.crashreports import CrashReportWriter
 from masticdrum.platform.headers import PlatformHeaderCodec
@@ -33,8 +38,8 @@
     unwrap_or_exit,
 )
 from masticdrum.programs.forwarder import ROLE, PlatformPorts, run_forwarder
-from masticdrum.shell.jsonlogging import configure_bounded_logging, write_event
-from masticdrum.shell.settings import load_settings
+from masticdrum.shell.jsonlogging import configure_bounded_logging
+from masticdrum.shell.settings import load_settings, reread_settings
 
 WATCHED = (DIRECTORY, UPSTREAMS, DATA_CENTRES, WEIGHTS, MEMBERS, CRASHES)
 
@@ -75,20 +80,12 @@
         click.echo(f"{settings}: ok")
         return
     configure_bounded_logging("masticdrum-entry", loaded.name, sys.stdout.fileno())
-
-    def reread() -> ForwardSettings | None:
-        result = load_settings(settings, ForwardSettings)
-        if isinstance(result, Failure):
-            write_event(Log(LogNumber.SETTINGS_REFUSED, detail=result.failure()))
-            return None
-        return result.unwrap()
-
     trio.run(
         run_forwarder,
         loaded,
         PlatformHeaderCodec(),
         partial(follow, loaded),
-        reread,
+        partial(reread_settings, settings, ForwardSettings),
     )
 
 
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -18,6 +18,7 @@
     ExtendOrder,
     IssueOrder,
     OrderAnswered,
+    RunsAtLoad,
     WithdrawOrder,
 )
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
@@ -37,7 +38,7 @@
 from masticdrum.shell.loop import Loop
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.probes import ProbeHandler, Probes
-from masticdrum.shell.signals import watch_signals
+from masticdrum.shell.signals import watch_reloads, watch_signals
 from masticdrum.shell.supervision import log_failure, run_supervised
 from masticdrum.shell.telemetry import carry_out_telemetry
 
@@ -60,6 +61,9 @@
     async def order(self, order: IssueOrder, run: EngineRun) -> None:
         """Send an order to a run of the engine and submit its outcome."""
 
+    def set_runs_at_load(self, runs: RunsAtLoad) -> None:
+        """Set what happens to the engine's runs at the orders that follow."""
+
     def extend(self, extension: ExtendOrder) -> None:
         """Let an order be sent for longer."""
 
@@ -96,6 +100,7 @@
         platform: PlatformClientFactory,
         nursery: trio.Nursery,
     ) -> None:
+        self.settings = settings
         self._nursery = nursery
         self.meters = Metrics()
         self.datagrams: DatagramSocket | None = None
@@ -122,6 +127,16 @@
         probes = Probes(self.meters, lambda: True, self._describe)
         self.server = CallerServer({settings.metrics: ProbeHandler(probes)})
 
+    def request_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        self.loop.submit(StopRequested(self.settings.grace_s))
+
+    def reload(self, settings: EngineControllerSettings) -> None:
+        """Apply changed settings; names and addresses stay as they are."""
+        self.settings = settings
+        self.engine.set_runs_at_load(settings.runs_at_load)
+        write_event(Log(LogNumber.SETTINGS_RELOADED))
+
     async def read_reports(self) -> None:
         """Read the engine's report periodically until cancelled."""
         while True:
@@ -201,16 +216,22 @@
 
 
 async def run_engine_controller(
-    settings: EngineControllerSettings, platform: PlatformClientFactory
+    settings: EngineControllerSettings,
+    platform: PlatformClientFactory,
+    read_settings: Callable[[], EngineControllerSettings | None],
 ) -> None:
     """Run one engine controller until a signal stops it."""
     write_event(Log(LogNumber.STARTED, detail=f"upstream {settings.upstream}"))
     async with trio.open_nursery() as nursery:
         process = EngineControllerProcess(settings, platform, nursery)
-        nursery.start_soon(
-            watch_signals,
-            lambda: process.loop.submit(StopRequested(settings.grace_s)),
-        )
+
+        def reload() -> None:
+            changed = read_settings()
+            if changed is not None:
+                process.reload(changed)
+
+        nursery.start_soon(watch_signals, process.request_shutdown)
+        nursery.start_soon(watch_reloads, reload)
         for run in platform.make_watch_tasks(process.loop.submit):
             nursery.start_soon(run_supervised, "platform", run)
         nursery.start_soon(run_supervised, "reports", process.read_reports)
--- a/masticdrum/shell/settings.py
+++ b/masticdrum/shell/settings.py
@@ -15,6 +15,8 @@
     EntrySettings,
     ForwardSettings,
 )
+from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.shell.jsonlogging import write_event
 
 S = TypeVar(
     "S",
@@ -51,6 +53,15 @@
     return Success(settings)
 
 
+def reread_settings(path: Path, kind: type[S]) -> S | None:
+    """Read settings that have changed; None, with a log line, if they are broken."""
+    result = load_settings(path, kind)
+    if isinstance(result, Failure):
+        write_event(Log(LogNumber.SETTINGS_REFUSED, detail=result.failure()))
+        return None
+    return result.unwrap()
+
+
 def load_credentials(path: Path) -> Result[dict[str, str], str]:
     """Read callers' workspaces, keyed by the SHA-256 of their bearer tokens.
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -306,6 +306,53 @@
     assert fleet.ask("/look/7", "r1").status == 200
 
 
+# Guards against agents that end at each SIGHUP, a crash loop (Fault).
+def test_an_agent_applies_changed_settings_and_lives_on(fleet: Fleet) -> None:
+    fleet.start_agent()
+    fleet.wait_for("agent metrics", "/readyz")
+    agent, path = fleet.running["agent"], fleet.folder / "agent.json"
+    sound = path.read_text()
+    path.write_text("{")
+    agent.send_signal(signal.SIGHUP)
+    fleet.wait_until(lambda: '"settings_refused"' in fleet.read_logs(), "refused")
+    path.write_text(sound.replace('"name"', '"runs_at_load": "finish", "name"'))
+    agent.send_signal(signal.SIGHUP)
+    fleet.wait_until(lambda: '"settings_reloaded"' in fleet.read_logs(), "reloaded")
+    fleet.put("versions", "m1", {"model": "m1", "version": 2})
+    fleet.wait_until(lambda: fleet.control("engine-1")["orders"], "an order")
+    assert fleet.control("engine-1")["orders"][0]["method"] == "queue"
+    assert agent.poll() is None
+    agent.send_signal(signal.SIGTERM)
+    assert agent.wait(timeout=10) == 0
+
+
+# Guards against processes that end at a SIGHUP while they start (Fault), or that go on
+# with the settings of before.
+@pytest.mark.parametrize("name", ["entry", "agent"])
+def test_a_reload_while_a_process_starts_is_not_lost(fleet: Fleet, name: str) -> None:
+    if name == "entry":
+        fleet.running.pop("entry").kill()
+        (fleet.folder / "entry.log").write_text("")
+        settings = fleet.folder / "entry.json"
+    else:
+        fleet.start_agent()
+        fleet.running.pop("agent").kill()
+        settings = fleet.folder / "agent.json"
+    fleet.run(name, f"masticdrum.platform.{name}", settings=settings)
+    process = fleet.running[name]
+    status = Path(f"/proc/{process.pid}/status")
+    # Since then it has begun to import its modules.
+    fleet.wait_until(lambda: blocks_hangups(status), "its start")
+    process.send_signal(signal.SIGHUP)
+    fleet.wait_until(lambda: '"settings_reloaded"' in fleet.read_logs(), "reloaded")
+    assert process.poll() is None
+
+
+def blocks_hangups(status: Path) -> bool:
+    masks = [line for line in status.read_text().splitlines() if "SigBlk" in line]
+    return any(int(mask.split()[1], 16) & 1 << (signal.SIGHUP - 1) for mask in masks)
+
+
 def test_the_agent_orders_new_weights_once_and_entries_follow(fleet: Fleet) -> None:
     fleet.start_agent()
     fleet.put("versions", "m1", {"model": "m1", "version": 2})
