Find another answer's head within an event in linear time

One of three engines wrote log lines with status lines into a stream's body.

Change: find_answer_head goes over the events once. Behind a status line no other one in the same block of lines can have a header that the first one doesn't have.

The new test with time limits of the processor did not end on the old expression.

--- a/masticdrum/shell/eventsplitter.py
+++ b/masticdrum/shell/eventsplitter.py
@@ -15,12 +15,14 @@
 MAX_EVENT_BYTES = 256 * 1024
 # The head of another answer, in a stream that its connection's end ends. It may
 # follow a part of an event on the same line; no line of an event begins like a header.
-ANSWER_HEAD = re.compile(
-    rb"(?:^|[\r\n])HTTP/\d"
-    rb"|HTTP/\d\.\d \d{3}[^\r\n]*(?:\r?\n[^\r\n]+)*?"
-    rb"\r?\n(?:content-length|content-type|connection|transfer-encoding|date):",
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}", re.IGNORECASE)
+LINE_OF_ANSWER = re.compile(rb"(?:^|[\r\n])HTTP/\d", re.IGNORECASE)
+HEADER = re.compile(
+    rb"\n(?:content-length|content-type|connection|transfer-encoding|date):",
     re.IGNORECASE,
 )
+# Neither a line nor what ends it stands here, so a head doesn't go on behind it.
+HEAD_BREAK = re.compile(rb"\n(?=[\r\n])|\r(?!\n)")
 ANSWER_MARK = b"HTTP/"
 
 
@@ -74,11 +76,11 @@
 
     def _cut_off_answer(self, events: bytes) -> bytes:
         """Return the events before another answer's head, if there is one."""
-        head = ANSWER_HEAD.search(events)
-        if head is None:
+        at = find_answer_head(events)
+        if at is None:
             return events
         self.fault = "another answer follows the last event"
-        return cut_events(events, head.start() + 1)
+        return cut_events(events, at)
 
     def _cut_off_long_id(self, events: bytes) -> bytes:
         """Return the events before one whose id has too many digits, if there is one.
@@ -92,6 +94,25 @@
         return events
 
 
+def find_answer_head(events: bytes) -> int | None:
+    """Return where the first head of another answer begins, or None.
+
+    That is a status line at the start of a line, or one elsewhere with a line of a
+    header in the same block of lines behind it. The time is linear in the size.
+    """
+    line = LINE_OF_ANSWER.search(events)
+    first = None if line is None else line.end() - len(b"HTTP/0")
+    at = 0
+    while status := STATUS_LINE.search(events, at):
+        if first is not None and first < status.start():
+            return first
+        found = HEAD_BREAK.search(events, status.end())
+        at = len(events) if found is None else found.start()
+        if HEADER.search(events, status.end(), at):
+            return status.start()
+    return first
+
+
 def cut_events(events: bytes, until: int) -> bytes:
     """Return the events that end before a position."""
     end = 0
--- a/tests/shell/test_eventsplitter.py
+++ b/tests/shell/test_eventsplitter.py
@@ -1,16 +1,22 @@
 """Streams are split into whole events, wherever the received bytes are split."""
 
+import re
+import time
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from masticdrum.shell.eventsplitter import (
     EVENT_ID,
+    MAX_EVENT_BYTES,
     EventSplitter,
     EventTooLong,
+    find_answer_head,
     find_last_id,
 )
 
+MAX_EVENT_S = 1.0  # of the processor, for the longest event; more delays all others
 STREAM = (
     b"id: 1\ndata: a\n\n"
     b"x-weight-versions: 2\nid: 2\ndata: b\r\n\r\n"
@@ -78,6 +84,54 @@
     assert (whole, splitter.last_event) == (before, 2)
 
 
+# What find_answer_head finds, in time that grows with the square of the size.
+ANSWER_HEAD = re.compile(
+    rb"(?:^|[\r\n])(?P<line>HTTP/\d)"
+    rb"|(?P<within>HTTP/\d)\.\d \d{3}[^\r\n]*(?:\r?\n[^\r\n]+)*?"
+    rb"\r?\n(?:content-length|content-type|connection|transfer-encoding|date):",
+    re.IGNORECASE,
+)
+LINES = [b"HTTP/1.1 200 OK", b"x HTTP/1.0 500 no", b"http/2", b"Date: now", b"id: 1"]
+LINES += [b"DATE:x", b"a", b"HTTP/1.1 20", b"HTTP/1.1 200Content-Type: a"]
+
+
+@settings(derandomize=True, max_examples=2000, deadline=None)
+@given(st.lists(st.sampled_from(LINES + ENDS), max_size=14))
+def test_another_answers_head_is_found_where_it_begins(pieces: list[bytes]) -> None:
+    events = b"".join(pieces)
+    found = ANSWER_HEAD.search(events)
+    at = None if found is None else max(found.start("line"), found.start("within"))
+    assert find_answer_head(events) == at
+
+
+# Guards against an entry that does nothing else for half a minute, while it looks for
+# another answer's head in an event with many status lines (CONFIG).
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"worker 3: HTTP/1.1 200 OK\n",
+        b"worker 3: HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK HTTP/1.1 200 OK",
+        b"a HTTP/1.1 200\r",
+        b"a HTTP/1.1 200\n\n",
+        b"HTTP/",
+        b"HTTP/1.1 20",
+        b"id: 7",
+        b"id: 7\n",
+        b"\n",
+        b"\r",
+        b"\r\n",
+        b"7",
+        b"a\nDate",
+    ],
+)
+def test_the_time_for_an_event_grows_with_its_size_alone(line: bytes) -> None:
+    event = b"data: a " + line * (MAX_EVENT_BYTES // len(line)) + b"\n\n"
+    began = time.process_time()
+    EventSplitter(max_event_bytes=2 * MAX_EVENT_BYTES).feed(event)
+    assert time.process_time() - began < MAX_EVENT_S
+
+
 LONG_ID = b"7" * 5000
 
 
