Tell an agent of each stream before another version appears

Cause: only the entry knew at which version its streams had begun. It told agents once it had itself seen two versions, which it no longer could.

Change: an entry tells one agent of each resumable stream with its first event, and two once several versions serve. The entries that are asked need no new rule.

Why it works: what an entry knows alone is lost with it; the agent lives on beside an engine, and a lost datagram leads to a refusal, never to a join.

--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -30,7 +30,8 @@
 READ_WAIT_S = 3.0  # for the record, from a platform that is away
 READ_WAIT_FRACTION = 0.5  # of the time left, so that as much is left for the stream
 FIRST_WAIT_S = 1.0  # for the record of a service's first version
-COPIES = 2  # agents that keep a stream's origin
+COPIES = 2  # agents that keep a stream's origin while several versions serve
+COPIES_OF_ONLY_VERSION = 1  # enough for a caller whose entry is lost
 # Upstreams that registered since a stream began move its agents down in rank.
 QUERIED_PER_VERSION = 6
 RECORDS_AT_ONCE = 100  # so that they delay no request
@@ -186,7 +187,11 @@
 def record_origin(
     state: ExchangeState, exchange: Exchange, now: float
 ) -> list[ExchangeEffect]:
-    """Record the version whose upstream has sent a stream's first event."""
+    """Record the version whose upstream has sent a stream's first event.
+
+    An agent is told at once, since this entry may be gone before another version
+    appears, and with it all that it alone knows.
+    """
     if exchange.attempt is None:
         return []
     exchange.software = exchange.attempt.software
@@ -196,15 +201,16 @@
         return []
     service = exchange.service
     state.origins.record(request, exchange.software, now, service)
-    if service in state.mixed or not state.knows_software(now):
-        return _send_record(state, service, OriginRecord(request, exchange.software))
-    return []
+    is_only_version = service not in state.mixed and state.knows_software(now)
+    copies = COPIES_OF_ONLY_VERSION if is_only_version else COPIES
+    record = OriginRecord(request, exchange.software)
+    return _send_record(state, service, record, copies)
 
 
 def review_versions(state: ExchangeState, now: float) -> list[ExchangeEffect]:
-    """Begin to tell agents where streams began as soon as two versions serve.
+    """Tell more agents where streams began as soon as two versions serve.
 
-    They are told of recent streams too. While one version serves there is no need.
+    They are told of recent streams too, since all of a version may leave together.
     """
     effects: list[ExchangeEffect] = []
     life_s = state.cluster_state.stream_life_s
@@ -238,19 +244,19 @@
 
 
 def _send_record(
-    state: ExchangeState, service: str, record: OriginRecord
+    state: ExchangeState, service: str, record: OriginRecord, copies: int = COPIES
 ) -> list[ExchangeEffect]:
-    addresses = _list_recorders(state, service, record)
+    addresses = _list_recorders(state, service, record, copies)
     return [SendToAgents(addresses, record)] if addresses else []
 
 
 def _list_recorders(
-    state: ExchangeState, service: str, record: OriginRecord
+    state: ExchangeState, service: str, record: OriginRecord, copies: int
 ) -> tuple[str, ...]:
     """List the upstreams whose agents keep where a stream of a service began.
 
-    One runs the stream's version and one another, since all of a version may leave
-    together, and with them their agents.
+    Of two, one runs the stream's version and one another, since all of a version may
+    leave together, and with them their agents.
     """
     if not state.has_agents:
         return ()
@@ -270,7 +276,7 @@
     names = [*own[:1], *others[:1], *own[1:], *others[1:]]
     if not names:
         names = list(_rank(state, service, record.software, record.request))
-    return tuple(known[name].upstream.address for name in names[:COPIES])
+    return tuple(known[name].upstream.address for name in names[:copies])
 
 
 def _list_queried(state: ExchangeState, exchange: Exchange) -> tuple[str, ...]:
