Forward nothing during a stop that may be cut off at its end

What callers saw: with real processes, streams that an entry had read ended without a whole answer around its SIGTERM (LOST).

Cause: whatever an entry had read was forwarded, however late: a request sent by halves, or on a fresh connection that had been accepted in time. At the end all connections were cancelled, also of callers that still waited for a turn.

At the end each open request is answered, by whether it may have run. The time since the last tick, in which the signal may have waited, is taken off.

--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -47,6 +47,7 @@
         Observe(Histogram.EXCHANGE_WHOLE, whole_s, kind),
     ]
     if exchange.stream_begun:
+        state.stream_durations.record(exchange.route.name, whole_s)
         return [EndStream(exchange.handle), *report]
     return [ForwardAnswer(exchange.handle, event.attempt), *report]
 
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -15,6 +15,7 @@
 from masticdrum.core.crashes import list_keys, record_end
 from masticdrum.core.exchangeclose import (
     DEADLINE,
+    MIN_RETRY_AFTER_S,
     WEIGHTS,
     close_exchange,
     deliver_answer,
@@ -85,6 +86,10 @@
         kind = ErrorKind.UNAUTHENTICATED if leased else ErrorKind.TABLES_STALE
         return _refuse_request(state, event, kind, now)
     exchange = _make_exchange(state, event, route, workspace)
+    if state.stop is not None:
+        expected_s = state.stream_durations.estimate(route.name)
+        if not state.stop.may_forward(exchange.deadline, expected_s, now):
+            return _refuse_request(state, event, ErrorKind.SHUTTING_DOWN, now)
     state.exchanges[exchange.handle] = exchange
     state.timers.set((DEADLINE, exchange.handle), exchange.deadline)
     state.get_retry_window(exchange.service).record_request(now)
@@ -203,6 +208,8 @@
     if status == 503:
         left_s = event.deadline_s if event.deadline_s is not None else 1.0
         wait_s = draw_retry_after(state, kind, left_s)
+        if kind is ErrorKind.SHUTTING_DOWN:
+            wait_s = MIN_RETRY_AFTER_S  # the caller's next connection is another's
     log = Log(
         LogNumber.EXCHANGE_REFUSED,
         request=event.request,
@@ -385,15 +392,15 @@
     return window.try_acquire(state.count_peer_entries(), now)
 
 
-def expire_exchange(
-    state: ExchangeState, handle: int, now: float
+def end_exchange(
+    state: ExchangeState, handle: int, kind: ErrorKind, now: float
 ) -> list[ExchangeEffect]:
-    """End an exchange at its deadline."""
+    """End an exchange whose time is over, and the attempt that it has."""
     exchange = state.exchanges.get(handle)
     if exchange is None:
         return []
     stop = _stop_attempt(state, exchange)
-    return [*stop, *fail_exchange(state, exchange, ErrorKind.DEADLINE_EXCEEDED, now)]
+    return [*stop, *fail_exchange(state, exchange, kind, now)]
 
 
 def end_late_start(
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -8,6 +8,7 @@
 from masticdrum.core.clusterstate import ClusterBounds, ClusterState
 from masticdrum.core.coldstartpacing import ColdStartBounds, ColdStartPacer, Place
 from masticdrum.core.crashsuspicion import CrashSuspicion
+from masticdrum.core.gracefulstop import GracefulStop, StreamDurations
 from masticdrum.core.outlierdetection import OutlierDetector
 from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
@@ -185,7 +186,8 @@
     was compared. ``mixed`` are the services of which several versions serve or did
     lately, ``unsent_origins`` the streams, by service and request, that agents have to
     be told of since, ``awaiting_record`` the exchanges that wait for a read of that
-    record. ``clock_offset`` is what has to be added to its clock for the time
+    record. ``stream_durations`` is how long streams take, for a stop. ``clock_offset``
+    is what has to be added to its clock for the time
     of day, in seconds.
     """
 
@@ -220,8 +222,8 @@
         self._rank = 0
         self._member_count = 1
         self.leased = False
-        self.stop_accepting_at: float | None = None
-        self.stop_deadline: float | None = None
+        self.stop: GracefulStop | None = None
+        self.stream_durations = StreamDurations()
         self.shutdown_done = False
 
     def find_next_timer(self) -> float | None:
@@ -275,13 +277,17 @@
 
     def compute_remaining_grace(self, now: float) -> float:
         """Return how long a request accepted during shutdown may run, in seconds."""
-        return 0.0 if self.stop_deadline is None else max(0.0, self.stop_deadline - now)
+        return 0.0 if self.stop is None else max(0.0, self.stop.deadline - now)
+
+    def compute_remaining_stop(self, now: float) -> float:
+        """Return how long connections may still carry answers, in seconds."""
+        return 0.0 if self.stop is None else max(0.0, self.stop.ends_at - now)
 
     def is_ready(self, now: float) -> bool:
         """Return whether callers should be sent to this entry."""
         cluster_state = self.cluster_state
         return (
-            self.stop_accepting_at is None
+            self.stop is None
             and cluster_state.index is not None
             and cluster_state.members is not None
             and cluster_state.drained is not None
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -7,15 +7,16 @@
     abandon_exchange,
     begin_stream,
     end_attempt,
+    end_exchange,
     end_late_start,
     end_origin_search,
-    expire_exchange,
     forward_events,
     start_exchange,
     use_origin_reply,
     use_software_record,
 )
 from masticdrum.core.exchangestate import ExchangeState
+from masticdrum.core.gracefulstop import plan_stop
 from masticdrum.core.resumption import review_versions, send_records
 from masticdrum.core.softwarereview import (
     handle_record_answer,
@@ -34,6 +35,7 @@
     WeightsNamed,
 )
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
+from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import (
     AttemptEnded,
     ExchangeEffect,
@@ -47,10 +49,9 @@
 )
 from masticdrum.model.origins import OriginReply
 from masticdrum.model.platform import ObjectAnswer
-from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.model.telemetry import Facts, Log, LogNumber
 
 STOP = "stop"
-STOP_RESERVE_S = 1.0  # of the grace period, for closing connections
 ForwardEvent = (
     ForwardRequested
     | ForwardDisconnected
@@ -85,7 +86,7 @@
     effects: list[ExchangeEffect] = []
     for name, handle in state.timers.pop_due(now):
         if name == DEADLINE:
-            effects += expire_exchange(state, handle, now)
+            effects += end_exchange(state, handle, ErrorKind.DEADLINE_EXCEEDED, now)
         if name == ORIGIN:
             effects += end_origin_search(state, handle, now)
         if name == WEIGHTS:
@@ -190,27 +191,32 @@
 def _begin_stop(
     state: ExchangeState, event: StopRequested, now: float
 ) -> list[ExchangeEffect]:
-    if state.stop_accepting_at is not None:
+    if state.stop is not None:
         return []
-    state.stop_deadline = now + event.grace_s - STOP_RESERVE_S
-    state.stop_accepting_at = min(now + state.bounds.stop_linger_s, state.stop_deadline)
-    state.timers.set((STOP, 0), state.stop_accepting_at)
-    state.timers.set((STOP, 1), state.stop_deadline)
+    state.stop = plan_stop(event, state.bounds.stop_linger_s, now)
+    state.timers.set((STOP, 0), state.stop.accept_until)
+    state.timers.set((STOP, 1), state.stop.deadline)
     detail = f"{event.grace_s} s of grace"
-    facts = {"open": len(state.exchanges)}
-    return [Log(LogNumber.SHUTDOWN_BEGUN, detail=detail, facts={**facts})]
+    facts: Facts = {
+        "open": len(state.exchanges),
+        "delay_s": round(event.delay_s, 3),
+        "forwards_for_s": round(state.stop.forward_until - now, 3),
+        "ends_in_s": round(state.stop.deadline - now, 3),
+    }
+    return [Log(LogNumber.SHUTDOWN_BEGUN, detail=detail, facts=facts)]
 
 
 def _finish_shutdown_if_due(state: ExchangeState, now: float) -> list[ExchangeEffect]:
-    if (
-        state.stop_accepting_at is None
-        or state.stop_deadline is None
-        or state.shutdown_done
-    ):
+    """End what is open at the end of a stop, and first the accepting of connections."""
+    if state.stop is None or now < state.stop.accept_until:
         return []
-    if now < state.stop_accepting_at:
-        return []
-    # No requests are accepted from now on; open ones have the rest of the grace period.
-    state.shutdown_done = True
-    facts = {"open": len(state.exchanges)}
-    return [Log(LogNumber.SHUTDOWN_DONE, facts={**facts}), ExitProcess()]
+    effects: list[ExchangeEffect] = []
+    if not state.shutdown_done:
+        # Open requests have the rest of the grace period.
+        state.shutdown_done = True
+        facts = {"open": len(state.exchanges)}
+        effects += [Log(LogNumber.SHUTDOWN_DONE, facts={**facts}), ExitProcess()]
+    if now >= state.stop.deadline:
+        for handle in list(state.exchanges):
+            effects += end_exchange(state, handle, ErrorKind.SHUTTING_DOWN, now)
+    return effects
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -58,8 +58,7 @@
 SWEEP_INTERVAL_S = 1.0  # between two checks of idle connections
 SUSPENSION_THRESHOLD_S = 0.3  # a tick later than this: a suspension or a stall
 STALL_RECOVERY_S = 0.2  # by then the data buffered in the kernel has been read
-# A load balancer that probes each second removes an entry after two failed probes.
-STOP_LINGER_S = 3.0
+STOP_LINGER_S = 3.0  # in which connections are still accepted after a stop
 WEIGHTS_MARGIN_S = 4.0  # few prompts wait longer at their engine before they begin
 WEIGHTS_END_S = 1.0  # until an engine has dropped a prompt whose connection was closed
 # Heartbeats after which an upstream that has crashed is registered no more: three
@@ -119,7 +118,7 @@
             self.loop.submit,
             codec,
             self.meters,
-            lambda: self.state.stop_accepting_at is not None,
+            lambda: self.state.stop is not None,
             self.read_limits,
             self.was_stalled,
         )
@@ -144,7 +143,9 @@
 
     def request_shutdown(self) -> None:
         """Begin a graceful shutdown."""
-        self.loop.submit(StopRequested(self.settings.grace_s))
+        # The signal may have waited since the last tick.
+        delay_s = max(0.0, read_clock() - self._last_tick_at)
+        self.loop.submit(StopRequested(self.settings.grace_s, delay_s))
 
     def reload(self, settings: ForwardSettings) -> None:
         """Apply the bounds of new settings; listen addresses stay as they are."""
@@ -294,6 +295,6 @@
             nursery.start_soon(run_supervised, "platform", run)
         await process.server.serve(
             until=process.ended.wait,
-            grace_s=lambda: process.state.compute_remaining_grace(read_clock()),
+            grace_s=lambda: process.state.compute_remaining_stop(read_clock()),
         )
         nursery.cancel_scope.cancel()
