--- a/masticdrum/shell/eventsplitter.py
+++ b/masticdrum/shell/eventsplitter.py
@@ -50,6 +50,11 @@
         """Whether the data so far ends with a complete event."""
         return not self._rest
 
+    @property
+    def kept_bytes(self) -> int:
+        """The size of the event that has not arrived completely."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> bytes:
         """Add data and return the whole events that it completes.
 
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -21,6 +21,7 @@
     StreamEventsReceived,
 )
 from masticdrum.shell.asgi import Headers
+from masticdrum.shell.bufferbudget import BufferBudget
 from masticdrum.shell.eventsplitter import EventSplitter, EventTooLong
 from masticdrum.shell.headercodec import HeaderCodec, UpstreamHeaders, drop_hop_headers
 from masticdrum.shell.supervision import log_failure
@@ -109,6 +110,7 @@
         self._submit = submit
         self._codec = codec
         self._scopes: dict[int, trio.CancelScope] = {}
+        self._budget = BufferBudget()
         self.connections = UpstreamConnectionPool()
 
     def start(self, effect: StartAttempt, request: CallerRequest) -> None:
@@ -134,6 +136,7 @@
             ended = make_ended(effect, AttemptEnd.GARBLED, detail=repr(error))
         finally:
             del self._scopes[effect.attempt]
+            self._budget.release(effect.attempt)
         if ended is not None and not scope.cancel_called:
             self._submit(ended)
             self._sink.release(effect.handle)
@@ -227,7 +230,7 @@
         request: str,
     ) -> AttemptEnded:
         self._sink.store_answer(effect.handle, effect.attempt, answer)
-        forwarder = StreamForwarder(effect, self._submit, self._sink)
+        forwarder = StreamForwarder(effect, self._submit, self._sink, self._budget)
         forwarder.begin(begun)
         try:
             part = connection.take_body()
@@ -278,8 +281,9 @@
                     part = await connection.receive_body()
                 parts.append(part.data)
                 size += len(part.data)
-                if size > MAX_ANSWER_BYTES:
-                    detail = f"the answer is over {MAX_ANSWER_BYTES} bytes"
+                is_kept = size <= MAX_ANSWER_BYTES
+                if not is_kept or not self._budget.try_resize(effect.attempt, size):
+                    detail = f"an answer of {size} bytes and more"
                     connection.close()
                     return make_ended(
                         effect, AttemptEnd.GARBLED, answer.status, detail=detail
@@ -331,14 +335,16 @@
     it has stopped.
     """
 
-    __slots__ = ("_effect", "_has_events", "_sink", "_splitter", "_submit")
+    __slots__ = ("_budget", "_effect", "_has_events", "_sink", "_splitter", "_submit")
 
     def __init__(
         self,
         effect: StartAttempt,
         submit: Callable[[AttemptEvent], None],
         sink: AnswerSink,
+        budget: BufferBudget,
     ) -> None:
+        self._budget = budget
         self._effect = effect
         self._submit = submit
         self._sink = sink
@@ -371,6 +377,9 @@
         With ``hold`` they are sent together with what follows.
         """
         whole = self._splitter.feed(data)
+        kept = self._splitter.kept_bytes
+        if not self._budget.try_resize(self._effect.attempt, kept):
+            raise EventTooLong(f"{kept} bytes and more without an end")
         if not whole:
             return
         handle = self._effect.handle
