Refuse a request whose numbers are none, at the header

Python's int() also takes signs, underscores and other texts for numbers.

Cause: a value from outside reached a core that takes it for sound.

Change: the numbers of callers are whole numbers of digits alone, else the request is refused with 400. An idle timeout of an upstream has 20 digits at most.

Evidence: two new tests with odd numbers in each header that is read as one fail on (a negative load, an infinite timeout) and pass now.

--- a/masticdrum/platform/headers.py
+++ b/masticdrum/platform/headers.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
+from masticdrum.core.decoding import MAX_DIGITS, Undecodable, read_digits
 from masticdrum.model.exchange import Prompt, PromptPart, StartAttempt
 from masticdrum.shell.asgi import Headers
 from masticdrum.shell.headercodec import CallerHeaders, UpstreamHeaders
@@ -39,7 +40,6 @@
     }
 )
 MS_PER_S = 1000
-MAX_DIGITS = 20  # of a whole number; with 400, arithmetic overflows
 MIN_MS = 1  # the platform counts whole milliseconds
 SINGLE_HEADERS = (
     REQUEST,
@@ -158,10 +158,11 @@
 
 
 def read_number(value: bytes) -> int:
-    """Return a whole number; raises ``ValueError``, also for one that is too large."""
-    if len(value) > MAX_DIGITS:
-        raise ValueError(f"a number of {len(value)} digits")
-    return int(value)
+    """Return a whole number that isn't negative; raises ``ValueError``."""
+    try:
+        return read_digits(value.strip())
+    except Undecodable as error:
+        raise ValueError(str(error)) from error
 
 
 def read_weights(value: bytes) -> int:
@@ -189,6 +190,7 @@
     """Return the idle timeout in a ``Keep-Alive`` header, in seconds."""
     for word in value.split(b","):
         name, _, text = word.strip().partition(b"=")
-        if name.lower() == b"timeout" and text.strip().isdigit():
-            return float(text)
+        digits = text.strip()
+        if name.lower() == b"timeout" and digits.isdigit():
+            return float(digits[:MAX_DIGITS])
     return None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,8 +1,12 @@
 """What is read of the platform's headers."""
 
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from masticdrum.core.decoding import MAX_DIGITS
+from masticdrum.core.upstreamchoice import estimate_work
 from masticdrum.platform.headers import PlatformHeaderCodec
 
 
@@ -98,3 +102,60 @@
 ) -> None:
     headers = [(b"x-request-id", b"r1"), (b"x-weight-versions", value)]
     assert PlatformHeaderCodec().read_upstream(200, headers).weights == weights
+
+
+ODD_NUMBERS = st.one_of(
+    st.binary(max_size=30),
+    st.text("0123456789+-_. eE", max_size=30).map(str.encode),
+    st.integers().map(lambda number: str(number).encode()),
+    st.text("\u0661\u0967\uff11\u00b2", max_size=5).map(str.encode),
+    st.integers(1, 5000).map(lambda digits: b"9" * digits),
+)
+
+
+# Guards against an entry that one request with a negative number leaves useless for all
+# others, and against other texts that Python takes for numbers.
+@settings(derandomize=True, max_examples=1000)
+@given(ODD_NUMBERS)
+@example(b"-1")
+@example(b"-99999")
+@example(b"1_0")
+@example(b"+1")
+def test_an_odd_number_of_a_caller_is_refused_or_a_whole_number(value: bytes) -> None:
+    is_sound = value.strip().isdigit() and len(value.strip()) <= MAX_DIGITS
+    for name, text in (
+        (b"x-deadline-ms", value),
+        (b"last-event-id", value),
+        (b"x-token-usage", value + b",7"),
+        (b"x-token-usage", b"7," + value),
+        (b"x-prefix-hash", b"a:" + value),
+    ):
+        headers = [(b"x-request-id", b"r1"), (b"x-model", b"m1"), (name, text)]
+        read = PlatformHeaderCodec().read_caller(headers)
+        if isinstance(read, Failure):
+            assert not is_sound
+            continue
+        caller = read.unwrap()
+        assert estimate_work(caller.prompt) > 0
+        numbers = [caller.deadline_s, caller.last_event]
+        numbers += [caller.prompt.tokens_in, caller.prompt.tokens_out]
+        numbers += [part.tokens for part in caller.prompt.parts]
+        assert all(number is None or number >= 0 for number in numbers)
+
+
+@settings(derandomize=True, max_examples=1000)
+@given(ODD_NUMBERS)
+@example(b"9" * 400)
+def test_an_odd_number_of_an_upstream_is_none_or_a_number(value: bytes) -> None:
+    headers = [
+        (b"x-request-id", b"r1"),
+        (b"x-weight-versions", value),
+        (b"keep-alive", b"timeout=" + value),
+        (b"server-limit", value),
+        (b"retry-after", value),
+    ]
+    read = PlatformHeaderCodec().read_upstream(503, headers)
+    assert 0 <= read.weights < 10**MAX_DIGITS
+    assert read.idle_s is None or 0 <= read.idle_s <= 10**MAX_DIGITS
+    assert read.limit_per_s is None or 0 <= read.limit_per_s < float("inf")
+    assert 0 <= read.pause_s < float("inf")
