End a stop 0.3 s earlier, so that a starved process ends by itself

The others ended by themselves.

Cause: connections had until 7.5 s, and up to 0.4 s of a late signal, so 0.1 to 0.5 s were left for the process to end, which takes longer where a process gets a fifth of a core.

Change: the last answers are written as the requests end, at 7.0 s, and have 0.2 s to be sent; a late signal takes 0.2 s at most.

--- a/masticdrum/core/gracefulstop.py
+++ b/masticdrum/core/gracefulstop.py
@@ -15,8 +15,8 @@
 # may need it nevertheless while several others stop.
 FORWARD_S = 2.9
 RESERVE_S = 1.0  # of the grace period, for closing connections
-FLUSH_S = 0.5  # of the reserve, in which the last answers are sent
-MAX_DELAY_S = 0.4  # that a signal's delivery may take from the reserve
+FLUSH_S = 0.2  # of the reserve, in which the last answers are sent
+MAX_DELAY_S = 0.2  # that a signal's delivery may take from the reserve
 MAX_ROUTES = 10_000
 GROWTH, DECAY = 0.3, 0.03  # towards a longer and a shorter duration
 
--- a/tests/core/test_exchanges.py
+++ b/tests/core/test_exchanges.py
@@ -363,8 +363,8 @@
 def test_a_signal_that_was_noticed_late_takes_its_delay_from_the_stop() -> None:
     entry = Entry()
     entry.handle_event(StopRequested(8.0, delay_s=1.0))
-    assert entry.state.compute_remaining_grace(entry.now) == pytest.approx(6.4)
-    assert entry.state.compute_remaining_stop(entry.now) == pytest.approx(6.9)
+    assert entry.state.compute_remaining_grace(entry.now) == pytest.approx(6.2)
+    assert entry.state.compute_remaining_stop(entry.now) == pytest.approx(6.4)
     entry.handle_event(DirectoryRead(make_slow_directory(), entry.now))
     entry.now += 1.9
     assert pick(entry.send_request("stream", deadline_s=12.0), Refuse)
