Know the own engine by its report among entries at its address

Cause: an agent took the newest entry at its address for its engine, whoever had written it, and then found that the engine had been born at another time.

Change: the entry of the run that the engine itself reports goes first, then one that has the engine's models, then the newest.

Evidence: 13 new cases of tests/core/test_engineruns.py fail before and pass now. No run of the real programs was made.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -139,13 +139,27 @@
         return known.upstream.weights.get(model, 0) >= int(version)
 
     def find_own_engine(self) -> KnownUpstream | None:
-        """Return the newest engine registered at ``upstream``, if there is one."""
+        """Return the engine registered at ``upstream``, if there is one.
+
+        Another writer may name the address too. What the engine itself says decides
+        first: when it was born, then which models it has; then the newest is taken.
+        """
+
+        def rank(known: KnownUpstream) -> tuple[bool, bool, int]:
+            upstream = known.upstream
+            is_same_run = self.born != 0 and upstream.born == self.born
+            return (
+                is_same_run,
+                self.weights.keys() <= set(upstream.weights),
+                upstream.born,
+            )
+
         registered = [
             known
             for known in self.cluster_state.known.values()
             if known.upstream.address == self.upstream
         ]
-        return max(registered, key=lambda known: known.upstream.born, default=None)
+        return max(registered, key=rank, default=None)
 
 
 def reduce_engine_controller(
--- a/tests/core/test_engineruns.py
+++ b/tests/core/test_engineruns.py
@@ -6,7 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from masticdrum.core.enginecontroller import (
+    EngineControllerState,
+    EngineReported,
+    reduce_engine_controller,
+)
 from masticdrum.core.ordercopies import EngineRun, OrderCopies
+from masticdrum.model.cluster_events import UpstreamsListed
+from tests.forwarding import make_upstream
 from tests.orderworld import OrderWorld, Violation
 
 FIXED = settings(derandomize=True, max_examples=150, deadline=None)
@@ -130,3 +137,41 @@
     with pytest.raises(Violation):
         for seed in range(1, 400):
             play(seed)
+
+
+# Guards against an agent that takes another writer's entry at its engine's address for
+# its engine, so that nobody orders the engine any more (VERSION).
+@pytest.mark.parametrize("models", [{}, {"m": 1}, {"m": 1, "other": 3}])
+@pytest.mark.parametrize("is_first", [False, True])
+@pytest.mark.parametrize("service", ["engines", "of nobody"])
+def test_another_writers_entry_at_the_address_is_not_the_own_engine(
+    models: dict[str, int], is_first: bool, service: str
+) -> None:
+    address = "10.0.0.1:80"
+    own = make_upstream(
+        "engines-1", "engines", address=address, born=1000, weights={"m": 1}
+    )
+    foreign = make_upstream(
+        "engines-0", service, address=address, born=9000, weights=models
+    )
+    state = EngineControllerState("agent", "a", address, 1)
+    entries = (foreign, own) if is_first else (own, foreign)
+    reduce_engine_controller(state, UpstreamsListed(entries), 100.0)
+    reduce_engine_controller(state, EngineReported({"m": 1}, 1000), 100.0)
+    found = state.find_own_engine()
+    assert found is not None and found.upstream.name == "engines-1"
+
+
+def test_an_engine_that_does_not_tell_its_birth_is_known_by_its_models() -> None:
+    address = "10.0.0.1:80"
+    own = make_upstream(
+        "engines-1", "engines", address=address, born=1000, weights={"m": 1}
+    )
+    foreign = make_upstream(
+        "engines-0", "of nobody", address=address, born=9000, weights={}
+    )
+    state = EngineControllerState("agent", "a", address, 1)
+    reduce_engine_controller(state, UpstreamsListed((own, foreign)), 100.0)
+    reduce_engine_controller(state, EngineReported({"m": 1}, 0), 100.0)
+    found = state.find_own_engine()
+    assert found is not None and found.upstream.name == "engines-1"
