Keep the limit that a server named through a lapse of its registration

Cause: entries forgot the limit as soon as the registration was gone, though the same run of the server still had it.

Change: a limit is kept for 600 s after the registration lapsed, 4,096 of them at most; it ends with an answer that names none, or with a new run of the server, as before. Pauses and leavings are kept likewise already.

Evidence: test_a_limit_outlasts_a_lapse_of_the_registration fails before for each of three lapses and passes now. test_a_limit_ends_with_an_answer_without_one_or_with_a_ restart asked that a limit ends with the registration, which is the fault; it asks now that it ends KEEP_S later. No run of the real programs was made.

--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -157,7 +157,7 @@
     if isinstance(event, WeightsNamed):
         set_timers(state, event.model, now)
     record_cluster_event(state, event, now)
-    _forget_removed_upstreams(state)
+    _forget_removed_upstreams(state, now)
     state.pauses.forget_ended(now)
     effects: list[ExchangeEffect] = [*logs]
     if isinstance(event, UpstreamsListed | UpstreamChanged | UpstreamGone):
@@ -165,16 +165,14 @@
     return effects
 
 
-def _forget_removed_upstreams(state: ExchangeState) -> None:
+def _forget_removed_upstreams(state: ExchangeState, now: float) -> None:
     """Drop what is kept of upstreams that are gone."""
     known = state.cluster_state.known
     for name in [name for name in state.outlier_detectors if name not in known]:
         del state.outlier_detectors[name]
     for name in [name for name in state.heard_at if name not in known]:
         del state.heard_at[name]
-    for name in state.limits.list_upstreams():
-        if name not in known:
-            state.limits.forget(name)
+    state.limits.forget_departed(known, now)
 
 
 def _report_lease_change(state: ExchangeState, now: float) -> list[ExchangeEffect]:
--- a/masticdrum/core/requestlimits.py
+++ b/masticdrum/core/requestlimits.py
@@ -10,6 +10,8 @@
 the limit allows may send one request each.
 """
 
+from collections import OrderedDict
+from collections.abc import Container
 from math import floor
 from random import Random
 
@@ -19,6 +21,8 @@
 from masticdrum.core.coldstartpacing import Place, compute_turn
 from masticdrum.model.telemetry import Log, LogNumber
 
+MAX_LIMITS = 4096
+KEEP_S = 600.0  # after a registration has lapsed, as while the platform is away
 LOGGED_CHANGE = 0.2  # of a limit; upstreams adjust theirs with each answer
 # An upstream that takes nothing is asked this often whether it still says so.
 LOWEST_PER_S = 0.25
@@ -34,7 +38,8 @@
     """How many requests a second an incarnation of an upstream takes in all.
 
     ``next_at`` is when this entry may send its next request, in seconds on its clock,
-    and ``turn_used`` the last turn in which it sent one.
+    and ``turn_used`` the last turn in which it sent one. ``absent_since`` is since when
+    the upstream isn't registered, or None.
     """
 
     born: int
@@ -42,16 +47,20 @@
     logged_per_s: float
     next_at: float | None = None
     turn_used: int | None = None
+    absent_since: float | None = None
 
 
 class RequestLimits:
-    """The limits that one entry knows, by upstream."""
+    """The limits that one entry knows, by upstream; bounded in number.
+
+    They outlast registrations, since one that lapsed may come back.
+    """
 
     __slots__ = ("_limits", "_random")
 
     def __init__(self, random: Random) -> None:
         self._random = random
-        self._limits: dict[str, RequestLimit] = {}
+        self._limits: OrderedDict[str, RequestLimit] = OrderedDict()
 
     @property
     def is_empty(self) -> bool:
@@ -70,6 +79,9 @@
             return [log_limit(upstream, None, known.logged_per_s, request)]
         if known is None or known.born != born:
             self._limits[upstream] = RequestLimit(born, per_s, per_s)
+            self._limits.move_to_end(upstream)
+            if len(self._limits) > MAX_LIMITS:
+                self._limits.popitem(last=False)
             return [log_limit(upstream, per_s, None, request)]
         known.per_s = per_s
         before = known.logged_per_s
@@ -106,13 +118,15 @@
         """Return whether an upstream has named a limit."""
         return upstream in self._limits
 
-    def forget(self, upstream: str) -> None:
-        """Forget an upstream that is gone."""
-        self._limits.pop(upstream, None)
-
-    def list_upstreams(self) -> list[str]:
-        """List the upstreams that have named a limit."""
-        return list(self._limits)
+    def forget_departed(self, registered: Container[str], now: float) -> None:
+        """Forget the limits of upstreams that have long been gone."""
+        for upstream, known in list(self._limits.items()):
+            if upstream in registered:
+                known.absent_since = None
+            elif known.absent_since is None:
+                known.absent_since = now
+            elif now >= known.absent_since + KEEP_S:
+                del self._limits[upstream]
 
 
 def is_spaced(per_s: float, members: int) -> bool:
--- a/tests/core/test_requestlimits.py
+++ b/tests/core/test_requestlimits.py
@@ -5,8 +5,13 @@
 import pytest
 
 from masticdrum.core.coldstartpacing import Place
-from masticdrum.core.requestlimits import RequestLimits
-from masticdrum.model.cluster_events import Member, MembersListed, UpstreamGone
+from masticdrum.core.requestlimits import KEEP_S, RequestLimits
+from masticdrum.model.cluster_events import (
+    Member,
+    MembersListed,
+    UpstreamChanged,
+    UpstreamGone,
+)
 from masticdrum.model.exchange import AttemptEnd, StartAttempt
 from tests.forwarding import Entry, get_start, make_upstream, pick
 
@@ -108,9 +113,34 @@
     entry.begin(start, 0.5)
     assert entry.state.limits.has_limit(start.upstream)
     entry.handle_event(UpstreamGone(start.upstream))
+    entry.now += KEEP_S
+    entry.handle_event(UpstreamGone("another"))
     assert not entry.state.limits.has_limit(start.upstream)
 
 
+# Guards against a limit that is forgotten as its upstream's registration lapses for
+# some seconds, as while its heartbeats don't arrive (LIMIT).
+@pytest.mark.parametrize("absent_s", [0.5, 2.4, 30.0])
+def test_a_limit_outlasts_a_lapse_of_the_registration(absent_s: float) -> None:
+    needy = make_upstream(NEEDY, "engines", born=7)
+    entry = Entry(upstreams=(needy,))
+    entry.begin(get_start(entry.send_request("stream")), 1.0)
+    entry.handle_event(UpstreamGone(NEEDY))
+    entry.now += absent_s
+    entry.handle_event(UpstreamGone("another"))
+    entry.handle_event(UpstreamChanged(needy))
+    sent = 0
+    for _ in range(40):
+        entry.now += 0.1
+        entry.confirm()
+        sent += len(pick(entry.send_request("stream"), StartAttempt))
+    assert sent <= FACTOR * WINDOW_S + SLACK
+    restarted = make_upstream(NEEDY, "engines", born=8)
+    entry.handle_event(UpstreamChanged(restarted))
+    sent = sum(len(pick(entry.send_request("stream"), StartAttempt)) for _ in range(20))
+    assert sent == 20
+
+
 # Guards against a stream that began before the limit was named lifting it at its end.
 def test_the_end_of_a_stream_says_nothing_of_limits() -> None:
     entry = Entry(upstreams=(make_upstream(NEEDY, "engines"),))
