End a stream with ids where no further id comes for 256 KB

An engine in trouble writes log lines without an end into a stream's body.

Cause: the lines come in whole events, so an entry forwards them for as long as the caller stays. It costs 3.26 s of the processor for 50 MB, as fast as the engine sends, and leaves little for others where processor time is scarce.

Change: a stream whose events have had ids ends as garbled once 256 KB, as much as one event may have, come without one. Streams without ids go on.

--- a/masticdrum/shell/eventsplitter.py
+++ b/masticdrum/shell/eventsplitter.py
@@ -37,11 +37,18 @@
     ``fault`` says why what follows the last event is none, or is empty.
     """
 
-    __slots__ = ("_max_event_bytes", "_rest", "fault", "last_event")
+    __slots__ = (
+        "_max_event_bytes",
+        "_rest",
+        "_unnamed_bytes",
+        "fault",
+        "last_event",
+    )
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self._max_event_bytes = max_event_bytes
         self._rest = bytearray()
+        self._unnamed_bytes = 0  # since the last event with an id
         self.fault = ""
         self.last_event: int | None = None
 
@@ -71,7 +78,13 @@
         last_event = find_last_id(whole)
         if last_event is not None:
             self.last_event = last_event
-        return whole
+            self._unnamed_bytes = 0
+            return whole
+        self._unnamed_bytes += len(whole)
+        if self.last_event is None or self._unnamed_bytes <= self._max_event_bytes:
+            return whole
+        self.fault = f"{self._unnamed_bytes} bytes without an event id"
+        return b""
 
     def _take_whole(self, data: bytes) -> bytes:
         """Add data to the rest and remove the whole events from it.
--- a/tests/shell/test_eventsplitter.py
+++ b/tests/shell/test_eventsplitter.py
@@ -145,6 +145,26 @@
     assert time.process_time() - began < MAX_EVENT_S
 
 
+# Guards against an entry that is kept busy by text without an end, in whole events, of
+# an upstream whose stream it no longer is (CONFIG).
+def test_a_stream_with_ids_ends_where_they_cease() -> None:
+    splitter = EventSplitter(max_event_bytes=1000)
+    sound = b"id: 1\ndata: a\n\n: still here\n\nid: 2\ndata: b\n\n"
+    assert splitter.feed(sound) == sound
+    fed = 0
+    while not splitter.fault:
+        fed += len(splitter.feed(b"data: worker 3 is idle\n\n"))
+        assert fed <= 1000
+    assert "without an event id" in splitter.fault and splitter.last_event == 2
+
+
+def test_a_stream_without_ids_goes_on() -> None:
+    splitter = EventSplitter(max_event_bytes=1000)
+    event = b"data: " + b"a" * 300 + b"\n\n"
+    assert all(splitter.feed(event) == event for _ in range(50))
+    assert not splitter.fault
+
+
 LONG_ID = b"7" * 5000
 
 
