Leave KV cache behind that a workspace made before its isolation

Cause: the scope of all workspaces that aren't isolated was named by model and weights alone, whatever the configuration was when a part was made. An attempt also took its workspace's isolation from the configuration under which its request had arrived, so that a retry could carry its parts over a new wall.

Change: the name of the common scope holds a digest of which workspaces are isolated, both taken from the configuration in force. Why it works: a scope is only used under configurations that isolate the same workspaces, so no two requests meet in one that an isolated workspace ever used with others; nothing is remembered that a restart, an older copy of the store or entries of different versions could undo.

--- a/masticdrum/core/attemptstart.py
+++ b/masticdrum/core/attemptstart.py
@@ -1,7 +1,11 @@
 """Describes an attempt: what is sent to its upstream, and how long to wait for it."""
 
+from masticdrum.core.cachescopes import (
+    name_private_scope,
+    name_shared_scope,
+    name_single_use_scope,
+)
 from masticdrum.core.exchangestate import Exchange, ExchangeState
-from masticdrum.core.invariants import require
 from masticdrum.core.upstreamchoice import Choice
 from masticdrum.model.directory import RouteKind
 from masticdrum.model.exchange import Prompt, StartAttempt
@@ -24,7 +28,7 @@
     targets: tuple[str, ...] = ()
     if exchange.prompt is not None:
         weights = upstream.weights.get(exchange.prompt.model, 0)
-        scope = _name_cache_scope(exchange, weights)
+        scope = _name_cache_scope(state, exchange.prompt, exchange, weights)
         sources, targets = _plan_prefixes(state, exchange.prompt, scope, choice, now)
     workspace = exchange.workspace
     return StartAttempt(
@@ -66,19 +70,21 @@
     return (choice.cache_holder.upstream.address,), plan.targets
 
 
-def _name_cache_scope(exchange: Exchange, weights: int) -> str:
-    """Name who may share KV cache: one version and, if isolated, one workspace."""
-    require(
-        exchange.prompt is not None, "only requests with a prompt have a cache scope"
-    )
-    model = "" if exchange.prompt is None else exchange.prompt.model
-    if not weights:
-        # Cache made by an engine of unknown weights must not be shared.
-        return f"{model}.unknown.{exchange.request}"
+def _name_cache_scope(
+    state: ExchangeState, prompt: Prompt, exchange: Exchange, weights: int
+) -> str:
+    """Name who may share the KV cache of an attempt.
+
+    The configuration that is in force now decides, not that under which the request
+    arrived: a workspace may have become isolated since its first attempt.
+    """
+    index = state.cluster_state.index
+    if not weights or index is None:
+        return name_single_use_scope(prompt.model, exchange.request)
     workspace = exchange.workspace
-    if workspace is not None and workspace.isolated:
-        return f"{model}.{weights}.{workspace.name}"
-    return f"{model}.{weights}"
+    if workspace is not None and workspace.name not in index.sharing:
+        return name_private_scope(prompt.model, weights, workspace.name)
+    return name_shared_scope(prompt.model, weights, index.wall)
 
 
 def _compute_first_wait(exchange: Exchange, left_s: float) -> float:
--- /dev/null
+++ b/masticdrum/core/cachescopes.py
@@ -0,0 +1,52 @@
+"""Names the scopes within which KV cache is shared.
+
+An isolated workspace has a scope of its own. All others share one, whose name depends
+on which workspaces are isolated, so that what a workspace made before it became
+isolated stays behind in a scope that nobody uses any more. A scope is only ever used
+under configurations that isolate the same workspaces, therefore no record of the past
+is needed: entries agree on names after any restart, and entries that have different
+configurations never meet in one scope unless both isolate the same workspaces.
+
+name_shared_scope("m1", 2, "")  # "m1.2": no workspace is isolated
+name_private_scope("m1", 2, "depot")  # "m1.2.depot"
+"""
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_128
+
+LENGTH_BYTES = 8
+
+
+def compute_wall(isolated: Iterable[str]) -> str:
+    """Return a digest of the isolated workspaces' names, empty if there are none.
+
+    The digest is 32 hexadecimal digits and doesn't depend on the names' order.
+    """
+    names = sorted(set(isolated))
+    if not names:
+        return ""
+    digest = xxh3_128()
+    for name in names:
+        encoded = name.encode(errors="surrogatepass")
+        digest.update(len(encoded).to_bytes(LENGTH_BYTES, "big"))
+        digest.update(encoded)
+    return digest.hexdigest()
+
+
+def name_shared_scope(model: str, weights: int, wall: str) -> str:
+    """Name the scope of all workspaces that aren't isolated.
+
+    ``wall`` is the digest of those that are.
+    """
+    return f"{model}.{weights}+{wall}" if wall else f"{model}.{weights}"
+
+
+def name_private_scope(model: str, weights: int, workspace: str) -> str:
+    """Name the scope that only one workspace uses."""
+    return f"{model}.{weights}.{workspace}"
+
+
+def name_single_use_scope(model: str, request: str) -> str:
+    """Name the scope of one request, whose KV cache nobody may share."""
+    return f"{model}.unknown.{request}"
--- a/masticdrum/core/directory.py
+++ b/masticdrum/core/directory.py
@@ -4,6 +4,7 @@
 index.find_route("shop.example", "/orders/new/7")  # the longest matching prefix
 """
 
+from masticdrum.core.cachescopes import compute_wall
 from masticdrum.core.servedsoftware import compute_stream_life
 from masticdrum.model.directory import (
     Directory,
@@ -14,7 +15,11 @@
 
 
 class DirectoryIndex:
-    """A directory with the lookups that each request needs."""
+    """A directory with the lookups that each request needs.
+
+    ``wall`` is a digest of which workspaces are isolated, ``sharing`` the names of the
+    others.
+    """
 
     __slots__ = (
         "_routes",
@@ -22,8 +27,10 @@
         "directory",
         "models",
         "services",
+        "sharing",
         "stores",
         "stream_life_s",
+        "wall",
     )
 
     def __init__(self, directory: Directory) -> None:
@@ -45,6 +52,9 @@
             for workspace in directory.workspaces
             for key in workspace.keys
         }
+        isolated = {w.name for w in directory.workspaces if w.isolated}
+        self.wall = compute_wall(isolated)
+        self.sharing = {w.name for w in directory.workspaces} - isolated
         self.models = {
             model: service.name
             for service in directory.services
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -95,7 +95,7 @@
     patch.setattr(
         attemptstart,
         "_name_cache_scope",
-        lambda exchange, weights: exchange.prompt.model,
+        lambda state, prompt, exchange, weights: prompt.model,
     )
 
 
--- /dev/null
+++ b/tests/core/test_cachescopes.py
@@ -0,0 +1,111 @@
+"""Which requests may meet in one scope of KV cache."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticdrum.model.cluster_events import DirectoryRead
+from masticdrum.model.directory import ForwardWorkspace
+from masticdrum.model.exchange import AttemptEnd
+from tests.forwarding import Entry, get_start, make_directory
+
+NAMES = ("depot", "yard", "quay")
+ISOLATED_SETS = st.frozensets(st.sampled_from(NAMES))
+
+
+def install(entry: Entry, version: int, isolated: frozenset[str]) -> None:
+    workspaces = tuple(
+        ForwardWorkspace(name, (f"key-{name}",), isolated=name in isolated)
+        for name in NAMES
+    )
+    directory = make_directory(version, workspaces=workspaces)
+    entry.handle_event(DirectoryRead(directory, entry.now))
+
+
+def get_scope(entry: Entry, workspace: str) -> str:
+    return get_start(entry.send_request("stream", f"key-{workspace}")).cache_scope
+
+
+def test_what_a_workspace_made_before_its_isolation_is_left_behind() -> None:
+    """Guards against KV cache that others use after its maker became isolated."""
+    entry = Entry()
+    install(entry, 2, frozenset())
+    before = get_scope(entry, "depot")
+    install(entry, 3, frozenset({"depot"}))
+    assert get_scope(entry, "yard") != before
+
+
+def test_a_retry_follows_the_configuration_in_force_not_that_of_its_arrival() -> None:
+    """Guards against an earlier request that carries its parts over a new wall."""
+    entry = Entry()
+    install(entry, 2, frozenset())
+    starts = {n: get_start(entry.send_request("stream", f"key-{n}")) for n in NAMES}
+    install(entry, 3, frozenset({"depot"}))
+    scopes = {}
+    for name, start in starts.items():
+        retry = get_start(entry.end(start, AttemptEnd.REJECTED, 503))
+        assert retry.cache_scope != start.cache_scope
+        scopes[name] = retry.cache_scope
+    assert scopes["yard"] == scopes["quay"] != scopes["depot"]
+
+
+def test_a_workspace_that_left_the_configuration_shares_with_nobody() -> None:
+    """Guards against a request that outlives its workspace's entry."""
+    entry = Entry()
+    install(entry, 2, frozenset())
+    start = get_start(entry.send_request("stream", "key-depot"))
+    others = tuple(ForwardWorkspace(n, (f"key-{n}",)) for n in NAMES if n != "depot")
+    directory = make_directory(3, workspaces=others)
+    entry.handle_event(DirectoryRead(directory, entry.now))
+    retry = get_start(entry.end(start, AttemptEnd.REJECTED, 503))
+    assert retry.cache_scope not in {get_scope(entry, "yard"), start.cache_scope}
+
+
+@given(st.lists(ISOLATED_SETS, min_size=1, max_size=5), st.data())
+def test_nobody_meets_an_isolated_workspace_in_any_scope(
+    history: list[frozenset[str]], data: st.DataObject
+) -> None:
+    """Each of several entries has some version, also an older one or after a restart.
+
+    Engines and stores keep whatever any request made, for ever.
+    """
+    makers: dict[str, set[tuple[str, frozenset[str]]]] = {}
+    for _ in range(6):
+        isolated = data.draw(st.sampled_from(history), label="configuration")
+        entry = Entry()
+        install(entry, 2, isolated)
+        for name in NAMES:
+            scope = get_scope(entry, name)
+            for maker, walled in makers.get(scope, set()):
+                if maker != name:
+                    assert not {maker, name} & (walled | isolated)
+            makers.setdefault(scope, set()).add((name, isolated))
+
+
+@given(ISOLATED_SETS, ISOLATED_SETS)
+def test_scopes_change_with_the_set_of_isolated_workspaces_alone(
+    first: frozenset[str], second: frozenset[str]
+) -> None:
+    """Guards against parts that are read again at changes that move no wall."""
+    entry, restarted = Entry(), Entry()
+    install(entry, 2, first)
+    install(restarted, 7, second)
+    for name in NAMES:
+        if name not in first | second:
+            is_same = get_scope(entry, name) == get_scope(restarted, name)
+            assert is_same == (first == second)
+
+
+def test_names_of_scopes_are_unambiguous() -> None:
+    """Guards against a workspace that is named like another's scope."""
+    entry = Entry()
+    install(entry, 2, frozenset({"depot"}))
+    shared = get_scope(entry, "yard")
+    odd = shared.removeprefix("m1.1")
+    workspaces = (
+        ForwardWorkspace("depot", ("key-depot",), isolated=True),
+        ForwardWorkspace(odd, ("key-odd",), isolated=True),
+        ForwardWorkspace(odd.removeprefix("+"), ("key-bare",), isolated=True),
+    )
+    entry.handle_event(DirectoryRead(make_directory(3, workspaces=workspaces), 100.0))
+    scopes = {get_scope(entry, name) for name in ("depot", "odd", "bare")}
+    assert len(scopes | {shared}) == 4
