--- a/masticdrum/model/errors.py
+++ b/masticdrum/model/errors.py
@@ -33,6 +33,7 @@
     DATA_CENTRE_OUT = "data_centre_out"
     LEAVING = "leaving"
     SHUTTING_DOWN = "shutting_down"
+    OVERLOADED = "overloaded"
     NO_UPSTREAM = "no_upstream"
     TABLES_MISSING = "tables_missing"
     TABLES_STALE = "tables_stale"
@@ -86,6 +87,7 @@
     ErrorKind.DATA_CENTRE_OUT: Answer(503, "the data centre is out", 1.0, True),
     ErrorKind.LEAVING: Answer(503, "the upstream is leaving", 1.0, True),
     ErrorKind.SHUTTING_DOWN: Answer(503, "the instance is shutting down", 1.0, True),
+    ErrorKind.OVERLOADED: Answer(503, "too much is held for callers here", 1.0),
     ErrorKind.NO_UPSTREAM: Answer(503, "no upstream can take the request", 2.0),
     ErrorKind.TABLES_MISSING: Answer(503, "no configuration is in force yet", 2.0),
     ErrorKind.TABLES_STALE: Answer(503, "the configuration is too old", 1.0, True),
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -30,6 +30,17 @@
     instances_every_s: float = 2.0
 
 
+class ResourceSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """What a process may use of its machine, where its own limits don't say so.
+
+    ``memory_mb`` is in millions of bytes, ``descriptors`` a number of open files and
+    sockets.
+    """
+
+    memory_mb: float | None = None
+    descriptors: int | None = None
+
+
 class EntrySettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of ``masticdrum-entry``.
 
@@ -55,6 +66,7 @@
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
     ledger_retention_s: float = 24 * 3600.0
     grace_s: float = 30.0
+    resources: ResourceSettings = field(default_factory=ResourceSettings)
 
 
 class UpstreamTimeouts(Struct, frozen=True, forbid_unknown_fields=True):
@@ -97,6 +109,7 @@
     platform: PlatformTimeouts = field(default_factory=PlatformTimeouts)
     block_secret_file: str | None = None
     grace_s: float = 30.0
+    resources: ResourceSettings = field(default_factory=ResourceSettings)
 
 
 class ForwardSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -132,6 +145,7 @@
     grace_s: float = 8.0
     heartbeat_s: float = 1.2
     datagrams: str | None = None
+    resources: ResourceSettings = field(default_factory=ResourceSettings)
 
 
 class EngineControllerSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -151,6 +165,7 @@
     runs_at_load: RunsAtLoad = RunsAtLoad.CONTINUE
     grace_s: float = 8.0
     datagrams: str | None = None
+    resources: ResourceSettings = field(default_factory=ResourceSettings)
 
 
 class CtlSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -72,6 +72,8 @@
     SOFTWARE_MIXED = 89
     SOFTWARE_RECORDED = 90
     TASK_FAILED = 91
+    CALLER_SHED = 92
+    CALLER_LIMITS_CHANGED = 93
 
 
 class Counter(StrEnum):
--- a/masticdrum/platform/agent.py
+++ b/masticdrum/platform/agent.py
@@ -29,6 +29,7 @@
 from masticdrum.programs.enginecontroller import Submit, run_engine_controller
 from masticdrum.shell.jsonlogging import configure_bounded_logging
 from masticdrum.shell.metrics import Metrics
+from masticdrum.shell.processresources import read_limits
 from masticdrum.shell.settings import load_settings, reread_settings
 
 
@@ -73,12 +74,13 @@
 def main(settings: Path, check: bool) -> None:
     """Run an agent beside an engine with the SETTINGS in a JSON file."""
     loaded = unwrap_or_exit(load_settings(settings, EngineControllerSettings))
+    limits = unwrap_or_exit(read_limits(loaded.resources))
     if check:
         click.echo(f"{settings}: ok")
         return
     configure_bounded_logging("masticdrum-agent", loaded.name, sys.stdout.fileno())
     reread = partial(reread_settings, settings, EngineControllerSettings)
-    trio.run(run_engine_controller, loaded, AgentPlatform(loaded), reread)
+    trio.run(run_engine_controller, loaded, AgentPlatform(loaded), reread, limits)
 
 
 if __name__ == "__main__":
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -39,6 +39,7 @@
 )
 from masticdrum.programs.forwarder import ROLE, PlatformPorts, run_forwarder
 from masticdrum.shell.jsonlogging import configure_bounded_logging
+from masticdrum.shell.processresources import read_limits
 from masticdrum.shell.settings import load_settings, reread_settings
 
 WATCHED = (DIRECTORY, UPSTREAMS, DATA_CENTRES, WEIGHTS, MEMBERS, CRASHES)
@@ -76,6 +77,7 @@
 def main(settings: Path, check: bool) -> None:
     """Run a forwarding entry with the SETTINGS in a JSON file."""
     loaded = unwrap_or_exit(load_settings(settings, ForwardSettings))
+    limits = unwrap_or_exit(read_limits(loaded.resources))
     if check:
         click.echo(f"{settings}: ok")
         return
@@ -86,6 +88,7 @@
         PlatformHeaderCodec(),
         partial(follow, loaded),
         partial(reread_settings, settings, ForwardSettings),
+        limits,
     )
 
 
--- a/masticdrum/programs/agent.py
+++ b/masticdrum/programs/agent.py
@@ -23,6 +23,7 @@
 from masticdrum.model.entry_events import Exit, ShutdownRequested, TimerExpired
 from masticdrum.model.messages import Envelope
 from masticdrum.model.platform import ObjectDelete, ObjectGet, ObjectList, ObjectPut
+from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.settings import AgentSettings
 from masticdrum.model.tables import PoolKind
 from masticdrum.model.telemetry import Count, Log, LogNumber, Observe
@@ -42,6 +43,7 @@
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.platformclients import PlatformClients
 from masticdrum.shell.probes import Probes
+from masticdrum.shell.processresources import read_limits
 from masticdrum.shell.serviceclient import ServiceClient
 from masticdrum.shell.settings import load_settings
 from masticdrum.shell.signals import watch_signals
@@ -168,7 +170,9 @@
         }
 
 
-async def run_agent(settings: AgentSettings, keys: LinkKeys | None) -> None:
+async def run_agent(
+    settings: AgentSettings, keys: LinkKeys | None, limits: ProcessLimits
+) -> None:
     """Run one agent until a signal stops it and its runs are done."""
     write_event(Log(LogNumber.STARTED, detail=f"listen {settings.listen}"))
     async with trio.open_nursery() as nursery:
@@ -185,6 +189,8 @@
             max_header_bytes=MAX_HEADER_BYTES,
             grace_s=settings.grace_s,
             until=process.ended.wait,
+            limits=limits,
+            metrics=process.meters,
         )
         process.links.close_all()
         nursery.cancel_scope.cancel()
@@ -196,12 +202,13 @@
 def main(settings: Path, check: bool) -> None:
     """Run an agent with the SETTINGS in a JSON file."""
     loaded = unwrap_or_exit(load_settings(settings, AgentSettings))
+    limits = unwrap_or_exit(read_limits(loaded.resources))
     keys = load_keys_or_exit(loaded.keys_file)
     if check:
         click.echo(f"{settings}: ok")
         return
     configure_logging("masticdrum-agent", loaded.name)
-    trio.run(run_agent, loaded, keys)
+    trio.run(run_agent, loaded, keys, limits)
 
 
 if __name__ == "__main__":
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -29,6 +29,7 @@
     ObjectPut,
     ObjectStatus,
 )
+from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.settings import EngineControllerSettings
 from masticdrum.model.telemetry import Count, Log, LogNumber
 from masticdrum.shell.callerserver import CallerServer
@@ -99,6 +100,7 @@
         settings: EngineControllerSettings,
         platform: PlatformClientFactory,
         nursery: trio.Nursery,
+        limits: ProcessLimits,
     ) -> None:
         self.settings = settings
         self._nursery = nursery
@@ -125,7 +127,8 @@
         self.store = platform.make_store(self.meters, self.loop.submit)
         self.engine = platform.make_engine(self.loop.submit)
         probes = Probes(self.meters, lambda: True, self._describe)
-        self.server = CallerServer({settings.metrics: ProbeHandler(probes)})
+        handlers = {settings.metrics: ProbeHandler(probes)}
+        self.server = CallerServer({**handlers}, limits, self.meters)
 
     def request_shutdown(self) -> None:
         """Begin a graceful shutdown."""
@@ -219,11 +222,12 @@
     settings: EngineControllerSettings,
     platform: PlatformClientFactory,
     read_settings: Callable[[], EngineControllerSettings | None],
+    limits: ProcessLimits,
 ) -> None:
     """Run one engine controller until a signal stops it."""
     write_event(Log(LogNumber.STARTED, detail=f"upstream {settings.upstream}"))
     async with trio.open_nursery() as nursery:
-        process = EngineControllerProcess(settings, platform, nursery)
+        process = EngineControllerProcess(settings, platform, nursery, limits)
 
         def reload() -> None:
             changed = read_settings()
--- a/masticdrum/programs/entry.py
+++ b/masticdrum/programs/entry.py
@@ -28,6 +28,7 @@
 )
 from masticdrum.model.messages import Envelope
 from masticdrum.model.platform import ObjectDelete, ObjectGet, ObjectList, ObjectPut
+from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.settings import EntrySettings
 from masticdrum.model.telemetry import Count, Log, LogNumber, Observe
 from masticdrum.programs.commands import (
@@ -46,6 +47,7 @@
 from masticdrum.shell.peerlinks import PeerLinks
 from masticdrum.shell.platformclients import PlatformClients
 from masticdrum.shell.probes import Probes
+from masticdrum.shell.processresources import read_limits
 from masticdrum.shell.settings import load_credentials, load_settings
 from masticdrum.shell.signals import watch_signals
 from masticdrum.shell.telemetry import carry_out_telemetry
@@ -157,7 +159,10 @@
 
 
 async def run_entry(
-    settings: EntrySettings, credentials: dict[str, str], keys: LinkKeys | None
+    settings: EntrySettings,
+    credentials: dict[str, str],
+    keys: LinkKeys | None,
+    limits: ProcessLimits,
 ) -> None:
     """Run one entry until a signal stops it and its requests are done."""
     write_event(Log(LogNumber.STARTED, detail=f"http {settings.http}"))
@@ -175,6 +180,9 @@
             max_header_bytes=settings.limits.max_header_bytes,
             grace_s=settings.grace_s,
             until=process.ended.wait,
+            limits=limits,
+            metrics=process.meters,
+            max_body_bytes=settings.limits.max_body_bytes,
             write_timeout_s=settings.limits.write_timeout_s,
         )
         process.links.close_all()
@@ -188,13 +196,14 @@
 def main(settings: Path, check: bool) -> None:
     """Run an entry with the SETTINGS in a JSON file."""
     loaded = unwrap_or_exit(load_settings(settings, EntrySettings))
+    limits = unwrap_or_exit(read_limits(loaded.resources))
     credentials = unwrap_or_exit(load_credentials(Path(loaded.credentials_file)))
     keys = load_keys_or_exit(loaded.keys_file)
     if check:
         click.echo(f"{settings}: ok")
         return
     configure_logging("masticdrum-entry", loaded.name)
-    trio.run(run_entry, loaded, credentials, keys)
+    trio.run(run_entry, loaded, credentials, keys, limits)
 
 
 if __name__ == "__main__":
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -38,6 +38,7 @@
 )
 from masticdrum.model.origins import OriginReply, SendToAgents
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
+from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.settings import ForwardSettings
 from masticdrum.model.telemetry import Count, Log, LogNumber, Observe
 from masticdrum.shell.callerserver import CallerServer
@@ -92,7 +93,11 @@
     """The parts of one forwarding entry process, wired together."""
 
     def __init__(
-        self, settings: ForwardSettings, codec: HeaderCodec, nursery: trio.Nursery
+        self,
+        settings: ForwardSettings,
+        codec: HeaderCodec,
+        nursery: trio.Nursery,
+        limits: ProcessLimits,
     ) -> None:
         self.settings = settings
         self.meters = Metrics()
@@ -121,6 +126,7 @@
             lambda: self.state.stop is not None,
             self.read_limits,
             self.was_stalled,
+            limits,
         )
         probes = ProbeHandler(Probes(self.meters, self._is_ready, self._describe))
         self.server = CallerServer(
@@ -128,7 +134,10 @@
                 settings.http: self.forwarding,
                 settings.probes: probes,
                 settings.metrics: probes,
-            }
+            },
+            limits,
+            self.meters,
+            settings.http,
         )
         self.state.has_agents = self.datagrams is not None
         self.state.clock_offset = time.time() - read_clock()
@@ -177,6 +186,7 @@
             self.state.clock_offset = time.time() - now
             self.loop.submit(Ticked())
             self._log_readiness(now)
+            self.server.limits.set_max_body_bytes(self.read_limits().max_body_bytes)
             if now - swept_at >= SWEEP_INTERVAL_S:
                 swept_at = now
                 self.forwarding.upstreams.connections.close_expired()
@@ -241,6 +251,8 @@
             "upstreams": len(cluster_state.known),
             "fellows": self.state.count_peer_entries(),
             "open": len(self.state.exchanges),
+            "connections": self.server.limits.connection_count,
+            "held_bytes": self.server.limits.held_bytes,
         }
 
 
@@ -265,11 +277,12 @@
     codec: HeaderCodec,
     make_platform_tasks: MakePlatformTasks,
     read_settings: Callable[[], ForwardSettings | None],
+    limits: ProcessLimits,
 ) -> None:
     """Run one forwarding entry until a signal stops it and its requests are done."""
     write_event(Log(LogNumber.STARTED, detail=f"http {settings.http}"))
     async with trio.open_nursery() as nursery:
-        process = ForwarderProcess(settings, codec, nursery)
+        process = ForwarderProcess(settings, codec, nursery, limits)
 
         def reload() -> None:
             changed = read_settings()
--- a/masticdrum/shell/asgi.py
+++ b/masticdrum/shell/asgi.py
@@ -13,6 +13,7 @@
 
 JSON = "application/json"
 Headers = list[tuple[bytes, bytes]]
+Body = bytes | bytearray
 
 
 async def send_head(send: Send, status: int, headers: Headers) -> None:
--- a/masticdrum/shell/bufferbudget.py
+++ b/masticdrum/shell/bufferbudget.py
@@ -1,6 +1,6 @@
 """Bounds what all attempts together keep of their upstreams' answers."""
 
-MAX_BUFFERED_BYTES = 24 * 1024 * 1024  # the smallest process may take 136 MB in all
+MAX_BUFFERED_BYTES = 24 * 1024 * 1024  # where the process's limits don't say
 MIN_SHARE_BYTES = 64 * 1024
 
 
--- a/masticdrum/shell/callerconnection.py
+++ b/masticdrum/shell/callerconnection.py
@@ -11,15 +11,22 @@
 import trio
 from msgspec import Struct
 
+from masticdrum.core.processlimits import CONNECTION_BYTES
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ErrorKind
-from masticdrum.shell.asgi import Headers
+from masticdrum.shell.asgi import Body, Headers
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.tcpconnection import TcpConnection
 
 MAX_HEAD_BYTES = 96 * 1024  # heads up to this size get an answer that says why
 MAX_PIPELINED_BYTES = 64 * 1024  # that are read while a request is open
+PIECE_BYTES = 64 * 1024  # of a large answer, so that no second copy of it is made
+# Unsent bytes from which a caller holds its stream up at the upstream.
+MAX_UNSENT_BYTES = 64 * 1024
 WRITE_TIMEOUT_S = 10.0  # for a caller that accepts no data
+# The same while it holds up its stream, which an upstream cuts off after some seconds.
+HOLD_UP_TIMEOUT_S = 3.0
+RECORDED_STEP_BYTES = 4096  # smaller changes of what is held aren't recorded
 # Lets the caller read an answer that was sent before the request's end was read.
 LINGER_S = 1.0
 FIRST_REQUEST_S = 0.5  # after a stop, on a connection that was just accepted
@@ -36,7 +43,7 @@
     target: bytes
     headers: Headers
     arrived: float
-    body: bytes = b""
+    body: Body = b""
 
 
 class Refusal(Struct, frozen=True):
@@ -73,6 +80,13 @@
         """End the work for the open request of a connection that has closed."""
 
 
+class ConnectionKeeper(Protocol):
+    """Knows what all connections together hold."""
+
+    def record_held(self, connection: "CallerConnection", size: int) -> None:
+        """Record how many bytes a connection holds; it may be shed at once."""
+
+
 class Phase(Enum):
     """What a connection waits for."""
 
@@ -95,28 +109,39 @@
         "_http",
         "_is_fresh",
         "_is_stopping",
+        "_is_shed",
         "_is_unframed",
+        "_keeper",
         "_nursery",
         "_phase",
+        "_recorded",
         "_request",
-        "_size",
         "_tcp",
+        "_unread",
         "_waiting",
+        "waiting_since",
     )
 
     def __init__(
-        self, tcp: TcpConnection, handler: RequestHandler, nursery: trio.Nursery
+        self,
+        tcp: TcpConnection,
+        handler: RequestHandler,
+        nursery: trio.Nursery,
+        keeper: ConnectionKeeper | None = None,
     ) -> None:
         self._tcp = tcp
         self._handler = handler
+        self._keeper = keeper
         self._nursery = nursery
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._request: IncomingRequest | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body: Body = b""
+        self._unread = 0  # bytes received of a head, or of further requests
+        self._recorded = 0
         self._phase = Phase.IDLE
+        self.waiting_since = read_clock()
         self._deadline = NEVER
         self._waiting = trio.CancelScope()
         self._held = False
@@ -124,6 +149,7 @@
         self._is_stopping = False
         self._is_fresh = True
         self._is_unframed = False  # the answer ends with the connection
+        self._is_shed = False
 
     # Reading
 
@@ -143,6 +169,24 @@
             self._phase = Phase.ENDING
             self._tcp.close()
 
+    def shed(self) -> None:
+        """Close, since this connection holds too much or waits for too long.
+
+        A request of which only a part has arrived is refused: it has not run. Nothing
+        is said of one that may have run, or to a caller that reads no answer.
+        """
+        if self._phase is Phase.BODY and not self._tcp.has_unsent:
+            self._refuse(Refusal(ErrorKind.OVERLOADED, "its body was not read"))
+        else:
+            self._is_shed = True
+            self._tcp.close(reset=True)
+        self._waiting.cancel()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits for its caller, since ``waiting_since``."""
+        return self._phase is not Phase.OPEN or self._flushed is not None
+
     def stop(self) -> None:
         """Close once the open request is answered, or now if there is none.
 
@@ -186,15 +230,23 @@
             return False
         if self._phase is Phase.IDLE:
             self._begin_phase(Phase.HEAD)
-        self._http.receive_data(received)
+        self._take_received(received)
         return True
 
+    def _take_received(self, received: bytes) -> None:
+        self._http.receive_data(received)
+        if self._phase is not Phase.BODY:
+            self._unread += len(received)
+            self._record_held()
+
     @property
     def _is_ending(self) -> bool:
         return self._phase is Phase.ENDING
 
     def _handle_wake(self) -> bool:
         """Return whether to go on although nothing was received."""
+        if self._is_shed:
+            return False
         if self._is_ending or read_clock() < self._deadline:
             return True
         if self._phase is not Phase.BODY:
@@ -204,8 +256,16 @@
         return True
 
     async def _handle_received(self) -> None:
-        """Read events until more data is needed or a request is complete."""
+        """Read events until more data is needed or a request is complete.
+
+        A caller that has sent requests ahead gets one answer after the other, as fast
+        as it reads them and no faster than others get theirs.
+        """
         while self._phase in (Phase.IDLE, Phase.HEAD, Phase.BODY):
+            if self._phase is Phase.HEAD and not self._is_fresh:
+                await self.wait_until_sent()
+            if self._is_shed:
+                return
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -217,20 +277,22 @@
             if isinstance(event, h11.Request):
                 self._begin_request(event)
             elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
+                self._add_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 await self._open_request()
+                if self._phase is Phase.HEAD:
+                    await trio.lowlevel.checkpoint()
             else:
                 return
 
     def _begin_request(self, event: h11.Request) -> None:
         self._begin_phase(Phase.BODY)
-        self._body = []
-        self._size = 0
+        self._body = bytearray()
+        self._unread = 0
         self._request = IncomingRequest(
             event.method, event.target, list(event.headers), read_clock()
         )
-        refusal = self._handler.check(self._request)
+        refusal = self._check_length(event) or self._handler.check(self._request)
         self._is_fresh = False
         if refusal is not None:
             self._refuse(refusal)
@@ -238,14 +300,25 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(interim))
 
-    def _add_body(self, data: bytes) -> None:
-        self._size += len(data)
-        limit = self._handler.read_limits().max_body_bytes
-        if self._size > limit:
-            detail = f"the body is over {limit} bytes"
-            self._refuse(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
+    def _check_length(self, event: h11.Request) -> Refusal | None:
+        """Refuse a body that is announced as too large before any of it is read."""
+        length = dict(event.headers).get(CONTENT_LENGTH)
+        if length is None or int(length) <= self._handler.read_limits().max_body_bytes:
+            return None
+        return self._make_size_refusal()
+
+    def _add_body(self, data: Body) -> None:
+        if not isinstance(self._body, bytearray):
+            raise LookupError("a part of a body arrived behind its end")
+        if len(self._body) + len(data) > self._handler.read_limits().max_body_bytes:
+            self._refuse(self._make_size_refusal())
             return
-        self._body.append(data)
+        self._body += data
+        self._record_held()
+
+    def _make_size_refusal(self) -> Refusal:
+        limit = self._handler.read_limits().max_body_bytes
+        return Refusal(ErrorKind.BODY_TOO_LARGE, f"the body is over {limit} bytes")
 
     async def _open_request(self) -> None:
         """Pass a whole request on, unless its caller has already disconnected.
@@ -255,6 +328,8 @@
         """
         if self._handler.was_stalled():
             await trio.sleep(STALL_DISCONNECT_S)
+            if self._phase is not Phase.BODY:
+                return
         received = self._tcp.receive_nowait()
         if received == b"":
             raise ConnectionResetError("the caller disconnected")
@@ -263,12 +338,19 @@
         request = self._request
         if request is None:
             raise LookupError("a request ended that had not begun")
-        request.body = b"".join(self._body)
+        if len(self._body) <= PIECE_BYTES:
+            self._body = bytes(self._body)
+        request.body = self._body
+        self._unread = len(self._http.trailing_data[0])
         self._begin_phase(Phase.OPEN)
+        self._record_held()
+        if self._is_shed:
+            return
         self._handler.begin(self, request)
 
     def _refuse(self, refusal: Refusal) -> None:
         """Answer a request that can't be accepted, and close."""
+        self._body = b""
         self._phase = Phase.OPEN
         self._is_stopping = True
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -277,13 +359,14 @@
 
     def _begin_phase(self, phase: Phase) -> None:
         self._phase = phase
+        self.waiting_since = read_clock()
         limits = self._handler.read_limits()
         wait_s = {
             Phase.IDLE: limits.idle_s,
             Phase.HEAD: limits.header_s,
             Phase.BODY: limits.idle_s,
         }.get(phase, NEVER)
-        self._deadline = read_clock() + wait_s
+        self._deadline = self.waiting_since + wait_s
         self._waiting.deadline = self._compute_deadline()
 
     def _compute_deadline(self) -> float:
@@ -293,7 +376,16 @@
 
     def _has_read_ahead(self) -> bool:
         """Return whether enough of further requests has been read for now."""
-        return len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES
+        return self._unread > MAX_PIPELINED_BYTES
+
+    def _record_held(self) -> None:
+        """Tell the keeper what this connection holds, if that has changed by much."""
+        size = CONNECTION_BYTES + self._unread + len(self._body)
+        size += self._tcp.unsent_bytes
+        if self._keeper is None or abs(size - self._recorded) < RECORDED_STEP_BYTES:
+            return
+        self._recorded = size
+        self._keeper.record_held(self, size)
 
     # Writing
 
@@ -307,12 +399,16 @@
             self._tcp.set_reset_on_close(True)
         self._write(data)
 
-    def send_body(self, data: bytes) -> None:
+    def send_body(self, data: Body) -> None:
         """Send a piece of the body."""
-        if data and not self._is_bodiless():
-            self._write(self._http.send(h11.Data(data=data)))
+        if self._is_bodiless():
+            return
+        view = memoryview(data)
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = bytes(view[start : start + PIECE_BYTES])
+            self._write(self._http.send(h11.Data(data=piece)))
 
-    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+    def send_whole(self, status: int, headers: Headers, body: Body) -> None:
         """Send a whole answer."""
         self._held = True
         length = (CONTENT_LENGTH, str(len(body)).encode())
@@ -327,12 +423,13 @@
         if self._phase is not Phase.OPEN:
             return
         self._request = None
+        self._body = b""
         if self._is_stopping or not self._begin_next():
             self.abort()
             return
-        behind, _ = self._http.trailing_data
-        self._begin_phase(Phase.HEAD if behind else Phase.IDLE)
-        if behind:
+        self._begin_phase(Phase.HEAD if self._unread else Phase.IDLE)
+        self._record_held()
+        if self._unread:
             self._waiting.cancel()
 
     def abort(self) -> None:
@@ -354,8 +451,8 @@
 
     @property
     def is_blocked(self) -> bool:
-        """Whether the caller accepts no more data for now."""
-        return self._flushed is not None
+        """Whether the caller should be sent no more data for now."""
+        return self._tcp.unsent_bytes > MAX_UNSENT_BYTES
 
     async def wait_until_sent(self) -> None:
         """Wait until the caller has accepted what was written."""
@@ -380,7 +477,10 @@
             # The reading task notices that the connection is broken.
             self._tcp.close()
             return
+        if self._tcp.has_unsent:
+            self._record_held()
         if self._tcp.has_unsent and not self._held and self._flushed is None:
+            self.waiting_since = read_clock()
             self._flushed = trio.Event()
             self._nursery.start_soon(self._flush, self._flushed)
 
@@ -388,9 +488,13 @@
         """Send the rest as the caller accepts it; close if it accepts nothing."""
         try:
             while self._tcp.has_unsent:
-                with trio.fail_after(WRITE_TIMEOUT_S):
+                holds_up = self.is_blocked and self._phase is Phase.OPEN
+                most_s = HOLD_UP_TIMEOUT_S if holds_up else WRITE_TIMEOUT_S
+                with trio.fail_after(min(most_s, WRITE_TIMEOUT_S)):
                     await self._tcp.wait_sendable()
                 self._tcp.send_unsent()
+                self.waiting_since = read_clock()
+                self._record_held()
         except (OSError, trio.TooSlowError, trio.ClosedResourceError):
             self._tcp.close(reset=True)
         finally:
--- a/masticdrum/shell/callerserver.py
+++ b/masticdrum/shell/callerserver.py
@@ -1,4 +1,8 @@
-"""Accepts callers' connections until it is stopped, and serves each in a task."""
+"""Accepts callers' connections until it is stopped, and serves each in a task.
+
+What it holds for all of them together is bounded, and so is their number at each
+address (``connectionlimits.py``).
+"""
 
 import errno
 import socket
@@ -6,11 +10,14 @@
 
 import trio
 
+from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.telemetry import Log, LogNumber
 from masticdrum.shell.callerconnection import CallerConnection, RequestHandler
+from masticdrum.shell.connectionlimits import ConnectionGroup, ConnectionLimits
 from masticdrum.shell.jsonlogging import write_event
+from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.supervision import describe_failure
-from masticdrum.shell.tcpconnection import TcpConnection
+from masticdrum.shell.tcpconnection import TcpConnection, bound_buffers
 
 BACKLOG = 1024  # connections that the kernel completes before they are accepted
 ACCEPTS_AT_ONCE = 64  # so that a burst of connections doesn't delay open requests
@@ -22,14 +29,36 @@
 )
 
 
+class Listener:
+    """One address with its handler and connections."""
+
+    def __init__(self, address: str, handler: RequestHandler, most: int) -> None:
+        self.socket = listen(address)
+        self.handler = handler
+        self.group = ConnectionGroup(most)
+
+
 class CallerServer:
-    """Serves HTTP/1.1 at one or several addresses, each with its own handler."""
+    """Serves HTTP/1.1 to callers at ``address`` and to probes at other addresses.
+
+    ``handlers`` are those of the addresses; all but that of callers have the lower
+    limit of probes.
+    """
 
-    def __init__(self, handlers: dict[str, RequestHandler]) -> None:
-        self._listeners = [
-            (listen(address), handler) for address, handler in handlers.items()
-        ]
+    def __init__(
+        self,
+        handlers: dict[str, RequestHandler],
+        limits: ProcessLimits,
+        metrics: Metrics,
+        address: str | None = None,
+    ) -> None:
+        self.limits = ConnectionLimits(limits, metrics)
         self._connections: set[CallerConnection] = set()
+        self._listeners = []
+        for place, handler in handlers.items():
+            is_callers = place == address
+            most = limits.caller_connections if is_callers else limits.probe_connections
+            self._listeners.append(Listener(place, handler, most))
 
     async def serve(
         self, until: Callable[[], Awaitable[None]], grace_s: Callable[[], float]
@@ -41,37 +70,31 @@
         """
         async with trio.open_nursery() as nursery:
             async with trio.open_nursery() as accepting:
-                for listener, handler in self._listeners:
-                    accepting.start_soon(self._accept, listener, handler, nursery)
+                for listener in self._listeners:
+                    accepting.start_soon(self._accept, listener, nursery)
                 await until()
                 accepting.cancel_scope.cancel()
-            for listener, handler in self._listeners:
-                self._accept_pending(listener, handler, nursery, BACKLOG)
-                listener.close()
+            for listener in self._listeners:
+                self._accept_pending(listener, nursery, BACKLOG)
+                listener.socket.close()
             await trio.lowlevel.checkpoint()
             for connection in list(self._connections):
                 connection.stop()
             nursery.cancel_scope.deadline = trio.current_time() + grace_s()
 
-    async def _accept(
-        self, listener: socket.socket, handler: RequestHandler, nursery: trio.Nursery
-    ) -> None:
+    async def _accept(self, listener: Listener, nursery: trio.Nursery) -> None:
         while True:
-            await trio.lowlevel.wait_readable(listener)
-            if not self._accept_pending(listener, handler, nursery, ACCEPTS_AT_ONCE):
+            await trio.lowlevel.wait_readable(listener.socket)
+            if not self._accept_pending(listener, nursery, ACCEPTS_AT_ONCE):
                 await trio.sleep(EXHAUSTED_WAIT_S)
 
     def _accept_pending(
-        self,
-        listener: socket.socket,
-        handler: RequestHandler,
-        nursery: trio.Nursery,
-        most: int,
+        self, listener: Listener, nursery: trio.Nursery, most: int
     ) -> bool:
         """Accept complete connections; return False if descriptors have run out."""
         for _ in range(most):
             try:
-                raw_socket, _ = listener.accept()
+                raw_socket, _ = listener.socket.accept()
             except (BlockingIOError, InterruptedError):
                 return True
             except ConnectionAbortedError:
@@ -81,14 +104,22 @@
                     raise
                 write_event(Log(LogNumber.ACCEPT_FAILED, detail=repr(error)))
                 return False
+            if not self.limits.make_room(listener.group):
+                raw_socket.close()
+                continue
             raw_socket.setblocking(False)
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = CallerConnection(TcpConnection(raw_socket), handler, nursery)
+            connection = CallerConnection(
+                TcpConnection(raw_socket), listener.handler, nursery, self.limits
+            )
             self._connections.add(connection)
-            nursery.start_soon(self._serve_connection, connection)
+            self.limits.add(listener.group, connection)
+            nursery.start_soon(self._serve_connection, listener, connection)
         return True
 
-    async def _serve_connection(self, connection: CallerConnection) -> None:
+    async def _serve_connection(
+        self, listener: Listener, connection: CallerConnection
+    ) -> None:
         try:
             await connection.serve()
         except Exception as error:
@@ -96,14 +127,16 @@
             write_event(Log(LogNumber.CONNECTION_FAILED, detail=detail))
         finally:
             self._connections.discard(connection)
+            self.limits.remove(listener.group, connection)
 
 
 def listen(address: str) -> socket.socket:
-    """Listen at ``IP:PORT``; accepted connections inherit the write timeout."""
+    """Listen at ``IP:PORT``; accepted connections inherit the socket options."""
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, WRITE_TIMEOUT_MS)
+    bound_buffers(listener)
     listener.bind((host, int(port)))
     listener.listen(BACKLOG)
     listener.setblocking(False)
--- a/masticdrum/shell/forwardapplication.py
+++ b/masticdrum/shell/forwardapplication.py
@@ -23,6 +23,7 @@
     Refuse,
     StartAttempt,
 )
+from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
 from masticdrum.shell.asgi import JSON, Headers
 from masticdrum.shell.callerconnection import (
@@ -68,12 +69,20 @@
         is_stopping: Callable[[], bool],
         read_limits: Callable[[], CallerLimits],
         was_stalled: Callable[[], bool],
+        limits: ProcessLimits,
     ) -> None:
         self.was_stalled = was_stalled
         self.read_limits = read_limits
         self._submit = submit
         self._codec = codec
-        self.upstreams = UpstreamClient(nursery, submit, codec, self)
+        self.upstreams = UpstreamClient(
+            nursery,
+            submit,
+            codec,
+            self,
+            limits.answer_bytes,
+            limits.upstream_connections,
+        )
         self._metrics = metrics
         self._is_stopping = is_stopping
         self._open_requests: dict[int, OpenRequest] = {}
@@ -134,7 +143,8 @@
         )
         value = {"error": kind.value, "text": refusal.detail or ANSWERS[kind].text}
         body = msgspec.json.encode(value)
-        connection.send_whole(ANSWERS[kind].status, JSON_HEADERS + CLOSE, body)
+        headers = JSON_HEADERS + CLOSE + make_retry_headers(ANSWERS[kind].retry_after_s)
+        connection.send_whole(ANSWERS[kind].status, headers, body)
 
     # Effects of the reducer
 
@@ -193,9 +203,7 @@
 
     def _write_refusal(self, effect: Refuse, connection: CallerConnection) -> None:
         headers = JSON_HEADERS + (CLOSE if self._is_stopping() else [])
-        if effect.retry_after_s > 0:
-            wait = f"{effect.retry_after_s:.3f}".encode()
-            headers = [*headers, (b"retry-after", wait)]
+        headers = headers + make_retry_headers(effect.retry_after_s)
         value = {"error": effect.kind.value, "text": ANSWERS[effect.kind].text}
         connection.send_whole(effect.status, headers, msgspec.json.encode(value))
 
@@ -240,6 +248,11 @@
             await open_request.connection.wait_until_sent()
 
 
+def make_retry_headers(wait_s: float) -> Headers:
+    """Return the header that says when to come back, none for no such time."""
+    return [(b"retry-after", f"{wait_s:.3f}".encode())] if wait_s > 0 else []
+
+
 def check_framing(request: IncomingRequest, limits: CallerLimits) -> Refusal | None:
     """Return why a request is unsafe to forward, or None."""
     headers = request.headers
--- a/masticdrum/shell/probes.py
+++ b/masticdrum/shell/probes.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from masticdrum.model.directory import CallerLimits
+from masticdrum.model.errors import ANSWERS
 from masticdrum.shell.asgi import JSON, Scope, Send, send_whole
 from masticdrum.shell.callerconnection import (
     CallerConnection,
@@ -14,6 +15,7 @@
 )
 from masticdrum.shell.metrics import Metrics
 
+MAX_BODY_BYTES = 4096  # probes have none
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -72,7 +74,7 @@
 
     def read_limits(self) -> CallerLimits:
         """Return the limits on those who probe."""
-        return CallerLimits()
+        return CallerLimits(max_body_bytes=MAX_BODY_BYTES)
 
     def was_stalled(self) -> bool:
         """Return False, since probes may be answered after a stall."""
@@ -97,7 +99,9 @@
         refusal: Refusal,
     ) -> None:
         """Answer a request that can't be read."""
-        write_probe_answer(connection, make_json_answer(400, {"error": refusal.detail}))
+        status = ANSWERS[refusal.kind].status
+        answer = make_json_answer(status, {"error": refusal.detail})
+        write_probe_answer(connection, answer)
 
     def abandon(self, connection: CallerConnection) -> None:
         """Do nothing, since a probe is answered at once."""
--- a/masticdrum/shell/requestbody.py
+++ b/masticdrum/shell/requestbody.py
@@ -32,21 +32,19 @@
 
 async def read_body(receive: Receive, limits: EntryLimits) -> Result[bytes, Refusal]:
     """Return the whole body, or why it is refused."""
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     with trio.move_on_after(limits.read_timeout_s):
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return Failure(Refusal(ErrorKind.CALLER_GONE))
             part = message.get("body", b"")
-            size += len(part)
-            if size > limits.max_body_bytes:
+            if len(body) + len(part) > limits.max_body_bytes:
                 detail = f"the body is over {limits.max_body_bytes} bytes"
                 return Failure(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
-            parts.append(part)
+            body += part
             if not message.get("more_body", False):
-                return Success(b"".join(parts))
+                return Success(bytes(body))
     detail = f"the body did not arrive within {limits.read_timeout_s} s"
     return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, detail))
 
--- a/masticdrum/shell/sockets.py
+++ b/masticdrum/shell/sockets.py
@@ -8,6 +8,7 @@
 LINGER_MS = 1000
 MAX_FRAMES = 10_000  # frames that are queued for one peer before sends fail
 MAX_SOCKETS = 65_000
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024  # a peer that sends a longer one is disconnected
 
 
 def make_context() -> zmq.Context[zmq.Socket[bytes]]:
@@ -34,6 +35,7 @@
         self._socket.setsockopt(zmq.LINGER, LINGER_MS)
         self._socket.setsockopt(zmq.SNDHWM, MAX_FRAMES)
         self._socket.setsockopt(zmq.RCVHWM, MAX_FRAMES)
+        self._socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         if kind == zmq.ROUTER:
             self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
             self._socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
--- a/masticdrum/shell/tcpconnection.py
+++ b/masticdrum/shell/tcpconnection.py
@@ -15,6 +15,7 @@
 from masticdrum.core.addresses import is_ipv4_target
 
 RECEIVE_BYTES = 64 * 1024
+SOCKET_BUFFER_BYTES = 128 * 1024  # that the kernel keeps of a caller, each way
 USER_TIMEOUT_MS = 1500  # three retransmissions on a link that loses packets
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_EVERY_S = 1
@@ -38,6 +39,11 @@
         """Whether bytes wait until the peer accepts more data."""
         return bool(self._unsent)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many bytes wait until the peer accepts more data."""
+        return len(self._unsent)
+
     async def receive(self) -> bytes:
         """Wait for bytes; return none at the end of the stream.
 
@@ -175,3 +181,9 @@
     raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_EVERY_S)
     raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def bound_buffers(listener: socket.socket) -> None:
+    """Bound what the kernel buffers for each connection that is accepted."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listener.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
--- a/masticdrum/shell/upstreamclient.py
+++ b/masticdrum/shell/upstreamclient.py
@@ -20,8 +20,8 @@
     StreamBegun,
     StreamEventsReceived,
 )
-from masticdrum.shell.asgi import Headers
-from masticdrum.shell.bufferbudget import BufferBudget
+from masticdrum.shell.asgi import Body, Headers
+from masticdrum.shell.bufferbudget import MAX_BUFFERED_BYTES, BufferBudget
 from masticdrum.shell.eventsplitter import EventSplitter, EventTooLong
 from masticdrum.shell.headercodec import HeaderCodec, UpstreamHeaders, drop_hop_headers
 from masticdrum.shell.supervision import log_failure
@@ -59,7 +59,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: Body
 
 
 class UpstreamAnswer(Struct):
@@ -67,7 +67,7 @@
 
     status: int
     headers: Headers
-    body: bytes = b""
+    body: Body = b""
 
 
 class AnswerSink(Protocol):
@@ -104,14 +104,16 @@
         submit: Callable[[AttemptEvent], None],
         codec: HeaderCodec,
         sink: AnswerSink,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
+        max_connections: int | None = None,
     ) -> None:
         self._sink = sink
         self._nursery = nursery
         self._submit = submit
         self._codec = codec
         self._scopes: dict[int, trio.CancelScope] = {}
-        self._budget = BufferBudget()
-        self.connections = UpstreamConnectionPool()
+        self._budget = BufferBudget(max_buffered_bytes)
+        self.connections = UpstreamConnectionPool(max_connections)
 
     def start(self, effect: StartAttempt, request: CallerRequest) -> None:
         """Begin an attempt; its progress is reported as events."""
@@ -144,6 +146,7 @@
     async def _attempt(
         self, effect: StartAttempt, request: CallerRequest, scope: trio.CancelScope
     ) -> AttemptEnded:
+        self.connections.close_surplus(len(self._scopes))
         try:
             connection = await self.connections.acquire(
                 effect.address, min(CONNECT_S, effect.left_s), request.request
@@ -272,15 +275,14 @@
         answer: UpstreamAnswer,
         upstream_headers: UpstreamHeaders,
     ) -> AttemptEnded:
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         try:
             part = connection.take_body()
             while True:
                 if part is None:
                     part = await connection.receive_body()
-                parts.append(part.data)
-                size += len(part.data)
+                body += part.data
+                size = len(body)
                 is_kept = size <= MAX_ANSWER_BYTES
                 if not is_kept or not self._budget.try_resize(effect.attempt, size):
                     detail = f"an answer of {size} bytes and more"
@@ -298,7 +300,7 @@
             return make_ended(
                 effect, AttemptEnd.TRUNCATED, answer.status, detail=repr(error)
             )
-        answer.body = b"".join(parts)
+        answer.body = body
         if connection.runs_on(answer.body) and not upstream_headers.not_run:
             connection.close()
             detail = "another answer begins within the body"
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -9,13 +9,14 @@
 import h11
 from msgspec import Struct
 
-from masticdrum.shell.asgi import Headers
+from masticdrum.shell.asgi import Body, Headers
 from masticdrum.shell.tcpconnection import TcpConnection
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_INTERIM_ANSWERS = 8  # answers with a status below 200 before the final one
 # A head that broke off within a line runs on into that of an error behind it.
 STATUS_LINE = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\S)")
+PIECE_BYTES = 64 * 1024  # of a large body, so that no second copy of it is made
 MAX_STATUS_BYTES = 16  # the longest match, and a byte behind it
 
 
@@ -66,7 +67,7 @@
         self.refused: set[str] = set()
 
     async def send_request(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self, method: bytes, target: bytes, headers: Headers, body: Body
     ) -> None:
         """Send a whole request.
 
@@ -75,17 +76,24 @@
         """
         http = self._http
         data = http.send(h11.Request(method=method, target=target, headers=headers))
-        if body:
-            data = _join(data, http.send(h11.Data(data=body)))
-        data = _join(data, http.send(h11.EndOfMessage()))
+        first, rest = bytes(body[:PIECE_BYTES]), memoryview(body)[PIECE_BYTES:]
+        if first:
+            data = _join(data, http.send(h11.Data(data=first)))
         self.has_sent = True
         try:
-            self._tcp.write(data)
-            if self._tcp.has_unsent:
-                await self._tcp.drain()
+            for start in range(0, len(rest), PIECE_BYTES):
+                await self._write(data)
+                piece = bytes(rest[start : start + PIECE_BYTES])
+                data = http.send(h11.Data(data=piece))
+            await self._write(_join(data, http.send(h11.EndOfMessage())))
         except OSError:
             return
 
+    async def _write(self, data: bytes | None) -> None:
+        self._tcp.write(data or b"")
+        if self._tcp.has_unsent:
+            await self._tcp.drain()
+
     async def receive_head(self) -> AnswerHead:
         """Wait for the status and headers of the answer.
 
@@ -132,7 +140,7 @@
             if part is not None:
                 return part
 
-    def runs_on(self, body: bytes) -> bool:
+    def runs_on(self, body: Body) -> bool:
         """Return whether another answer begins within a whole body and ends behind it.
 
         Then the body broke off, and the other answer filled its length.
@@ -140,7 +148,7 @@
         behind, _ = self._http.trailing_data
         if not behind:
             return False
-        found = STATUS_LINE.search(body + behind[:MAX_STATUS_BYTES])
+        found = STATUS_LINE.search(bytes(body) + behind[:MAX_STATUS_BYTES])
         return found is not None and found.start() < len(body)
 
     def begin_next(self) -> bool:
--- a/masticdrum/shell/upstreampool.py
+++ b/masticdrum/shell/upstreampool.py
@@ -6,6 +6,9 @@
 second copy of the refusal could not be told from an answer.
 """
 
+from heapq import nsmallest
+from operator import itemgetter
+
 import trio
 
 from masticdrum.shell.clock import read_clock
@@ -20,10 +23,15 @@
 
 
 class UpstreamConnectionPool:
-    """The idle connections of one process; the most recent is reused first."""
+    """The idle connections of one process; the most recent is reused first.
+
+    Together with those in use there are ``most``, None for any number.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, most: int | None = None) -> None:
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._most = most
+        self._idle_count = 0
 
     async def acquire(
         self, address: str, connect_s: float, request: str
@@ -55,12 +63,34 @@
             return
         connection.idle_until = read_clock() + allowed_s
         idle.append(connection)
+        self._idle_count += 1
+
+    def close_surplus(self, used: int) -> None:
+        """Close the idle connections for which ``used`` ones leave no room.
+
+        Those that would expire first are closed first.
+        """
+        if self._most is None:
+            return
+        surplus = min(self._idle_count, used + self._idle_count - self._most)
+        if surplus <= 0:
+            return
+        all_idle = [
+            (connection.idle_until, address, connection)
+            for address, idle in self._idle.items()
+            for connection in idle
+        ]
+        for _, address, connection in nsmallest(surplus, all_idle, key=itemgetter(0)):
+            self._idle[address].remove(connection)
+            self._idle_count -= 1
+            connection.close()
 
     def close_expired(self) -> None:
         """Close connections that idled for too long or that the peer closed."""
         now = read_clock()
         for address, idle in list(self._idle.items()):
             usable = [connection for connection in idle if connection.is_usable(now)]
+            self._idle_count -= len(idle) - len(usable)
             for connection in idle:
                 if connection not in usable:
                     connection.close()
@@ -76,6 +106,7 @@
             if request in idle[place].refused:
                 continue
             connection = idle.pop(place)
+            self._idle_count -= 1
             if connection.is_usable(now):
                 return connection
             connection.close()
--- a/masticdrum/shell/webserver.py
+++ b/masticdrum/shell/webserver.py
@@ -4,12 +4,16 @@
 from collections.abc import Awaitable, Callable
 
 from hypercorn.config import Config, Sockets
-from hypercorn.trio import serve
 
+from masticdrum.model.resources import ProcessLimits
 from masticdrum.shell.asgi import Receive, Scope, Send
+from masticdrum.shell.connectionlimits import ConnectionLimits
+from masticdrum.shell.metrics import Metrics
+from masticdrum.shell.tcpconnection import bound_buffers
+from masticdrum.shell.webconnections import WEB_CONNECTION_BYTES, WebConnections
 
 # Lets the application refuse too large headers with its own error.
-HEADER_SLACK_BYTES = 48 * 1024
+HEADER_SLACK_BYTES = 16 * 1024
 KEEP_ALIVE_S = 75.0
 WRITE_TIMEOUT_S = 10.0
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
@@ -51,6 +55,7 @@
         timeout_ms = int(self.write_timeout_s * 1000)
         for listener in sockets.insecure_sockets:
             listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+            bound_buffers(listener)
         return sockets
 
 
@@ -61,11 +66,17 @@
     max_header_bytes: int,
     grace_s: float | Callable[[], float],
     until: Callable[..., Awaitable[None]],
+    limits: ProcessLimits,
+    metrics: Metrics,
+    max_body_bytes: int = 0,
     write_timeout_s: float = WRITE_TIMEOUT_S,
     read_idle_s: Callable[[], float] | None = None,
 ) -> None:
     """Serve HTTP at one or several ``IP:PORT`` until ``until`` returns.
 
+    ``limits`` bounds connections and what is held for them, so that one body of
+    ``max_body_bytes`` fits.
+
     ``read_idle_s`` returns how long a connection may be idle, if that changes.
     ``grace_s`` is how long open requests may continue once the server stops; a
     callable is called at that time.
@@ -80,20 +91,9 @@
     config.accesslog = None
     config.errorlog = None
 
-    async def serve_http(scope: Scope, receive: Receive, send: Send) -> None:
-        if scope["type"] == "lifespan":
-            await answer_lifespan(receive, send)
-            return
-        if scope["type"] == "http":
-            await application(scope, receive, send)
-
-    await serve(serve_http, config, shutdown_trigger=until)  # type: ignore[arg-type]
-
-
-async def answer_lifespan(receive: Receive, send: Send) -> None:
-    """Answer the lifespan messages: there is nothing to start up or shut down."""
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
+    connection_limits = ConnectionLimits(limits, metrics)
+    connection_limits.set_max_body_bytes(max_body_bytes)
+    by_memory = limits.caller_bytes // (2 * WEB_CONNECTION_BYTES)
+    most = min(limits.caller_connections, by_memory)
+    connections = WebConnections(application, config, connection_limits, most)
+    await connections.serve(until, config.read_grace_s)
--- a/tests/shell/callers.py
+++ b/tests/shell/callers.py
@@ -5,8 +5,10 @@
 
 import trio
 
+from masticdrum.core.processlimits import derive_limits
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ANSWERS
+from masticdrum.model.resources import Resources
 from masticdrum.shell.callerconnection import (
     CallerConnection,
     IncomingRequest,
@@ -18,6 +20,7 @@
 REQUEST = b"POST /a/1?x=%2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n"
 SMALL = REQUEST + b"Content-Length: 3\r\n\r\nabc"
 WAIT_S = 3.0
+LIMITS = derive_limits(Resources(memory=136_000_000, descriptors=1535)).unwrap()
 
 
 class FakeHandler:
--- a/tests/shell/gateway.py
+++ b/tests/shell/gateway.py
@@ -25,7 +25,7 @@
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.tcpconnection import TcpConnection
 from tests.forwarding import HOST, make_route, make_upstream
-from tests.shell.callers import make_tcp_pair
+from tests.shell.callers import LIMITS, make_tcp_pair
 from tests.softwareplatform import Platform
 
 RESET = struct.pack("ii", 1, 0)
@@ -116,7 +116,9 @@
             revoke_s=600.0,
             retry_extra=1e6,
         )
-        self.process = ForwarderProcess(settings, PlatformHeaderCodec(), nursery)
+        self.process = ForwarderProcess(
+            settings, PlatformHeaderCodec(), nursery, LIMITS
+        )
         self._routes = tuple(
             make_route(
                 kind,
--- a/tests/shell/test_callerserver.py
+++ b/tests/shell/test_callerserver.py
@@ -9,8 +9,9 @@
 from masticdrum.model.directory import CallerLimits
 from masticdrum.shell.callerconnection import CallerConnection
 from masticdrum.shell.callerserver import CallerServer
+from masticdrum.shell.metrics import Metrics
 from tests.processes.deployment import assign_free_ports
-from tests.shell.callers import SMALL, FakeCaller, FakeHandler
+from tests.shell.callers import LIMITS, SMALL, FakeCaller, FakeHandler
 
 CALLERS = 40
 
@@ -22,10 +23,11 @@
 def run_server(handler: FakeHandler, script, grace_s: float = 5.0) -> None:
     """Run a script with the port of a server and the event that stops it."""
     port = assign_free_ports(["http"])["http"]
+    address = f"127.0.0.1:{port}"
     stop = trio.Event()
 
     async def run() -> None:
-        server = CallerServer({f"127.0.0.1:{port}": handler})
+        server = CallerServer({address: handler}, LIMITS, Metrics(), address)
         with trio.fail_after(5):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(server.serve, stop.wait, lambda: grace_s)
--- a/tests/shell/test_forwarding.py
+++ b/tests/shell/test_forwarding.py
@@ -19,7 +19,7 @@
 )
 from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.upstreamclient import UpstreamAnswer
-from tests.shell.callers import REQUEST, SMALL, FakeCaller, run_connection
+from tests.shell.callers import LIMITS, REQUEST, SMALL, FakeCaller, run_connection
 
 
 class Forwarding:
@@ -36,6 +36,7 @@
             lambda: False,
             CallerLimits,
             lambda: stalled,
+            LIMITS,
         )
 
     def submit(self, event: object) -> None:
--- a/tests/shell/test_webserver.py
+++ b/tests/shell/test_webserver.py
@@ -5,8 +5,10 @@
 import trio
 
 from masticdrum.shell.asgi import Receive, Scope, Send, send_whole
+from masticdrum.shell.metrics import Metrics
 from masticdrum.shell.webserver import run_webserver
 from tests.processes.deployment import assign_free_ports
+from tests.shell.callers import LIMITS
 
 
 @pytest.mark.parametrize(("grace_s", "ends"), [(5.0, True), (0.05, False)])
@@ -39,6 +41,8 @@
                 max_header_bytes=1000,
                 grace_s=lambda: grace_s,
                 until=stop.wait,
+                limits=LIMITS,
+                metrics=Metrics(),
             )
 
     trio.run(run)
