--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -21,7 +21,9 @@
 from masticdrum.platform.pages import (
     Changes,
     Page,
+    StoredObject,
     read_changes,
+    read_object,
     read_own_object,
     read_page,
 )
@@ -164,6 +166,43 @@
         query = {"revision": str(revision)}
         await self._call("DELETE", f"{KIND_PREFIX}{kind}/{quote(name)}", query)
 
+    async def find(self, kind: str, name: str) -> StoredObject | None:
+        """Read an object of the platform's kinds, or None; raises ``StoreFailed``."""
+        status, body = await self._call("GET", f"{kind}/{quote(name, safe='')}")
+        if status == 404:
+            return None
+        if status != 200:
+            raise StoreFailed(f"read of {kind}/{name}: status {status}")
+        return decode(body, lambda text: read_object(Raw(text)))
+
+    async def create(self, kind: str, name: str, spec: bytes) -> ObjectStatus:
+        """Create an object of the platform's kinds; errors become its status."""
+        body = msgspec.json.encode({"metadata": {"name": name}, "spec": Raw(spec)})
+        return await self._change("POST", kind, body=body)
+
+    async def remove(self, kind: str, name: str, revision: int) -> ObjectStatus:
+        """Delete an object of the platform's kinds if it has not changed.
+
+        One whose revision can't be read, zero here, is deleted as it is.
+        """
+        query = {"revision": str(revision)} if revision else None
+        return await self._change("DELETE", f"{kind}/{quote(name, safe='')}", query)
+
+    async def _change(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        *,
+        body: bytes | None = None,
+    ) -> ObjectStatus:
+        try:
+            status, _ = await self._call(method, path, query, body=body)
+        except StoreFailed as error:
+            never_sent = isinstance(error.__cause__, httpcore.ConnectError)
+            return ObjectStatus.REJECTED if never_sent else ObjectStatus.LOST
+        return STATUSES.get(status, ObjectStatus.LOST)
+
     async def _put(self, path: str, name: str, call: ObjectPut) -> tuple[int, bytes]:
         metadata: dict[str, str | int] = {"name": name}
         if call.expected > 0:
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -131,7 +131,7 @@
 
     def _write(self, request: Request, kind: str, name: str) -> Reply:
         if request.method == "DELETE":
-            return self._delete(kind, name)
+            return self._delete(kind, name, request.query.get("revision"))
         body = msgspec.json.decode(request.body)
         name = name or body["metadata"]["name"]
         current = self.objects.setdefault(kind, {}).get(name)
@@ -145,20 +145,24 @@
             current["metadata"]["revision"],
         ):
             return make_json_reply(current, 409)
-        return make_json_reply(self._store(kind, name, body.get("spec")))
+        status = body.get("status", current["status"] if current else None)
+        return make_json_reply(self._store(kind, name, body.get("spec"), status))
 
-    def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+    def _store(self, kind: str, name: str, spec: Any, status: Any) -> dict[str, Any]:
         self.revision += 1
         metadata = {"name": name, "revision": self.revision, "deleting": False}
-        stored = {"metadata": metadata, "spec": spec, "status": None}
+        stored = {"metadata": metadata, "spec": spec, "status": status}
         self.objects[kind][name] = stored
         self._record_event(kind, stored, False)
         return stored
 
-    def _delete(self, kind: str, name: str) -> Reply:
-        current = self.objects.get(kind, {}).pop(name, None)
+    def _delete(self, kind: str, name: str, expected: str | None) -> Reply:
+        current = self.objects.get(kind, {}).get(name)
         if current is None:
             return make_json_reply({}, 404)
+        if expected not in (None, str(current["metadata"]["revision"])):
+            return make_json_reply(current, 409)
+        del self.objects[kind][name]
         self.revision += 1
         self._record_event(kind, current, True)
         return make_json_reply(current)
