--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,7 @@
 
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.telemetry import LogNumber
+from masticdrum.platform import rolloutctl
 from masticdrum.programs.ctl import main
 from masticdrum.programs.ctloutput import ExitCode
 
@@ -52,6 +53,7 @@
     assert codes == {int(code) for code in ExitCode}
     text = (DOCS / "OPERATORS.md").read_text()
     assert all(f"`{name}" in text for name in main.commands)
+    assert all(f"`{name}" in text for name in rolloutctl.main.commands)
 
 
 @pytest.mark.parametrize("path", sorted(DOCS.rglob("*.md")), ids=lambda p: p.name)
