Bear reports of another shape, and counts that fall, in the evidence

Cause: a report with more buckets than known would have ended the decider at its second arrival (IndexError); a decider that takes over may see counts fall.

Change: counts past the known ones are left out; two Hypothesis tests play any counts.

--- a/masticdrum/rollouts/evidence.py
+++ b/masticdrum/rollouts/evidence.py
@@ -27,6 +27,13 @@
 BUCKET_ENDS_S = tuple(
     FIRST_BUCKET_S * BUCKET_FACTOR**i for i in range(LATENCY_BUCKETS - 1)
 )
+NO_ANSWERS = Tally(
+    "",
+    True,
+    (0,) * UPSTREAM_GROUPS,
+    (0,) * UPSTREAM_GROUPS,
+    (0,) * LATENCY_BUCKETS,
+)
 
 
 def find_group(upstream: str) -> int:
@@ -131,12 +138,10 @@
                 continue
             self._by_source[key] = tally
             side = self._find_side(tally)
-            for totals, counts, known in (
-                (side.answered, tally.answered, before and before.answered),
-                (side.failed, tally.failed, before and before.failed),
-                (side.latencies, tally.latencies, before and before.latencies),
-            ):
-                add_difference(totals, counts, known or ())
+            known = NO_ANSWERS if before is None else before
+            add_difference(side.answered, tally.answered, known.answered)
+            add_difference(side.failed, tally.failed, known.failed)
+            add_difference(side.latencies, tally.latencies, known.latencies)
 
     def pool(self) -> Evidence:
         """Return the sum as a copy."""
@@ -160,9 +165,16 @@
 def add_difference(
     totals: list[int], counts: Sequence[int], known: Sequence[int]
 ) -> None:
-    """Add ``counts`` to ``totals``, less those ``known`` before."""
-    for i, count in enumerate(counts[: len(totals)]):
-        totals[i] += count - (known[i] if i < len(known) else 0)
+    """Add ``counts`` to ``totals``, less those ``known`` before.
+
+    Counts past the end of ``totals`` are left out.
+    """
+    if counts == known:
+        return
+    places = range(len(totals))
+    for i, count, before in zip(places, counts, known, strict=False):
+        if count != before:
+            totals[i] += count - before
 
 
 def copy_side(side: SideEvidence) -> SideEvidence:
--- a/tests/rollouts/test_evidence.py
+++ b/tests/rollouts/test_evidence.py
@@ -102,3 +102,12 @@
     latencies = sum(sum(e.new.latencies) for e in evidence.by_route.values())
     failed = sum(sum(e.new.failed) for e in evidence.by_route.values())
     assert latencies + failed == evidence.new_sent
+
+
+def test_report_of_another_shape_is_borne() -> None:
+    """A report with more buckets or fewer groups would end the decider."""
+    pooled = PooledEvidence()
+    for count in (1, 2):
+        odd = Tally("book", True, (count,) * 9, (0,), (count,) * 99)
+        pooled.replace("entry", "1", (odd,))
+    assert pooled.pool().by_route["book"].new.answered == [2] * UPSTREAM_GROUPS
--- a/tests/rollouts/test_judgement.py
+++ b/tests/rollouts/test_judgement.py
@@ -5,11 +5,19 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from msgspec import Struct
 
-from masticdrum.rollouts.evidence import EntryTallies, PooledEvidence
-from masticdrum.rollouts.interfaces import Judgement, Verdict
-from masticdrum.rollouts.judgement import Judge
+from masticdrum.rollouts.evidence import EntryTallies, PooledEvidence, make_side
+from masticdrum.rollouts.interfaces import (
+    Evidence,
+    Judgement,
+    RouteEvidence,
+    SideEvidence,
+    Verdict,
+)
+from masticdrum.rollouts.judgement import Judge, judge
 from masticdrum.rollouts.schedule import choose_upstreams
 
 SEEDS = range(8)
@@ -45,7 +53,7 @@
 def play(seed: int, fault: Fault, share: float = 0.1, last_s: float = 150.0) -> Run:
     """Judge every tick until the target is found bad or the time is over."""
     rng = Random(seed)
-    judge, tallies, bad = Judge(), EntryTallies(), 0
+    tested, tallies, bad = Judge(), EntryTallies(), 0
     judgement = Judgement(Verdict.UNDECIDED)
     now = 0.0
     while now < last_s and judgement.verdict is not Verdict.BAD:
@@ -62,7 +70,7 @@
                 bad += is_target and (failed or answer.slower > 2)
         pooled = PooledEvidence()
         pooled.replace("entry", "1", tallies.snapshot())
-        judgement = judge.observe(pooled.pool(), now)
+        judgement = tested.observe(pooled.pool(), now)
     return Run(judgement, now, bad)
 
 
@@ -185,3 +193,39 @@
     """A sound version would be rolled back for trouble that isn't its own."""
     verdicts = [play(seed, fault).judgement for seed in SEEDS]
     assert [v for v in verdicts if v.verdict is not Verdict.SOUND] == []
+
+
+counts = st.lists(st.integers(0, 300), min_size=4, max_size=4)
+latencies = st.lists(st.integers(0, 300), min_size=24, max_size=24)
+sides = st.builds(SideEvidence, counts, counts, latencies)
+routes = st.dictionaries(
+    st.sampled_from("abc"), st.builds(RouteEvidence, sides, sides), max_size=3
+)
+
+
+@given(st.lists(routes, max_size=6))
+def test_no_counts_end_the_judge(looks: list[dict[str, RouteEvidence]]) -> None:
+    """Counts that fall after a takeover, or failures alone, would end the decider."""
+    tested = Judge()
+    verdicts = [
+        tested.observe(
+            Evidence(
+                by_route,
+                sum(sum(both.old.answered) for both in by_route.values()),
+                sum(sum(both.new.answered) for both in by_route.values()),
+            ),
+            float(now),
+        ).verdict
+        for now, by_route in enumerate(looks)
+    ]
+    if Verdict.BAD in verdicts:
+        assert set(verdicts[verdicts.index(Verdict.BAD) :]) == {Verdict.BAD}
+
+
+@given(routes)
+def test_nothing_is_said_without_answers(by_route: dict[str, RouteEvidence]) -> None:
+    """A version that never answered would be completed or rolled back."""
+    for both in by_route.values():
+        both.new = make_side()
+    sent = sum(sum(both.old.answered) for both in by_route.values())
+    assert judge(Evidence(by_route, sent, 0)).verdict is Verdict.UNDECIDED
