Watch a target under the whole load before it is completed

Change: the end isn't due before 5 s of the last step, unless the deadline is near; some standing evidence of a fault keeps a version from being sound.

--- a/masticdrum/rollouts/judgement.py
+++ b/masticdrum/rollouts/judgement.py
@@ -44,6 +44,7 @@
 MIN_OTHERS = 10  # answers outside a group, without which it isn't left out
 ALONE_FACTOR = 2  # how much more evidence a group needs if others have no answers,
 FEW_FACTOR = 4  # or fewer than that
+SUSPICION = 0.3  # of the evidence of a fault, at which a version isn't sound
 ALL_ROUTES = "*"
 IGNORED_SHARE = 0.01  # of the answers, below which a route isn't waited for
 
@@ -150,6 +151,11 @@
         self.failures.add(ratios.failures, ratios.answered)
         self.slowness.add(ratios.slowness, 2 * log(MISSED_FAULT))
 
+    @property
+    def alarm(self) -> float:
+        """The stronger evidence of a fault of the two tests."""
+        return max(self.failures.alarm, self.slowness.alarm)
+
     @property
     def doubt(self) -> float:
         """The weaker evidence against a fault of the two tests."""
@@ -186,7 +192,7 @@
             route for route in evidence.by_route if self._awaits(route, evidence)
         )
         answered = sum(sum(both.new.answered) for both in evidence.by_route.values())
-        is_sound = answered > 0 and not waiting
+        is_sound = answered > 0 and not waiting and not self._suspects()
         facts: Facts = {"answers": answered, "waiting": waiting}
         return Judgement(Verdict.SOUND if is_sound else Verdict.UNDECIDED, facts)
 
@@ -204,24 +210,33 @@
             together.add(ratios)
         self._together.add(together)
 
+    def _list_tests(self) -> dict[str, RouteTests]:
+        return {**self._tests, ALL_ROUTES: self._together}
+
+    @property
+    def _threshold(self) -> float:
+        """The evidence at which a test finds a fault, by Bonferroni's correction."""
+        return log(2 * len(self._list_tests()) / FALSE_ALARMS_PER_ANSWER)
+
+    def _suspects(self) -> bool:
+        """Return whether some evidence of a fault stands, though not enough."""
+        limit = SUSPICION * self._threshold
+        return any(tests.alarm >= limit for tests in self._list_tests().values())
+
     def _find_fault(self) -> Judgement | None:
-        tested = {**self._tests, ALL_ROUTES: self._together}
-        threshold = log(2 * len(tested) / FALSE_ALARMS_PER_ANSWER)
-        for route, tests in tested.items():
-            for kind, alarm in (
-                ("failures", tests.failures.alarm),
-                ("slowness", tests.slowness.alarm),
-            ):
-                if alarm >= threshold:
-                    facts: Facts = {
-                        "route": route,
-                        "fault": kind,
-                        "evidence": round(alarm, 2),
-                        "threshold": round(threshold, 2),
-                        "answers": sum(sum(s.answered) for s in self._seen.values()),
-                        "failed": sum(sum(s.failed) for s in self._seen.values()),
-                    }
-                    return Judgement(Verdict.BAD, facts)
+        for route, tests in self._list_tests().items():
+            if tests.alarm < self._threshold:
+                continue
+            is_failing = tests.failures.alarm >= tests.slowness.alarm
+            facts: Facts = {
+                "route": route,
+                "fault": "failures" if is_failing else "slowness",
+                "evidence": round(tests.alarm, 2),
+                "threshold": round(self._threshold, 2),
+                "answers": sum(sum(side.answered) for side in self._seen.values()),
+                "failed": sum(sum(side.failed) for side in self._seen.values()),
+            }
+            return Judgement(Verdict.BAD, facts)
         return None
 
     def _awaits(self, route: str, evidence: Evidence) -> bool:
--- a/masticdrum/rollouts/schedule.py
+++ b/masticdrum/rollouts/schedule.py
@@ -47,6 +47,7 @@
 RATE_WINDOW_S = 5.0
 MIN_LAST_S = 2.5  # all entries learn of the step, and its end is written
 MAX_LAST_S = 20.0
+WATCH_S = 5.0  # a fault that appears under the whole load is still found
 DUE_S = 1.0  # before the deadline the final state is written
 MIN_UPSTREAMS = 2
 
@@ -54,9 +55,10 @@
 class Schedule:
     """The steps of one order; ``number`` is that of the last step before."""
 
-    __slots__ = ("_history", "_step")
+    __slots__ = ("_history", "_last_began", "_step")
 
     def __init__(self, number: int = 0) -> None:
+        self._last_began = 0.0
         self._step = Step(number, 0.0)
         self._history: deque[tuple[float, int]] = deque()
 
@@ -85,7 +87,9 @@
             return self._take(0.0, is_due=True)
         if self._step.is_last:
             is_empty = all_switched and old_open == 0
-            return self._take(1.0, is_last=True, is_due=is_empty or is_near)
+            is_watched = now >= self._last_began + WATCH_S
+            is_due = is_near or (is_empty and is_watched)
+            return self._take(1.0, is_last=True, is_due=is_due)
         if is_near:
             return self._take(0.0, is_due=True)
         if not has_target:
@@ -93,6 +97,7 @@
         last_s = choose_last_s(duration_s, bounds, evidence, rate, now - began_at)
         is_sound = judgement.verdict is Verdict.SOUND
         if is_sound and now >= deadline - last_s:
+            self._last_began = now
             return self._take(1.0, is_last=True)
         unreported = self._step.share * rate * UNREPORTED_S
         share = choose_ramp_share(bounds, evidence, rate, unreported, is_sound)
--- a/tests/rollouts/test_schedule.py
+++ b/tests/rollouts/test_schedule.py
@@ -9,7 +9,13 @@
 from msgspec import Struct
 
 from masticdrum.rollouts.evidence import find_group
-from masticdrum.rollouts.interfaces import Evidence, Judgement, RolloutBounds, Verdict
+from masticdrum.rollouts.interfaces import (
+    Evidence,
+    Judgement,
+    RolloutBounds,
+    Step,
+    Verdict,
+)
 from masticdrum.rollouts.schedule import MIN_LAST_S, Schedule, choose_upstreams
 
 BOUNDS = RolloutBounds()
@@ -112,6 +118,21 @@
         assert played.exposure <= 1.0
 
 
+def test_whole_load_is_watched_before_the_end() -> None:
+    """A version that is bad only under the whole load would be completed at once."""
+    schedule, evidence = Schedule(), Evidence(old_sent=100_000, new_sent=3_000)
+
+    def plan(now: float, verdict: Verdict) -> Step:
+        judgement = Judgement(verdict)
+        return schedule.plan(now, 0.0, 600.0, BOUNDS, evidence, judgement, 0, True)
+
+    assert plan(590.0, Verdict.SOUND).is_last
+    assert not plan(592.0, Verdict.SOUND).is_due
+    assert plan(595.0, Verdict.UNDECIDED).is_due
+    stopped = plan(595.5, Verdict.BAD)
+    assert stopped.share == 0.0 and stopped.is_due and not stopped.is_last
+
+
 def test_undecided_version_is_not_completed() -> None:
     """A version would take all traffic though nothing is known of it."""
     assert not play(lambda now: 0.3, 60.0).is_completed
