--- a/masticdrum/rollouts/judgement.py
+++ b/masticdrum/rollouts/judgement.py
@@ -6,8 +6,10 @@
 Hypotheses", 1945), repeated as Page's cumulative sum (E. S. Page, "Continuous
 Inspection Schemes", 1954), so good answers of earlier times don't mask a later fault.
 By Lorden's bound (G. Lorden, "Procedures for Reacting to a Change in Distribution",
-1971) a sum with threshold ln(1/a) gives one false alarm in 1/a answers at most, so the
-bound holds for any number of looks.
+1971) a sum with threshold ln(1/a) gives one false alarm in 1/a answers at most on
+average, however often one looks, if answers are independent and the old side's shares
+known. ``MIN_FAILURE_RATE``, ``TOLERANCE`` and the worst of several windows leave room
+for what they are not.
 
     judge = Judge()
     judge.observe(pooled.pool(), now=12.5).verdict
@@ -29,9 +31,9 @@
 )
 
 FALSE_ALARMS_PER_ANSWER = 1e-5  # alpha, over all tests of a service
-MISSED_FAULT = 0.05  # beta, the chance that a degraded route passes as sound, if it
-MISSED_FAULT_OF_RARE_ROUTE = 0.5  # has a large, or a small part of the answers
-MISSED_SHARE = 0.02  # between, a route's beta times its part of the answers
+MISSED_SHARE = 0.02  # of the answers, a route's part times its beta, within the next
+MISSED_FAULT = 0.05  # beta, the chance that a degraded route passes as sound
+MISSED_FAULT_OF_RARE_ROUTE = 0.5
 DEGRADATION = 0.12  # the share of sound answers that a bad version spoils
 TOLERANCE = 1.3  # how many times as often a sound version may fail
 MIN_FAILURE_RATE = 0.01  # assumed of the old side, however few of its answers failed
