Let entries split requests by the shares of roll-outs

Cause: nothing in the forwarding entry reads operators' orders to move a service to another version, or sends a share of its requests there.

Change: settings.rollout (bounds.exposureShare and others in deploy), the watches of rollouts/ and of their leases, the conditional write of a status, the split in core/rolloutsplit.py, evidence in core/rolloutevidence.py, datagrams of reports and grants, ticks, metrics and /status. The parts that decide are met through Protocols in core/rolloutcontrol.py; programs/forwarder.make_rollouts returns None until they are plugged in, and then nothing of this runs. RolloutBounds moves to model/settings.py, since model can't import it. Datagrams may have 16 KB, for reports on many routes.

No tests of the split yet.

--- a/masticdrum/core/candidatelist.py
+++ b/masticdrum/core/candidatelist.py
@@ -3,6 +3,7 @@
 from masticdrum.core.clusterstate import KnownUpstream
 from masticdrum.core.coldstartpacing import Place
 from masticdrum.core.exchangestate import Exchange, ExchangeState
+from masticdrum.core.rolloutsplit import filter_by_share, select_side
 from masticdrum.core.weightsbound import filter_by_weights
 
 
@@ -17,6 +18,7 @@
     """
     usable = state.cluster_state.list_usable_upstreams(exchange.service, now)
     usable = _filter_by_software(state, exchange, usable)
+    usable = filter_by_share(state, exchange, usable, now)
     if not state.pauses.is_empty:
         usable = [k for k in usable if not state.pauses.is_paused(k.upstream, now)]
     if now < state.cluster_state.any_cold_until or not state.pacer.is_empty:
@@ -36,6 +38,7 @@
         if not untried and exchange.maybe_ran:
             return []
         remaining = untried or usable
+    remaining = select_side(state, exchange, remaining, now)
     if not state.outlier_detectors:
         return remaining
     healthy = [known for known in remaining if not _is_ejected(state, known, now)]
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -36,6 +36,7 @@
 )
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.directory import Directory, ForwardService, Upstream
+from masticdrum.model.rollouts import RolloutLeasesRead, RolloutsRead
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
 REREGISTER_S = 2.0  # time for upstreams to register again after an outage
@@ -62,13 +63,14 @@
 
     ``usable_until`` is set for an upstream whose registration is gone but that is still
     used for a while, ``trusted_at`` for one that may only be back because the store was
-    restored from a copy.
+    restored from a copy. ``seen_at`` is when this process first saw it.
     """
 
     upstream: Upstream
     cold_until: float = 0.0
     usable_until: float | None = None
     trusted_at: float = 0.0
+    seen_at: float = float("-inf")
 
 
 class ClusterState:
@@ -271,6 +273,8 @@
             | StoreRestored()
             | CrashReportsListed()
             | CrashReportChanged()
+            | RolloutsRead()
+            | RolloutLeasesRead()
         ):
             return []
 
@@ -325,7 +329,7 @@
         upstream = replace(upstream, leaving=True)
     cold_until = now + upstream.cold_s if upstream.cold_s > 0 else 0.0
     if old is None or old.upstream.born != upstream.born:
-        known = KnownUpstream(upstream, cold_until)
+        known = KnownUpstream(upstream, cold_until, seen_at=now)
     else:
         known = old
         known.cold_until = max(known.cold_until, cold_until)
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -32,6 +32,12 @@
     record_origin,
     use_record,
 )
+from masticdrum.core.rolloutevidence import (
+    record_attempt_end,
+    record_first_event,
+    record_stop,
+)
+from masticdrum.core.rolloutsplit import record_start
 from masticdrum.core.upstreamchoice import choose_upstream, estimate_work
 from masticdrum.core.upstreamnotices import (
     record_notices,
@@ -268,7 +274,11 @@
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
     log = log_start(state, exchange, upstream, load, len(candidates), now)
-    return [describe_attempt(state, exchange, choice, now), log]
+    start = describe_attempt(state, exchange, choice, now)
+    side = record_start(state, exchange, known, now)
+    if not side:
+        return [start, log]
+    return [start, log, Count(Counter.ROLLOUT_REQUESTS, side)]
 
 
 def begin_stream(
@@ -301,6 +311,7 @@
     exchange = _find_exchange(state, event.handle, event.attempt)
     if exchange is None:
         return []
+    record_first_event(state, exchange, now)
     effects: list[ExchangeEffect] = [ForwardEvents(exchange.handle, event.events)]
     if not exchange.events_forwarded:
         exchange.events_forwarded = True
@@ -336,6 +347,7 @@
     effects: list[ExchangeEffect] = [
         *record_outcome(state, attempt.upstream, rule.counts_as_failure, event, now)
     ]
+    record_attempt_end(state, exchange, attempt, event, now)
     update_weights(state, exchange, attempt, event)
     effects += log_end(exchange, attempt, event, rule.ran, now)
     effects += record_end(state, exchange, attempt, event, now)
@@ -399,7 +411,7 @@
     exchange = state.exchanges.get(handle)
     if exchange is None:
         return []
-    stop = _stop_attempt(state, exchange)
+    stop = _stop_attempt(state, exchange, now)
     return [*stop, *fail_exchange(state, exchange, kind, now)]
 
 
@@ -430,7 +442,7 @@
     exchange = state.exchanges.get(event.handle)
     if exchange is None:
         return []
-    stop = _stop_attempt(state, exchange)
+    stop = _stop_attempt(state, exchange, now)
     close_exchange(state, exchange)
     log = Log(
         LogNumber.EXCHANGE_ABANDONED,
@@ -443,10 +455,13 @@
     return [*stop, log]
 
 
-def _stop_attempt(state: ExchangeState, exchange: Exchange) -> list[ExchangeEffect]:
+def _stop_attempt(
+    state: ExchangeState, exchange: Exchange, now: float
+) -> list[ExchangeEffect]:
     if exchange.attempt is None:
         return []
     attempt = _release_attempt(state, exchange)
+    record_stop(state, exchange, attempt, now)
     exchange.maybe_ran = True
     return [StopAttempt(exchange.handle, attempt.number)]
 
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -12,6 +12,14 @@
 from masticdrum.core.outlierdetection import OutlierDetector
 from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
+from masticdrum.core.rolloutcontrol import (
+    ROLLOUT,
+    EvidenceRecorder,
+    FinalStates,
+    RolloutDriver,
+    RolloutParts,
+    Shares,
+)
 from masticdrum.core.saturation import Saturation
 from masticdrum.core.softwarerecords import SoftwareRecords
 from masticdrum.core.storedprefixes import StoredPrefixes
@@ -48,16 +56,20 @@
 
     ``born`` is the upstream's incarnation, ``software`` the version of its software.
     ``weights`` is the version of its model's weights that the upstream had, zero if it
-    isn't known. ``begun_at`` is when it began a stream as its answer, or None.
+    isn't known. ``begun_at`` is when it began a stream as its answer, or None, and
+    ``has_events`` whether an event of it has come. A ``warming`` upstream was cold or
+    had just registered when the attempt started.
     """
 
     __slots__ = (
         "begun_at",
         "born",
+        "has_events",
         "number",
         "software",
         "started_at",
         "upstream",
+        "warming",
         "weights",
     )
 
@@ -77,6 +89,8 @@
         self.software = software
         self.weights = weights
         self.begun_at: float | None = None
+        self.has_events = False
+        self.warming = False
 
 
 class OriginSearch(Struct):
@@ -105,15 +119,19 @@
     search for where that was, while it lasts. ``software`` is
     the version at which its stream began, None as long as any may take it.
     ``spare_only`` tells that only upstreams with a limit may take it, since the others
-    are saturated.
+    are saturated. ``draw`` is the number, from 0 to 1, that decides whether the next
+    attempt goes to the target of a roll-out, None before it is needed;
+    ``failed_software`` is the version at which the last failed attempt was.
     """
 
     __slots__ = (
         "arrived",
         "attempt",
         "deadline",
+        "draw",
         "events_forwarded",
         "expected_s",
+        "failed_software",
         "handle",
         "keys",
         "last_event",
@@ -164,6 +182,8 @@
         self.resumes = ""
         self.search: OriginSearch | None = None
         self.software: str | None = None
+        self.draw: float | None = None
+        self.failed_software: str | None = None
         self.expected_s = 0.0
         self.last_event: int | None = None
         self.tried: set[str] = set()
@@ -188,7 +208,7 @@
     be told of since, ``awaiting_record`` the exchanges that wait for a read of that
     record. ``stream_durations`` is how long streams take, for a stop. ``clock_offset``
     is what has to be added to its clock for the time
-    of day, in seconds.
+    of day, in seconds. Without ``rollouts`` requests are not split by version.
     """
 
     def __init__(self, name: str, role: str, bounds: ForwardBounds, seed: int) -> None:
@@ -225,6 +245,17 @@
         self.stop: GracefulStop | None = None
         self.stream_durations = StreamDurations()
         self.shutdown_done = False
+        self.rollouts: Shares | None = None
+        self.evidence: EvidenceRecorder | None = None
+        self.rollout_driver: RolloutDriver | None = None
+        self.final_states = FinalStates()
+
+    def use_rollouts(self, parts: RolloutParts) -> None:
+        """Split requests by version, and take part in the decisions."""
+        self.rollouts = parts.shares
+        self.evidence = parts.evidence
+        self.rollout_driver = parts.driver
+        self.timers.set((ROLLOUT, 0), 0.0)
 
     def find_next_timer(self) -> float | None:
         """Return when the next timer is due, in seconds, or None."""
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -18,6 +18,8 @@
 from masticdrum.core.exchangestate import ExchangeState
 from masticdrum.core.gracefulstop import plan_stop
 from masticdrum.core.resumption import review_versions, send_records
+from masticdrum.core.rolloutcontrol import ROLLOUT, RolloutEvent, RolloutInput
+from masticdrum.core.rolloutsplit import EntryView
 from masticdrum.core.softwarereview import (
     handle_record_answer,
     record_cluster_event,
@@ -49,9 +51,11 @@
 )
 from masticdrum.model.origins import OriginReply
 from masticdrum.model.platform import ObjectAnswer
+from masticdrum.model.rollouts import RolloutGrant, RolloutsRead
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
 STOP = "stop"
+ROLLOUT_TICK_S = 0.5
 ForwardEvent = (
     ForwardRequested
     | ForwardDisconnected
@@ -64,6 +68,7 @@
     | PrefixStoreLost
     | OriginReply
     | ObjectAnswer
+    | RolloutInput
     | ClusterEvent
 )
 
@@ -91,6 +96,9 @@
             effects += end_origin_search(state, handle, now)
         if name == WEIGHTS:
             effects += end_late_start(state, handle, now)
+        if name == ROLLOUT:
+            state.timers.set((ROLLOUT, 0), now + ROLLOUT_TICK_S)
+            effects += _handle_rollout_event(state, Ticked(), now)
     return effects
 
 
@@ -121,7 +129,7 @@
         case PrefixesReported() | PrefixStoreLost():
             return _handle_prefix_event(state, event, now)
         case _:
-            return _handle_cluster_event(state, event, now)
+            return _handle_platform_event(state, event, now)
 
 
 def _handle_peer_event(
@@ -138,6 +146,19 @@
     return [*apply_crash_event(state, event, now)]
 
 
+def _handle_rollout_event(
+    state: ExchangeState, event: RolloutEvent, now: float
+) -> list[ExchangeEffect]:
+    """Tell the decisions on roll-outs of an event, if this entry takes part in them."""
+    if state.rollout_driver is None:
+        return []
+    if isinstance(event, RolloutsRead):
+        state.final_states.apply_reads(event.rollouts)
+    if isinstance(event, RolloutGrant):
+        state.final_states.apply_grant(event)
+    return [*state.rollout_driver.handle(event, EntryView(state, now), now)]
+
+
 def _handle_prefix_event(
     state: ExchangeState, event: PrefixesReported | PrefixStoreLost, now: float
 ) -> list[ExchangeEffect]:
@@ -148,6 +169,14 @@
     return []
 
 
+def _handle_platform_event(
+    state: ExchangeState, event: ClusterEvent | RolloutInput, now: float
+) -> list[ExchangeEffect]:
+    if isinstance(event, RolloutInput):
+        return _handle_rollout_event(state, event, now)
+    return _handle_cluster_event(state, event, now)
+
+
 def _handle_cluster_event(
     state: ExchangeState, event: ClusterEvent, now: float
 ) -> list[ExchangeEffect]:
--- a/masticdrum/core/settingscheck.py
+++ b/masticdrum/core/settingscheck.py
@@ -13,6 +13,7 @@
     EngineControllerSettings,
     EntrySettings,
     ForwardSettings,
+    RolloutBounds,
 )
 
 AnySettings = (
@@ -35,6 +36,16 @@
 def find_settings_faults(settings: AnySettings) -> Iterator[Fault]:
     """Yield every fault of a program's settings, with its path."""
     yield from check_values("", settings)
+    if isinstance(settings, ForwardSettings) and settings.rollout is not None:
+        yield from check_rollout(settings, settings.rollout)
+
+
+def check_rollout(settings: ForwardSettings, bounds: RolloutBounds) -> Iterator[Fault]:
+    """Yield the faults of the settings of roll-outs."""
+    if bounds.exposure_share > 1:
+        yield Fault("rollout.exposure_share", f"{bounds.exposure_share} is above 1")
+    if settings.datagrams is None:
+        yield Fault("datagrams", "it is needed by rollout, but missing")
 
 
 def check_values(path: str, values: Struct) -> Iterator[Fault]:
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -11,6 +11,7 @@
 
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
 from masticdrum.model.directory import Directory, Upstream
+from masticdrum.model.rollouts import RolloutLeasesRead, RolloutsRead
 
 
 class Source(StrEnum):
@@ -22,6 +23,8 @@
     WEIGHTS = "weights"
     MEMBERS = "members"
     CRASHES = "crashes"
+    ROLLOUTS = "rollouts"
+    ROLLOUT_LEASES = "rollout_leases"
     ENGINE = "engine"
 
 
@@ -136,4 +139,6 @@
     | CrashReportsListed
     | CrashReportChanged
     | StoreRestored
+    | RolloutsRead
+    | RolloutLeasesRead
 )
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -13,6 +13,7 @@
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.origins import SendToAgents
 from masticdrum.model.platform import ObjectGet, ObjectPut
+from masticdrum.model.rollouts import PutRolloutStatus, SendGrant, SendReport
 from masticdrum.model.telemetry import Count, Log, Observe
 
 
@@ -242,6 +243,9 @@
     | SendToAgents
     | ObjectGet
     | ObjectPut
+    | SendGrant
+    | SendReport
+    | PutRolloutStatus
     | ExitProcess
     | Log
     | Count
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -112,6 +112,19 @@
     resources: ResourceSettings = field(default_factory=ResourceSettings)
 
 
+class RolloutBounds(Struct, frozen=True, forbid_unknown_fields=True):
+    """The settings of roll-outs.
+
+    A bad target gets ``exposure_share`` of its service's requests at most between the
+    order and its deadline, and ``exposure_slack`` more. It gets nothing later than
+    ``rollback_s`` after its fiftieth bad answer.
+    """
+
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_s: float = 5.0
+
+
 class ForwardSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of an entry that forwards requests unchanged.
 
@@ -125,7 +138,8 @@
     and ``cold_slack``. ``grace_s`` bounds a shutdown. An upstream renews its
     registration every ``heartbeat_s``. ``datagrams`` is the ``IP:PORT`` at which the
     entry exchanges datagrams with agents, whose port is the same; without it no other
-    process knows at which version of the upstreams' software a stream began.
+    process knows at which version of the upstreams' software a stream began. Without
+    ``rollout`` no orders to move traffic between versions are read.
     """
 
     name: str
@@ -145,6 +159,7 @@
     grace_s: float = 8.0
     heartbeat_s: float = 1.2
     datagrams: str | None = None
+    rollout: RolloutBounds | None = None
     resources: ResourceSettings = field(default_factory=ResourceSettings)
 
 
--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -93,6 +93,7 @@
     ATTEMPTS = "attempts"
     ORDERS = "orders"
     CONNECTIONS = "connections"
+    ROLLOUT_REQUESTS = "rollout_requests"
 
 
 class Histogram(StrEnum):
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -22,6 +22,7 @@
 from masticdrum.platform.crashreports import CrashReportWriter
 from masticdrum.platform.headers import PlatformHeaderCodec
 from masticdrum.platform.members import announce
+from masticdrum.platform.rollouts import list_rollout_tasks
 from masticdrum.platform.settings import platform_settings
 from masticdrum.platform.store import Store
 from masticdrum.platform.watchers import (
@@ -66,6 +67,8 @@
     ]
     for watched in WATCHED:
         runs.append(KindWatcher(watched, store, ports.submit, Random()).run)
+    if ports.rollout_calls is not None:
+        runs += list_rollout_tasks(store, ports.rollout_calls, ports.submit)
     reports = ports.crash_reports
     runs.append(CrashReportWriter(store, settings.name, reports, Random()).run)
     return [*runs, CacheEventPoller(ports.submit, ports.choose_polls, count_call).run]
--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -3,9 +3,11 @@
 An object that can't be decoded raises ``Undecodable``; nothing of it is used.
 """
 
+from math import isfinite
 from typing import Annotated
 
 from msgspec import UNSET, Meta, Struct, UnsetType, field
+from xxhash import xxh3_64_intdigest
 
 from masticdrum.core.addresses import is_ipv4_socket_address
 from masticdrum.core.decoding import Undecodable, read_json
@@ -23,6 +25,7 @@
     StoreShape,
     Upstream,
 )
+from masticdrum.model.rollouts import RolloutLease, RolloutOrder, RolloutState
 
 MS_PER_S = 1000
 MAX_QUOTED = 60  # characters of an odd value in a log line
@@ -127,6 +130,17 @@
     models: list[WireWeights] = field(default_factory=list)
 
 
+class WireRollout(Struct):
+    service: str
+    target: str
+    durationS: Real  # noqa: N815
+
+
+class WireRolloutStatus(Struct):
+    state: RolloutState
+    target: str
+
+
 class WireNamedWeights(Struct):
     model: str
     version: Count
@@ -241,3 +255,36 @@
 def read_crash_report(spec: bytes) -> CrashReport:
     """Decode the crash report of one of our own entries."""
     return read_json(spec, CrashReport)
+
+
+def read_rollout_order(name: str, spec: bytes, created: bytes) -> RolloutOrder:
+    """Decode an order to move a service's traffic; ``name`` is its object's."""
+    wire = read_json(spec, WireRollout)
+    if wire.service != name:
+        raise Undecodable(f"the service is {wire.service[:MAX_QUOTED]!r}")
+    if not wire.target:
+        raise Undecodable("the target is empty")
+    if not isfinite(wire.durationS) or wire.durationS <= 0:
+        raise Undecodable(f"the duration is {wire.durationS} s")
+    return RolloutOrder(name, wire.target, wire.durationS, read_mark(created))
+
+
+def read_rollout_state(status: bytes, target: str) -> RolloutState | None:
+    """Decode the state of an order, None if it has no status for its target."""
+    if status == b"null":
+        return None
+    wire = read_json(status, WireRolloutStatus)
+    return wire.state if wire.target == target else None
+
+
+def read_rollout_lease(spec: bytes) -> RolloutLease:
+    """Decode the lease of the entry that decides an order."""
+    return read_json(spec, RolloutLease)
+
+
+def read_mark(created: bytes) -> int:
+    """Return a number that is the same for the same mark of an object's creation."""
+    try:
+        return read_json(created, Count)
+    except Undecodable:
+        return xxh3_64_intdigest(created) % MAX_NUMBER
--- a/masticdrum/platform/pages.py
+++ b/masticdrum/platform/pages.py
@@ -14,13 +14,15 @@
 MAX_REVISION = 2**63 - 1
 Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
 NO_SPEC = Raw(b"")  # decodes as nothing
+NO_MARK = Raw(b"0")
 
 
 class Metadata(Struct):
-    """The store's own data about an object."""
+    """The store's own data about an object; ``created`` may have any type."""
 
     name: str
     revision: Revision = 0
+    created: Raw = NO_MARK
     deleting: bool = False
 
 
--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -18,6 +18,7 @@
     ObjectPut,
     ObjectStatus,
 )
+from masticdrum.model.rollouts import PutRolloutStatus, RolloutStatusAnswered
 from masticdrum.platform.pages import (
     Changes,
     Page,
@@ -32,6 +33,7 @@
 CALL_TIMEOUT_S = 1.5  # an answer takes some 4 ms, from a slow store 60 times as long
 MAX_CONNECTIONS = 12  # one for each watch, and some for writes
 KIND_PREFIX = "masticdrum-"  # our own kinds, separate from the platform's
+ROLLOUT_KIND = "rollouts"  # orders of operators
 MS_PER_S = 1000
 HISTORY_GONE_STATUS = 410
 ERA_HEADER = b"store-era"
@@ -159,6 +161,21 @@
             era=self.era,
         )
 
+    async def put_rollout_status(self, put: PutRolloutStatus) -> RolloutStatusAnswered:
+        """Write an order's status if its object has not changed."""
+        metadata = {"name": put.service, "revision": put.revision}
+        status = {"state": put.state, "target": put.target}
+        body = msgspec.json.encode({"metadata": metadata, "status": status})
+        path = f"{ROLLOUT_KIND}/{quote(put.service, safe='')}/status"
+        try:
+            code, _ = await self._call("PUT", path, body=body)
+        except StoreFailed:
+            return RolloutStatusAnswered(put.service, ObjectStatus.LOST)
+        how = STATUSES.get(code, ObjectStatus.LOST)
+        if how is ObjectStatus.MISSING:
+            how = ObjectStatus.CONFLICT  # the order was deleted
+        return RolloutStatusAnswered(put.service, how)
+
     async def delete(self, kind: str, name: str, revision: int) -> None:
         """Delete one of our own objects if it has not changed."""
         query = {"revision": str(revision)}
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -28,12 +28,22 @@
     CrashReportsListed,
 )
 from masticdrum.model.directory import Upstream
+from masticdrum.model.rollouts import (
+    RolloutLease,
+    RolloutLeasesRead,
+    RolloutRead,
+    RolloutsRead,
+    RolloutState,
+)
 from masticdrum.model.telemetry import Log, LogNumber
 from masticdrum.platform.objects import (
     read_crash_report,
     read_directory,
     read_member,
     read_named_weights,
+    read_rollout_lease,
+    read_rollout_order,
+    read_rollout_state,
     read_upstream,
 )
 from masticdrum.platform.pages import StoredObject, read_object
@@ -78,6 +88,12 @@
 UPSTREAMS = WatchedKind(Source.UPSTREAMS, "servers", 5.0, gap_s=0.2)
 # An agent only orders its own engine, and an order to one that is gone is refused.
 AGENT_UPSTREAMS = WatchedKind(Source.UPSTREAMS, "servers", 5.0, gap_s=0.5, stale=True)
+# While an order runs its watch is short, so that no entry's view is old.
+ROLLOUTS = WatchedKind(Source.ROLLOUTS, "rollouts", 8.0)
+RUNNING_ROLLOUT_WAIT_S = 1.0
+ROLLOUT_LEASES = WatchedKind(
+    Source.ROLLOUT_LEASES, f"{KIND_PREFIX}rollouts", RUNNING_ROLLOUT_WAIT_S
+)
 DATA_CENTRES = WatchedKind(Source.DATA_CENTRES, "evacuations", 8.0)
 WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 8.0)
 # Processes that start together all announce themselves within a second.
@@ -93,6 +109,7 @@
         self, watched: WatchedKind, store: Store, submit: Submit, random: Random
     ) -> None:
         self._watched = watched
+        self._wait_s = watched.wait_s
         self._store = store
         self._submit = submit
         self._random = random
@@ -175,7 +192,7 @@
         requested_at = read_clock()
         self._check_era()
         self._watched_at, self._failed_at = requested_at, float("inf")
-        wait_s = min(self._watched.wait_s, self._list_again_at - requested_at)
+        wait_s = min(self._wait_s, self._list_again_at - requested_at)
         changes = await self._store.watch(
             self._watched.kind, self._since, wait_s, stale=self._watched.stale
         )
@@ -184,7 +201,7 @@
         self._record_read()
         if not changes.events:
             self._record_request(requested_at)
-            self._confirm_directory(requested_at, wait_s)
+            self._confirm(requested_at, wait_s)
             return
         self._removed.clear()
         for change in changes.events:
@@ -199,14 +216,17 @@
         if requested_at >= self._rewritten_at:
             self._known_at = requested_at
 
-    def _confirm_directory(self, requested_at: float, wait_s: float) -> None:
-        """Report that the configuration has not changed, if the store holds one."""
-        if self._watched.source is not Source.DIRECTORY:
-            return
-        if DIRECTORY_NAME not in self._objects:
-            return
+    def _confirm(self, requested_at: float, wait_s: float) -> None:
+        """Report until when nothing has changed, where that matters."""
         waited_s = min(wait_s, read_clock() - requested_at) - CONFIRM_MARGIN_S
-        self._submit(DirectoryConfirmed(requested_at + max(0.0, waited_s)))
+        confirmed_at = requested_at + max(0.0, waited_s)
+        match self._watched.source:
+            case Source.DIRECTORY if DIRECTORY_NAME in self._objects:
+                self._submit(DirectoryConfirmed(confirmed_at))
+            case Source.ROLLOUTS | Source.ROLLOUT_LEASES:
+                self._report_changes(confirmed_at)
+            case _:
+                pass
 
     def _check_era(self) -> None:
         """Raise ``HistoryGone`` if a restore demands another list.
@@ -299,6 +319,10 @@
                 self._submit(DataCentresDrained(frozenset(names), removed))
             case Source.MEMBERS:
                 self._report_members()
+            case Source.ROLLOUTS:
+                self._report_rollouts(requested_at)
+            case Source.ROLLOUT_LEASES:
+                self._report_leases(requested_at)
             case _:
                 pass
 
@@ -330,6 +354,41 @@
                 self._log_unreadable(name, error)
         self._submit(MembersListed(tuple(members)))
 
+    def _report_rollouts(self, requested_at: float) -> None:
+        reads = [self._read_rollout(stored) for stored in self._objects.values()]
+        rollouts = tuple(read for read in reads if read is not None)
+        is_running = any(r.state is None or not r.state.is_final for r in rollouts)
+        self._wait_s = RUNNING_ROLLOUT_WAIT_S if is_running else self._watched.wait_s
+        self._submit(RolloutsRead(rollouts, requested_at))
+
+    def _read_rollout(self, stored: StoredObject) -> RolloutRead | None:
+        metadata = stored.metadata
+        if metadata.deleting:
+            return None
+        try:
+            created = bytes(metadata.created)
+            order = read_rollout_order(metadata.name, stored.spec, created)
+        except Undecodable as error:
+            self._log_unreadable(metadata.name, error)
+            return None
+        state: RolloutState | None = None
+        try:
+            state = read_rollout_state(bytes(stored.status), order.target)
+        except Undecodable as error:
+            self._log_unreadable(metadata.name, error)
+        return RolloutRead(order, state, metadata.revision)
+
+    def _report_leases(self, requested_at: float) -> None:
+        leases: list[tuple[RolloutLease, int]] = []
+        for name, stored in self._objects.items():
+            try:
+                lease = read_rollout_lease(stored.spec)
+            except Undecodable as error:
+                self._log_unreadable(name, error)
+                continue
+            leases.append((lease, stored.metadata.revision))
+        self._submit(RolloutLeasesRead(tuple(leases), requested_at))
+
     def _record_read(self) -> None:
         self._pause_s = MIN_PAUSE_S
         self._reachability.record_success()
--- a/masticdrum/programs/enginecontroller.py
+++ b/masticdrum/programs/enginecontroller.py
@@ -22,7 +22,7 @@
     WithdrawOrder,
 )
 from masticdrum.model.exchange import ExitProcess, StopRequested, Ticked
-from masticdrum.model.origins import OriginReply, SendOriginReply
+from masticdrum.model.origins import OriginQueried, OriginRecord, SendOriginReply
 from masticdrum.model.platform import (
     ObjectAnswer,
     ObjectGet,
@@ -181,8 +181,8 @@
                 self.ended.set()
 
     def submit_datagram(self, event: DatagramEvent) -> None:
-        """Submit an entry's message; agents take no replies."""
-        if not isinstance(event, OriginReply):
+        """Submit an entry's message about a stream; agents take nothing else."""
+        if isinstance(event, OriginRecord | OriginQueried):
             self.loop.submit(event)
 
     async def _execute_call(self, call: ObjectGet | ObjectPut) -> None:
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -17,6 +17,8 @@
 from masticdrum.core.exchangestate import ExchangeState, ForwardBounds
 from masticdrum.core.forwarder import ForwardEvent, reduce_forwarder
 from masticdrum.core.retrywindow import RetryBounds
+from masticdrum.core.rolloutcontrol import RolloutObjectAnswered, RolloutParts
+from masticdrum.core.rolloutsplit import describe_shares
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.core.storepolls import StorePolls
 from masticdrum.model.cluster_events import ClusterEvent
@@ -39,6 +41,14 @@
 from masticdrum.model.origins import OriginReply, SendToAgents
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
 from masticdrum.model.resources import ProcessLimits
+from masticdrum.model.rollouts import (
+    PutRolloutStatus,
+    RolloutGrant,
+    RolloutReported,
+    RolloutStatusAnswered,
+    SendGrant,
+    SendReport,
+)
 from masticdrum.model.settings import ForwardSettings
 from masticdrum.model.telemetry import Count, Log, LogNumber, Observe
 from masticdrum.shell.callerserver import CallerServer
@@ -66,8 +76,19 @@
 # without one, and time for the news.
 UNREGISTER_HEARTBEATS = 5
 Submit = Callable[
-    [ClusterEvent | PrefixesReported | PrefixStoreLost | ObjectAnswer], None
+    [
+        ClusterEvent
+        | PrefixesReported
+        | PrefixStoreLost
+        | ObjectAnswer
+        | RolloutObjectAnswered
+        | RolloutStatusAnswered
+    ],
+    None,
 ]
+RolloutCall = ObjectGet | ObjectPut | PutRolloutStatus
+ROLLOUT_PATH = "rollouts/"  # of the system's own objects
+MAX_ROLLOUT_CALLS = 64  # that wait; each is made again if it is still needed
 ChoosePolls = Callable[[], list[StorePolls]]
 
 
@@ -76,6 +97,7 @@
 
     ``store_calls`` are calls on the system's own objects, whose answers are submitted;
     ``read_version`` returns the version of the configuration in force.
+    ``rollout_calls`` are those on orders and their leases, None without roll-outs.
     """
 
     submit: Submit
@@ -84,6 +106,7 @@
     crash_reports: Latest[CrashReport]
     store_calls: Latest[ObjectGet | ObjectPut]
     read_version: Callable[[], int]
+    rollout_calls: trio.MemoryReceiveChannel[RolloutCall] | None = None
 
 
 MakePlatformTasks = Callable[[PlatformPorts], list[Callable[[], Awaitable[None]]]]
@@ -141,6 +164,14 @@
         )
         self.state.has_agents = self.datagrams is not None
         self.state.clock_offset = time.time() - read_clock()
+        self.rollout_sender: trio.MemorySendChannel[RolloutCall] | None = None
+        self.rollout_calls: trio.MemoryReceiveChannel[RolloutCall] | None = None
+        rollouts = make_rollouts(settings)
+        if rollouts is not None:
+            self.state.use_rollouts(rollouts)
+            self.rollout_sender, self.rollout_calls = trio.open_memory_channel[
+                RolloutCall
+            ](MAX_ROLLOUT_CALLS)
         self._was_ready = False
         self._last_tick_at = read_clock()
         self._stalled_until = 0.0
@@ -196,9 +227,14 @@
 
     def _carry_out(self, effect: ExchangeEffect) -> None:
         match effect:
-            case ForwardEvents() | ForwardAnswer() | BeginStream() | EndStream():
-                self.forwarding.deliver(effect)
-            case AbortStream() | Refuse():
+            case (
+                ForwardEvents()
+                | ForwardAnswer()
+                | BeginStream()
+                | EndStream()
+                | AbortStream()
+                | Refuse()
+            ):
                 self.forwarding.deliver(effect)
             case StartAttempt():
                 self.forwarding.start_attempt(effect)
@@ -208,8 +244,10 @@
                 carry_out_telemetry(self.meters, effect)
             case PublishCrashReport():
                 self.crash_report.set(effect.report)
-            case ObjectGet() | ObjectPut():
-                self.store_call.set(effect)
+            case ObjectGet() | ObjectPut() | PutRolloutStatus():
+                self._call_store(effect)
+            case SendReport() | SendGrant():
+                self._send_rollout_message(effect)
             case SendToAgents():
                 self._send_to_agents(effect)
             case ExitProcess():
@@ -219,9 +257,31 @@
         if self.datagrams is not None:
             self.datagrams.send_to_hosts(effect.addresses, effect.message)
 
-    def submit_reply(self, event: DatagramEvent) -> None:
-        """Submit an agent's reply; entries take nothing else."""
-        if isinstance(event, OriginReply):
+    def _send_rollout_message(self, effect: SendReport | SendGrant) -> None:
+        if self.datagrams is None:
+            return
+        if isinstance(effect, SendReport):
+            self.datagrams.send_to_address(effect.address, effect.report)
+        else:
+            self.datagrams.send(effect.peer, effect.grant)
+
+    def _call_store(self, call: RolloutCall) -> None:
+        if isinstance(call, ObjectGet | ObjectPut) and not call.path.startswith(
+            ROLLOUT_PATH
+        ):
+            self.store_call.set(call)
+            return
+        if self.rollout_sender is None:
+            return
+        try:
+            self.rollout_sender.send_nowait(call)
+        except trio.WouldBlock:
+            log = Log(LogNumber.FRAME_DROPPED, detail="too many calls on roll-outs")
+            write_event(log)
+
+    def submit_datagram(self, event: DatagramEvent) -> None:
+        """Submit an agent's reply, or another entry's message about a roll-out."""
+        if isinstance(event, OriginReply | RolloutReported | RolloutGrant):
             self.loop.submit(event)
 
     def _is_ready(self) -> bool:
@@ -251,11 +311,17 @@
             "upstreams": len(cluster_state.known),
             "fellows": self.state.count_peer_entries(),
             "open": len(self.state.exchanges),
+            "rollouts": describe_shares(self.state, read_clock()),
             "connections": self.server.limits.connection_count,
             "held_bytes": self.server.limits.held_bytes,
         }
 
 
+def make_rollouts(settings: ForwardSettings) -> RolloutParts | None:
+    """Make the parts of roll-outs, None where the settings name none."""
+    return None
+
+
 def make_bounds(settings: ForwardSettings) -> ForwardBounds:
     """Convert settings to the reducer's bounds."""
     unregister_s = UNREGISTER_HEARTBEATS * settings.heartbeat_s
@@ -294,7 +360,7 @@
         nursery.start_soon(run_supervised, "timers", process.loop.run_timers)
         nursery.start_soon(run_supervised, "tick", process.tick)
         if process.datagrams is not None:
-            receive = partial(process.datagrams.receive, process.submit_reply)
+            receive = partial(process.datagrams.receive, process.submit_datagram)
             nursery.start_soon(run_supervised, "datagrams", receive)
         ports = PlatformPorts(
             process.loop.submit,
@@ -303,6 +369,7 @@
             process.crash_report,
             process.store_call,
             lambda: process.state.cluster_state.version,
+            process.rollout_calls,
         )
         for run in make_platform_tasks(ports):
             nursery.start_soon(run_supervised, "platform", run)
--- a/masticdrum/rollouts/interfaces.py
+++ b/masticdrum/rollouts/interfaces.py
@@ -7,22 +7,10 @@
 
 from msgspec import Struct, field
 
+from masticdrum.model.settings import RolloutBounds as RolloutBounds
 from masticdrum.model.telemetry import Facts
 
 
-class RolloutBounds(Struct, frozen=True, forbid_unknown_fields=True):
-    """The settings of roll-outs.
-
-    A bad target gets ``exposure_share`` of its service's requests at most between the
-    order and its deadline, and ``exposure_slack`` more. It gets nothing later than
-    ``rollback_s`` after its fiftieth bad answer.
-    """
-
-    exposure_share: float = 0.1
-    exposure_slack: float = 50.0
-    rollback_s: float = 5.0
-
-
 class SideEvidence(Struct):
     """The answers of one side on one route, summed over all entries.
 
--- a/masticdrum/shell/datagrams.py
+++ b/masticdrum/shell/datagrams.py
@@ -14,13 +14,22 @@
     OriginRecord,
     OriginReply,
 )
+from masticdrum.model.rollouts import (
+    RolloutGrant,
+    RolloutMessage,
+    RolloutReport,
+    RolloutReported,
+)
 from masticdrum.model.telemetry import Count, Counter
 from masticdrum.shell.metrics import Metrics
 
-MAX_DATAGRAM_BYTES = 4096
+MAX_DATAGRAM_BYTES = 16_384  # a report on some hundred routes
 BATCH_SIZE = 64  # datagrams that are read before other tasks run
 Address = tuple[str, int]
-DatagramEvent = OriginRecord | OriginReply | OriginQueried
+Message = OriginMessage | RolloutMessage
+DatagramEvent = (
+    OriginRecord | OriginReply | OriginQueried | RolloutReported | RolloutGrant
+)
 
 
 class DatagramSocket:
@@ -33,14 +42,22 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind((host, self._port))
-        self._decoder = msgspec.msgpack.Decoder(OriginMessage)
+        self._decoder = msgspec.msgpack.Decoder(Message)
 
     def send_to_hosts(self, addresses: tuple[str, ...], message: OriginMessage) -> None:
         """Send a message to the processes beside upstreams, on the own port."""
         for address in addresses:
             self.send((address.rpartition(":")[0], self._port), message)
 
-    def send(self, peer: Address, message: OriginMessage) -> None:
+    def send_to_address(self, address: str, message: Message) -> None:
+        """Send a message to ``IP:PORT``."""
+        host, _, port = address.rpartition(":")
+        if not port.isdigit():
+            self._metrics.count(Count(Counter.FRAMES_DROPPED, "not sent"))
+            return
+        self.send((host, int(port)), message)
+
+    def send(self, peer: Address, message: Message) -> None:
         """Send a message; one that can't be sent now is dropped and counted."""
         data = msgspec.msgpack.encode(message)
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -48,7 +65,7 @@
             return
         try:
             self._socket.sendto(data, peer)
-        except OSError:
+        except (OSError, OverflowError):
             self._metrics.count(Count(Counter.FRAMES_DROPPED, "not sent"))
 
     async def receive(self, submit: Callable[[DatagramEvent], None]) -> None:
@@ -72,4 +89,6 @@
             return None
         if isinstance(message, OriginQuery):
             return OriginQueried(peer, message)
+        if isinstance(message, RolloutReport):
+            return RolloutReported(peer, message)
         return message
