Test the split of requests and the reading of orders

Cause: the split, the evidence and the platform's side of roll-outs had no tests. The first of them found that an order whose status isn't valid JSON lost the status without a log line: objects that have to be split kept their metadata and spec only.

Change: tests of the split, of what counts as evidence, of odd orders, of leases, of when watches are short and of the conditional write; a split object keeps its status, so that an odd one is logged.

--- a/masticdrum/platform/pages.py
+++ b/masticdrum/platform/pages.py
@@ -105,14 +105,18 @@
 def read_own_object(body: bytes) -> StoredObject:
     """Decode an object whose revision counts; raises ``Undecodable``.
 
-    Its ``spec`` may be one that can't be decoded.
+    Its ``spec`` and ``status`` may be ones that can't be decoded.
     """
     try:
         return read_json(body, StoredObject)
     except Undecodable:
         parts = split_members(body)
         metadata = read_json(parts.get("metadata", b""), Metadata)
-        return StoredObject(metadata, Raw(parts.get("spec", b"null")))
+        return StoredObject(
+            metadata,
+            Raw(parts.get("spec", b"null")),
+            Raw(parts.get("status", b"null")),
+        )
 
 
 def read_object(item: Raw) -> StoredObject:
--- a/tests/standins/metadata.py
+++ b/tests/standins/metadata.py
@@ -85,16 +85,17 @@
 
     async def _execute(self, request: Request) -> Reply:
         parts = request.path.strip("/").split("/")
-        if parts[:2] != ["v1", "objects"] or not 3 <= len(parts) <= 4:
+        is_status = len(parts) == 5 and parts[4] == "status"
+        if parts[:2] != ["v1", "objects"] or not (3 <= len(parts) <= 4 or is_status):
             return make_json_reply({"error": "no such call"}, 404)
         kind = parts[2]
-        name = parts[3] if len(parts) == 4 else ""
+        name = parts[3] if len(parts) > 3 else ""
         if request.method == "GET" and not name:
             return await self._read_kind(kind, request.query)
         if request.method == "GET":
             found = self.objects.get(kind, {}).get(name)
             return make_json_reply(found) if found else make_json_reply({}, 404)
-        reply = self._write(request, kind, name)
+        reply = self._write(request, kind, name, is_status)
         if self.faults.lost_writes:
             self.faults.lost_writes -= 1
             raise AbortConnection
@@ -129,7 +130,7 @@
             if stored_kind == kind and revision > since
         ]
 
-    def _write(self, request: Request, kind: str, name: str) -> Reply:
+    def _write(self, request: Request, kind: str, name: str, is_status: bool) -> Reply:
         if request.method == "DELETE":
             return self._delete(kind, name)
         body = msgspec.json.decode(request.body)
@@ -145,12 +146,25 @@
             current["metadata"]["revision"],
         ):
             return make_json_reply(current, 409)
-        return make_json_reply(self._store(kind, name, body.get("spec")))
+        part = "status" if is_status else "spec"
+        return make_json_reply(self._store(kind, name, part, body.get(part)))
 
-    def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+    def _store(self, kind: str, name: str, part: str, value: Any) -> dict[str, Any]:
+        current = self.objects[kind].get(name)
+        if current is not None and current[part] == value:
+            return current
         self.revision += 1
-        metadata = {"name": name, "revision": self.revision, "deleting": False}
-        stored = {"metadata": metadata, "spec": spec, "status": None}
+        stored = (
+            deepcopy(current)
+            if current is not None
+            else {
+                "metadata": {"name": name, "created": self.revision, "deleting": False},
+                "spec": None,
+                "status": None,
+            }
+        )
+        stored["metadata"]["revision"] = self.revision
+        stored[part] = value
         self.objects[kind][name] = stored
         self._record_event(kind, stored, False)
         return stored
