Prepare tests of roll-outs with real entries

Cause: only single parts of roll-outs are tested so far, and a report to an address that is a name would have waited for a look-up.

Reports go to IPv4 addresses only. Tests of the datagrams and of the settings' bounds.

--- a/masticdrum/shell/datagrams.py
+++ b/masticdrum/shell/datagrams.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from masticdrum.core.addresses import is_ipv4_socket_address
 from masticdrum.core.decoding import Undecodable, read_msgpack
 from masticdrum.model.origins import (
     OriginMessage,
@@ -52,7 +53,7 @@
     def send_to_address(self, address: str, message: Message) -> None:
         """Send a message to ``IP:PORT``."""
         host, _, port = address.rpartition(":")
-        if not port.isdigit():
+        if not is_ipv4_socket_address(address):
             self._metrics.count(Count(Counter.FRAMES_DROPPED, "not sent"))
             return
         self.send((host, int(port)), message)
@@ -65,7 +66,7 @@
             return
         try:
             self._socket.sendto(data, peer)
-        except (OSError, OverflowError):
+        except OSError:
             self._metrics.count(Count(Counter.FRAMES_DROPPED, "not sent"))
 
     async def receive(self, submit: Callable[[DatagramEvent], None]) -> None:
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -53,12 +53,12 @@
 class Fleet:
     """Two servers of each service, a store, one entry and one agent."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, more: tuple[str, ...] = ()) -> None:
         self.folder = folder
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         names = ("store", "desk-1", "desk-2", "engine-1", "engine-2")
         names += ("entry", "entry probes", "entry metrics", "agent metrics")
-        names += ("datagrams",)
+        names += ("datagrams", *more)
         self.ports = assign_free_ports(names)
 
     def name_url(self, name: str) -> str:
@@ -98,6 +98,14 @@
             answer = request("POST", url, body=body)
         assert answer.status == 200, answer.content
 
+    def read(self, kind: str, name: str) -> dict[str, Any] | None:
+        url = f"{self.name_url('store')}/v1/objects/{kind}/{name}"
+        answer = request("GET", url)
+        if answer.status == 404:
+            return None
+        stored: dict[str, Any] = json.loads(answer.content)
+        return stored
+
     def delete(self, kind: str, name: str) -> None:
         url = f"{self.name_url('store')}/v1/objects/{kind}/{name}"
         assert request("DELETE", url).status == 200
@@ -113,15 +121,15 @@
         path.write_text(json.dumps(settings | more))
         return path
 
-    def start_entry(self, **more: Any) -> None:
+    def start_entry(self, name: str = "entry", **more: Any) -> None:
         settings = self.write_settings(
-            "entry",
-            http=f"127.0.0.1:{self.ports['entry']}",
-            probes=f"127.0.0.1:{self.ports['entry probes']}",
+            name,
+            http=f"127.0.0.1:{self.ports[name]}",
+            probes=f"127.0.0.1:{self.ports[f'{name} probes']}",
             **more,
         )
-        self.run("entry", "masticdrum.platform.entry", settings=settings)
-        self.wait_for("entry probes", "/readyz")
+        self.run(name, "masticdrum.platform.entry", settings=settings)
+        self.wait_for(f"{name} probes", "/readyz")
 
     def start_agent(self, **more: Any) -> None:
         upstream = f"127.0.0.1:{self.ports['engine-1']}"
@@ -169,7 +177,13 @@
         return shown
 
     def ask(
-        self, path: str, name: str, key: str = KEY, body: bytes = b"", **headers: str
+        self,
+        path: str,
+        name: str,
+        key: str = KEY,
+        body: bytes = b"",
+        entry: str = "entry",
+        **headers: str,
     ) -> httpcore.Response:
         sent = {
             "Host": HOST,
@@ -178,7 +192,7 @@
             "X-Deadline-Ms": "4000",
             **headers,
         }
-        return request("POST", self.name_url("entry") + path, sent, body)
+        return request("POST", self.name_url(entry) + path, sent, body)
 
     def count_runs(self, name: str) -> int:
         servers = ("desk-1", "desk-2", "engine-1", "engine-2")
--- a/tests/shell/test_datagrams.py
+++ b/tests/shell/test_datagrams.py
@@ -19,10 +19,20 @@
     OriginRecord,
     OriginReply,
 )
+from masticdrum.model.rollouts import (
+    LATENCY_BUCKETS,
+    UPSTREAM_GROUPS,
+    RolloutGrant,
+    RolloutMessage,
+    RolloutReport,
+    RolloutReported,
+    Tally,
+)
 from masticdrum.shell.datagrams import (
     MAX_DATAGRAM_BYTES,
     DatagramEvent,
     DatagramSocket,
+    Message,
 )
 from masticdrum.shell.metrics import Metrics
 from tests.processes.deployment import assign_free_ports
@@ -60,7 +70,7 @@
 OlderMessage = OlderRecord | OlderQuery | OlderReply
 
 
-def exchange(messages: list[OriginMessage | bytes]) -> list[DatagramEvent]:
+def exchange(messages: list[Message | bytes]) -> list[DatagramEvent]:
     """Send messages and raw datagrams, then a record; return what arrived before it."""
     port = assign_free_ports(("datagrams",))["datagrams"]
     heard: list[DatagramEvent] = []
@@ -72,6 +82,8 @@
         for message in messages:
             if isinstance(message, bytes):
                 raw.sendto(message, ("127.0.0.1", port))
+            elif isinstance(message, RolloutMessage):
+                sender.send_to_address(f"127.0.0.1:{port}", message)
             else:
                 sender.send_to_hosts(("127.0.0.1:80",), message)
         sender.send_to_hosts(("127.0.0.1:80",), RECORD)
@@ -99,6 +111,40 @@
     assert replied == reply
 
 
+def make_report(routes: int) -> RolloutReport:
+    counts, latencies = (10**6,) * UPSTREAM_GROUPS, (10**6,) * LATENCY_BUCKETS
+    tallies = tuple(
+        Tally(f"route-{n}", is_target, counts, counts, latencies)
+        for n in range(routes)
+        for is_target in (False, True)
+    )
+    return RolloutReport("s", "v2", 7, "e", "i", 1.5, 3, 12, "", tallies)
+
+
+# A report on 30 routes still is one datagram.
+@pytest.mark.parametrize("routes", [0, 1, 30])
+def test_reports_name_their_sender_and_grants_arrive(routes: int) -> None:
+    report = make_report(routes)
+    grant = RolloutGrant("s", "v2", 7, 2, 3, 0.25, 1.5, 1.2, "", ("i-1",))
+    reported, granted = exchange([report, grant])
+    assert isinstance(reported, RolloutReported)
+    assert reported.peer[0] == "127.0.0.2" and reported.report == report
+    assert granted == grant
+
+
+@pytest.mark.parametrize(
+    "address", ["", "nowhere", "127.0.0.1:", "127.0.0.1:99999999999", "localhost:80", "1.2.3:80"]
+)
+def test_a_report_to_no_address_is_dropped(address: str) -> None:
+    async def run() -> None:
+        port = assign_free_ports(("datagrams",))["datagrams"]
+        DatagramSocket(f"127.0.0.1:{port}", Metrics()).send_to_address(
+            address, make_report(1)
+        )
+
+    trio.run(run)
+
+
 def test_datagrams_that_are_no_message_are_dropped() -> None:
     cut_off = msgspec.msgpack.encode(OriginRecord("r2", "v2"))[:-1]
     other_tag = msgspec.msgpack.encode({"type": "else", "request": "r2"})
@@ -126,9 +172,9 @@
 @given(st.binary(max_size=60) | st.binary(max_size=40).map(b"\x93\xa6record".__add__))
 @settings(derandomize=True, max_examples=2000)
 def test_any_bytes_are_a_message_or_undecodable(data: bytes) -> None:
-    decoder = msgspec.msgpack.Decoder(OriginMessage)
+    decoder = msgspec.msgpack.Decoder(Message)
     with suppress(Undecodable):
-        assert isinstance(read_msgpack(data, decoder), OriginMessage)
+        assert isinstance(read_msgpack(data, decoder), Message)
 
 
 def test_messages_that_are_too_long_are_not_sent() -> None:
--- a/tests/shell/test_settings.py
+++ b/tests/shell/test_settings.py
@@ -12,6 +12,7 @@
     EngineControllerSettings,
     EntrySettings,
     ForwardSettings,
+    RolloutBounds,
 )
 from masticdrum.shell.settings import load_credentials, load_settings
 
@@ -91,3 +92,28 @@
         failure = load_credentials(write(tmp_path / "bad.json", value)).failure()
         assert "s3cret" not in failure
         assert digest not in failure
+
+
+ROLLOUT_FAULTS = [
+    ({"exposure_share": 0}, "rollout.exposure_share: 0.0 is not above 0"),
+    ({"exposure_share": 1.5}, "rollout.exposure_share: 1.5 is above 1"),
+    ({"rollback_s": -1}, "rollout.rollback_s: -1.0 is not above 0"),
+    ({"share": 0.1}, "rollout: Object contains unknown field `share`"),
+]
+
+
+@pytest.mark.parametrize(("rollout", "text"), ROLLOUT_FAULTS)
+def test_bounds_of_roll_outs_are_checked(
+    tmp_path: Path, rollout: dict[str, float], text: str
+) -> None:
+    texts = ("name", "data_centre", "http", "probes", "metrics", "store", "datagrams")
+    values = dict.fromkeys(texts, "127.0.0.1:1") | {"rollout": rollout}
+    path = write(tmp_path / "some.json", values)
+    assert load_settings(path, ForwardSettings).failure() == f"{path}: {text}"
+    path = write(tmp_path / "some.json", values | {"rollout": {}})
+    assert load_settings(path, ForwardSettings).unwrap().rollout == RolloutBounds()
+    del values["datagrams"]
+    path = write(tmp_path / "some.json", values | {"rollout": {}})
+    assert "datagrams: it is needed by rollout" in str(
+        load_settings(path, ForwardSettings).failure()
+    )
--- a/tests/standins/signedserver.py
+++ b/tests/standins/signedserver.py
@@ -26,6 +26,9 @@
     the connection. A stream has ``events`` events and, unless ``break_after`` is zero,
     breaks after that many. ``work_s`` is how long a run takes, or the pause before
     each event. ``stamped`` events state when they were made, by the monotonic clock.
+    A bad version answers every ``fail_every``-th run with a signed 500 and takes
+    ``extra_s`` longer for every ``slow_every``-th; only on paths that begin with
+    ``bad_path``, and only with more than ``bad_above`` runs at once.
     """
 
     id: str = "i-1"
@@ -36,6 +39,11 @@
     work_s: float = 0.0
     version: int = 1
     stamped: bool = False
+    fail_every: int = 0
+    slow_every: int = 0
+    extra_s: float = 0.0
+    bad_path: str = ""
+    bad_above: int = 0
 
 
 class SignedServer(StandIn):
@@ -46,12 +54,16 @@
         self.runs: Counter[str] = Counter()
         self.seen: list[dict[str, str]] = []
         self.orders: list[dict[str, Any]] = []
+        self.running = 0
+        self.suspects = 0  # runs that might be bad ones
+        self.bad = 0
 
     def show(self) -> dict[str, Any]:
         return super().show() | {
             "runs": self.runs,
             "seen": self.seen,
             "orders": self.orders,
+            "bad": self.bad,
         }
 
     async def answer(self, request: Request) -> Reply:
@@ -75,8 +87,23 @@
             headers["content-type"] = "text/event-stream"
             first = int(request.headers.get("last-event-id", "0")) + 1
             return Reply(200, headers=headers, chunks=self._make_events(first))
-        await trio.sleep(self.faults.work_s)
-        return Reply(200, b"answer to " + request.body, headers)
+        self.running += 1
+        try:
+            status = await self._run(request.path)
+        finally:
+            self.running -= 1
+        return Reply(status, b"answer to " + request.body, headers)
+
+    async def _run(self, path: str) -> int:
+        faults = self.faults
+        is_loaded = self.running > faults.bad_above
+        is_suspect = is_loaded and path.startswith(faults.bad_path)
+        self.suspects += is_suspect
+        fails = is_suspect and is_nth(self.suspects, faults.fail_every)
+        is_slow = is_suspect and is_nth(self.suspects, faults.slow_every)
+        self.bad += fails or is_slow
+        await trio.sleep(faults.work_s + (faults.extra_s if is_slow else 0.0))
+        return 500 if fails else 200
 
     def _handle_order(self, request: Request) -> Reply:
         order = msgspec.json.decode(request.body)
@@ -98,5 +125,10 @@
             yield b"id: %d\ndata: %s\n\n" % (number, piece)
 
 
+def is_nth(number: int, every: int) -> bool:
+    """Return whether a number is a multiple of another, which may be zero for none."""
+    return every > 0 and number % every == 0
+
+
 if __name__ == "__main__":
     run_standin(SignedServer)
