--- a/tests/shell/test_datagrams.py
+++ b/tests/shell/test_datagrams.py
@@ -133,16 +133,22 @@
 
 
 @pytest.mark.parametrize(
-    "address", ["", "nowhere", "127.0.0.1:", "127.0.0.1:99999999999", "localhost:80", "1.2.3:80"]
+    "address",
+    ["", "nowhere", "127.0.0.1:", "127.0.0.1:99999999999", "localhost:80", "1.2.3:80"],
 )
-def test_a_report_to_no_address_is_dropped(address: str) -> None:
+def test_a_report_to_no_address_is_dropped_and_counted(address: str) -> None:
+    metrics = Metrics()
+
     async def run() -> None:
         port = assign_free_ports(("datagrams",))["datagrams"]
-        DatagramSocket(f"127.0.0.1:{port}", Metrics()).send_to_address(
-            address, make_report(1)
-        )
+        sender = DatagramSocket(f"127.0.0.1:{port}", metrics)
+        sender.send_to_address(address, make_report(1))
 
     trio.run(run)
+    dropped = metrics.registry.get_sample_value(
+        "masticdrum_frames_dropped_total", {"reason": "not sent"}
+    )
+    assert dropped == 1
 
 
 def test_datagrams_that_are_no_message_are_dropped() -> None:
