Let an entry be ready only once it has read the orders

Cause: an entry that has just started would take callers before it knew of a running or rolled-back order, and serve the target like all other servers.

Change: where roll-outs run, readiness waits for the first read of orders.

--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -324,6 +324,7 @@
             and cluster_state.drained is not None
             and self.suspicion.is_listed
             and self.software_records.was_read
+            and (self.rollout_driver is None or self.final_states.was_read)
             and bool(cluster_state.known)
             and cluster_state.is_leased(now)
         )
--- a/masticdrum/core/rolloutcontrol.py
+++ b/masticdrum/core/rolloutcontrol.py
@@ -117,14 +117,16 @@
     A restore of the platform may lose a final state, which holds all the same.
     """
 
-    __slots__ = ("_by_key", "_orders")
+    __slots__ = ("_by_key", "_orders", "was_read")
 
     def __init__(self) -> None:
+        self.was_read = False  # whether the orders are known
         self._orders: dict[str, RolloutOrder] = {}
         self._by_key: dict[tuple[str, str, int], RolloutState] = {}
 
     def apply_reads(self, reads: tuple[RolloutRead, ...]) -> None:
         """Replace the orders by those that the platform holds."""
+        self.was_read = True
         self._orders = {read.order.service: read.order for read in reads}
         for read in reads:
             if read.state is not None and read.state.is_final:
--- a/tests/core/test_rolloutsplit.py
+++ b/tests/core/test_rolloutsplit.py
@@ -334,6 +334,17 @@
     assert rollouts.old_open[-1] == 3
 
 
+# Guards against an entry that has just started and serves a bad target like all others.
+def test_an_entry_is_ready_only_once_it_has_read_the_orders() -> None:
+    entry = Entry(1, SERVERS)
+    assert entry.state.is_ready(entry.now)
+    rollouts = Rollouts(None)
+    entry.state.use_rollouts(RolloutParts(rollouts, rollouts, rollouts))
+    assert not entry.state.is_ready(entry.now)
+    entry.handle_event(RolloutsRead((), entry.now))
+    assert entry.state.is_ready(entry.now)
+
+
 def test_answers_to_calls_on_leases_reach_only_the_driver() -> None:
     rollouts = Rollouts(0.5)
     entry = make_entry(rollouts)
