--- a/masticdrum/platform/pages.py
+++ b/masticdrum/platform/pages.py
@@ -14,13 +14,15 @@
 MAX_REVISION = 2**63 - 1
 Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
 NO_SPEC = Raw(b"")  # decodes as nothing
+NO_MARK = Raw(b"0")
 
 
 class Metadata(Struct):
-    """The store's own data about an object."""
+    """The store's own data about an object; ``created`` may have any type."""
 
     name: str
     revision: Revision = 0
+    created: Raw = NO_MARK
     deleting: bool = False
 
 
@@ -103,15 +105,18 @@
 def read_own_object(body: bytes) -> StoredObject:
     """Decode an object whose revision counts; raises ``Undecodable``.
 
-    Its ``spec`` or ``status`` may be one that can't be decoded.
+    Its ``spec`` and ``status`` may be ones that can't be decoded.
     """
     try:
         return read_json(body, StoredObject)
     except Undecodable:
         parts = split_members(body)
         metadata = read_json(parts.get("metadata", b""), Metadata)
-        spec, status = parts.get("spec", b"null"), parts.get("status", b"null")
-        return StoredObject(metadata, Raw(spec), Raw(status))
+        return StoredObject(
+            metadata,
+            Raw(parts.get("spec", b"null")),
+            Raw(parts.get("status", b"null")),
+        )
 
 
 def read_object(item: Raw) -> StoredObject:
