--- a/masticdrum/model/telemetry.py
+++ b/masticdrum/model/telemetry.py
@@ -74,6 +74,9 @@
     TASK_FAILED = 91
     CALLER_SHED = 92
     CALLER_LIMITS_CHANGED = 93
+    ROLLOUT_STEP = 94
+    ROLLOUT_DECIDED = 95
+    ROLLOUT_LEASE = 96
 
 
 class Counter(StrEnum):
