--- a/masticdrum/rollouts/decider.py
+++ b/masticdrum/rollouts/decider.py
@@ -50,6 +50,7 @@
 RETRY_S = 0.3
 SILENT_S = 3.0  # after which an entry's requests no longer hold the last step up
 DEADLINE_MARGIN_S = 0.5  # for the write
+OVERTIME_S = 30.0  # for what is open at the old side of a sound target
 
 OrderKey = tuple[str, str, int]
 RolloutEvent = (
@@ -382,11 +383,11 @@
         decided = find_final_state(report.decided)
         if decided is not None:
             effects += self._adopt(state, decided, "reported")
-        is_current = state.lease.get_number(now) > 0 and state.is_deciding
-        if state.course is None or not is_current:
+        course = state.course
+        if course is None or state.lease.get_number(now) != course.number:
             return effects
-        state.course.record(report, now)
-        grant = self._grant(state, state.course, report, now)
+        course.record(report, now)
+        grant = self._grant(state, course, report, now)
         return [*effects, SendGrant(event.peer, grant)]
 
     def _grant(
@@ -548,7 +549,9 @@
             return RolloutState.ROLLED_BACK
         if course is None or not state.is_deciding:
             return None
-        is_due = course.step is not None and course.step.is_due
+        step, duration_s = course.step, state.read.order.duration_s
+        is_late = now >= course.began_at + duration_s + OVERTIME_S
+        is_due = step is not None and (step.is_due or (step.is_last and is_late))
         is_sound = course.judgement.verdict is Verdict.SOUND
         if is_due and is_sound and now >= course.hears_until:
             return RolloutState.COMPLETED
