--- a/masticdrum/rollouts/decider.py
+++ b/masticdrum/rollouts/decider.py
@@ -11,10 +11,8 @@
 has lost.
 """
 
-from collections.abc import Callable, Iterable
-from typing import Protocol
+from collections.abc import Iterable
 
-from msgspec import Struct
 from xxhash import xxh3_64_intdigest
 
 from masticdrum.model.cluster_events import StoreRestored
@@ -31,24 +29,16 @@
     RolloutState,
     RolloutStatusAnswered,
     SendGrant,
-    Tally,
 )
 from masticdrum.model.telemetry import Facts, Log, LogNumber
-from masticdrum.rollouts.interfaces import (
-    Evidence,
-    Judgement,
-    RolloutBounds,
-    Step,
-    Verdict,
-)
+from masticdrum.rollouts.course import Course, RolloutParts
+from masticdrum.rollouts.interfaces import RolloutBounds, Verdict
 from masticdrum.rollouts.orderlease import NEVER, OrderLease
 
-HEAR_S = 1.0  # for each entry's next report after a takeover
 REVIEW_EVERY_S = 0.2
 GRANT_VALID_S = 1.2
 GRANT_MARGIN_S = 0.8  # of a grant beyond its lease
 RETRY_S = 0.3
-SILENT_S = 3.0  # after which an entry's requests no longer hold the last step up
 DEADLINE_MARGIN_S = 0.5  # for the write
 OVERTIME_S = 30.0  # for what is open at the old side of a sound target
 
@@ -64,124 +54,6 @@
 RolloutEffect = ObjectGet | ObjectPut | PutRolloutStatus | SendGrant | Log
 
 
-class EvidencePool(Protocol):
-    """Sums up what all entries have counted."""
-
-    def replace(
-        self, entry: str, incarnation: str, tallies: tuple[Tally, ...]
-    ) -> object:
-        """Use an entry's newest tallies, which are cumulative."""
-
-    def pool(self) -> Evidence:
-        """Return the sum over all entries."""
-
-
-class TargetJudge(Protocol):
-    """Compares the target with the versions before."""
-
-    def observe(self, evidence: Evidence, now: float) -> Judgement:
-        """Judge the evidence so far."""
-
-
-class StepSchedule(Protocol):
-    """Plans the share of the target."""
-
-    def plan(
-        self,
-        now: float,
-        began_at: float,
-        duration_s: float,
-        bounds: RolloutBounds,
-        evidence: Evidence,
-        judgement: Judgement,
-        old_open: int,
-        all_switched: bool,
-    ) -> Step:
-        """Return the step at which entries should be."""
-
-
-class RolloutParts(Struct, frozen=True):
-    """What a decider is made of.
-
-    The first three make new evidence, a judge and a schedule. ``list_upstreams`` names
-    the upstreams of a service at a version, ``choose_upstreams`` those of them that are
-    used at a share.
-    """
-
-    build_pool: Callable[[], EvidencePool]
-    build_judge: Callable[[], TargetJudge]
-    build_schedule: Callable[[], StepSchedule]
-    list_upstreams: Callable[[str, str], Iterable[str]]
-    choose_upstreams: Callable[[Iterable[str], float], Iterable[str]]
-
-
-class Course:
-    """What the holder of a lease knows of its order, from its takeover on."""
-
-    __slots__ = (
-        "began_at",
-        "_heard_step",
-        "hears_until",
-        "judge",
-        "judgement",
-        "number",
-        "pool",
-        "reports",
-        "reviewed_at",
-        "schedule",
-        "step",
-    )
-
-    def __init__(self, parts: RolloutParts, number: int, began_at: float) -> None:
-        self.number = number
-        self.began_at = began_at
-        self.hears_until = NEVER
-        self.pool = parts.build_pool()
-        self.judge = parts.build_judge()
-        self.schedule = parts.build_schedule()
-        self.judgement = Judgement(Verdict.UNDECIDED)
-        self.reports: dict[str, tuple[RolloutReport, float]] = {}
-        self.reviewed_at = -NEVER
-        self.step: Step | None = None
-        # Steps go on from those of the holder before, so that none is taken for its.
-        self._heard_step = 0
-
-    def record(self, report: RolloutReport, now: float) -> None:
-        """Add an entry's report to the evidence."""
-        self.pool.replace(report.entry, report.incarnation, report.tallies)
-        self.reports[report.entry] = report, now
-        if self.step is None:
-            self._heard_step = max(self._heard_step, report.step)
-
-    def find_step_number(self, step: Step | None) -> int:
-        """Return the number that entries see for a step, or for none."""
-        return self._heard_step + 1 + step.number if step else self._heard_step
-
-    def count_old_open(self, now: float) -> int:
-        """Count the requests that are open at other versions than the target."""
-        return sum(
-            report.old_open
-            for report, at in self.reports.values()
-            if now < at + SILENT_S
-        )
-
-    def have_all_switched(self, members: Iterable[str], now: float) -> bool:
-        """Return whether each entry that isn't silent applies the current step.
-
-        Entries that have not reported yet are waited for, up to the time after which
-        they count as silent.
-        """
-        if self.step is None:
-            return False
-        if now < self.hears_until - HEAR_S + SILENT_S and any(
-            name not in self.reports for name in members
-        ):
-            return False
-        number = self.find_step_number(self.step)
-        heard = [report for report, at in self.reports.values() if now < at + SILENT_S]
-        return bool(heard) and all(report.step == number for report in heard)
-
-
 class OrderState:
     """An order as this entry knows it, whether or not it decides it.
 
@@ -371,7 +243,7 @@
             state.lease.record_restore(event.era, now)
             state.spent_revision = -1
             if state.course:
-                state.course.hears_until = now + HEAR_S
+                state.course.listen(now)
 
     def _handle_report(self, event: RolloutReported, now: float) -> list[RolloutEffect]:
         report = event.report
@@ -478,7 +350,7 @@
             elapsed_s = max(0.0, unix_now - state.lease.began_unix_s)
             began_at = min(state.first_seen_at, now - elapsed_s)
             course = state.course = Course(self._parts, number, began_at)
-        course.hears_until = now + HEAR_S
+        course.listen(now)
         return [Log(LogNumber.ROLLOUT_LEASE, detail="held", facts=facts)]
 
     def _review(self, state: OrderState, now: float) -> list[RolloutEffect]:
--- a/tests/rollouts/rolloutmutants.py
+++ b/tests/rollouts/rolloutmutants.py
@@ -5,8 +5,8 @@
 import pytest
 from msgspec import structs
 
-from masticdrum.model.rollouts import PutRolloutStatus, RolloutReport
-from masticdrum.rollouts import decider, follower, orderlease
+from masticdrum.model.rollouts import PutRolloutStatus
+from masticdrum.rollouts import course, decider, orderlease
 from masticdrum.rollouts.decider import RolloutDecider
 from masticdrum.rollouts.follower import FollowedOrder, RolloutFollower
 from masticdrum.rollouts.orderlease import OrderLease
@@ -42,18 +42,16 @@
 
 def decide_at_once_after_a_takeover(patch: Patch) -> None:
     """Hear nobody before the first decision."""
-    patch.setattr(decider, "HEAR_S", 0.0)
+    patch.setattr(course, "HEAR_S", 0.0)
 
 
 def grant_until_the_write_is_answered(patch: Patch) -> None:
     """Go on with the last step until the store holds the end."""
     grant = RolloutDecider._grant
 
-    def grant_step(
-        self: RolloutDecider, state: Any, course: Any, report: RolloutReport, now: float
-    ) -> Any:
+    def grant_step(self: RolloutDecider, state: Any, *given: Any) -> Any:
         was_bad, state.is_bad = state.is_bad, False
-        granted = grant(self, state, course, report, now)
+        granted = grant(self, state, *given)
         state.is_bad = was_bad
         return granted
 
@@ -102,7 +100,7 @@
 def keep_grants(patch: Patch) -> None:
     """Use the last grant however old it is."""
     patch.setattr(
-        follower.RolloutFollower,
+        RolloutFollower,
         "_find_valid_grant",
         lambda self, order, now: order.grant,
     )
--- a/tests/rollouts/rolloutworld.py
+++ b/tests/rollouts/rolloutworld.py
@@ -26,7 +26,8 @@
     SendGrant,
     Tally,
 )
-from masticdrum.rollouts.decider import RolloutDecider, RolloutParts
+from masticdrum.rollouts.course import RolloutParts
+from masticdrum.rollouts.decider import RolloutDecider
 from masticdrum.rollouts.follower import RolloutFollower
 from masticdrum.rollouts.interfaces import (
     Evidence,
@@ -71,18 +72,40 @@
 
 
 class Schedule:
-    """A small share, then all, then the end."""
+    """A small share, then all, then the end, which may be due at once."""
+
+    def __init__(self, is_hasty: bool) -> None:
+        self.is_hasty = is_hasty
 
     def plan(self, *given: Any) -> Step:
         judgement, old_open, all_switched = given[5:]
         if judgement.verdict is not Verdict.SOUND:
             return Step(0, 0.1)
-        return Step(1, 1.0, is_last=True, is_due=all_switched and not old_open)
+        is_due = self.is_hasty or (all_switched and not old_open)
+        return Step(1, 1.0, is_last=True, is_due=is_due)
+
+
+class Dice:
+    """A judge that says anything, so that deciders want different ends."""
 
+    def __init__(self, random: Random) -> None:
+        self.random = random
 
-def make_parts() -> RolloutParts:
+    def observe(self, *_: Any) -> Judgement:
+        draw = self.random.random()
+        if draw < 0.8:
+            return Judgement(Verdict.UNDECIDED)
+        return Judgement(Verdict.SOUND if draw < 0.9 else Verdict.BAD)
+
+
+def make_parts(random: Random | None) -> RolloutParts:
+    """Make fakes, with dice for a judge if ``random`` is given."""
     return RolloutParts(
-        Pool, Judge, Schedule, lambda *_: ("a", "b"), lambda names, _: tuple(names)
+        Pool,
+        (lambda: Dice(random)) if random else Judge,
+        lambda: Schedule(is_hasty=random is not None),
+        lambda *_: ("a", "b"),
+        lambda names, _: tuple(names),
     )
 
 
@@ -149,11 +172,13 @@
 class Entry:
     """One entry process."""
 
-    def __init__(self, index: int, names: list[str], run: int = 0) -> None:
+    def __init__(
+        self, index: int, names: list[str], random: Random | None, run: int = 0
+    ) -> None:
         self.index, self.run = index, run
         name, address = names[index], f"10.0.0.{index}:1"
         self.decider = RolloutDecider(
-            name, f"run{run}", address, RolloutBounds(), make_parts()
+            name, f"run{run}", address, RolloutBounds(), make_parts(random)
         )
         self.decider.set_members(names)
         self.follower = RolloutFollower(name, f"run{run}")
@@ -167,12 +192,14 @@
     """Runs entries against the store, and checks the promises at each step.
 
     ``lose`` is how the store treats writes: "" answers them, "done" carries them out
-    and loses the answer, "late" carries them out seconds later.
+    and loses the answer, "late" carries them out seconds later. Deciders with dice
+    (``has_dice``) want different ends.
     """
 
-    def __init__(self, entries: int = 3, seed: int = 0) -> None:
+    def __init__(self, entries: int = 3, seed: int = 0, has_dice: bool = False) -> None:
         self.names = [f"entry-{index}" for index in range(entries)]
-        self.entries = [Entry(index, self.names) for index in range(entries)]
+        self.dice = Random(seed) if has_dice else None
+        self.entries = [Entry(i, self.names, self.dice) for i in range(entries)]
         self.store = Store()
         self.copies: list[dict[str, Any]] = []
         self.random = Random(seed)
@@ -181,6 +208,7 @@
         self.lose = ""
         self.is_bad = False
         self.is_idle = False
+        self.old_open = 0
         self.cut_store: set[int] = set()
         self.cut_net: set[int] = set()
         self.later: list[tuple[float, Callable[[], object]]] = []
@@ -231,7 +259,9 @@
             entry.answered += not self.is_bad
             entry.failed += self.is_bad
         tally = Tally("r", True, (entry.answered,), (entry.failed,), ())
-        reports = entry.follower.make_reports(self.now, {"desk": (tally,)}, {})
+        reports = entry.follower.make_reports(
+            self.now, {"desk": (tally,)}, {"desk": self.old_open}
+        )
         for sent in reports:
             index = int(sent.address.split(":")[0].rsplit(".")[-1])
             peer = f"10.0.0.{entry.index}", 1
@@ -292,7 +322,7 @@
 
     def restart(self, index: int) -> None:
         run = self.entries[index].run + 1
-        self.entries[index] = Entry(index, self.names, run)
+        self.entries[index] = Entry(index, self.names, self.dice, run)
         self.entries[index].heard_at = self.now
         self.disturbed_at = self.now
 
@@ -308,6 +338,7 @@
         # A late write would name a revision of the history that is gone.
         self.late_writes = []
         self.store.restore(self.copies[0])
+        self.restart(self.random.randrange(len(self.entries)))
         self.run(8.0)
 
     def heal(self) -> None:
--- a/tests/rollouts/test_decider.py
+++ b/tests/rollouts/test_decider.py
@@ -11,6 +11,7 @@
     RolloutState,
     SendGrant,
 )
+from masticdrum.rollouts.decider import OVERTIME_S
 from tests.rollouts.rolloutworld import DURATION_S, ORDER, World
 
 ACTIONS = st.tuples(
@@ -48,12 +49,14 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(ACTIONS, max_size=10), st.integers(0, 99), st.integers(2, 3))
+@given(
+    st.lists(ACTIONS, max_size=10), st.integers(0, 99), st.integers(2, 3), st.booleans()
+)
 def test_no_trouble_makes_entries_disagree(
-    actions: list[tuple[str, int, float]], seed: int, entries: int
+    actions: list[tuple[str, int, float]], seed: int, entries: int, has_dice: bool
 ) -> None:
     """Two final states, traffic after a roll-back, or an order that never ends."""
-    world = World(entries, seed)
+    world = World(entries, seed, has_dice)
     for action, index, wait_s in actions:
         act(world, action, index % entries)
         world.run(wait_s)
@@ -107,6 +110,16 @@
     assert world.store.state is RolloutState.ROLLED_BACK
 
 
+def test_requests_that_never_end_do_not_hold_a_sound_target_up() -> None:
+    """An order without an end, since one request stays open at the old side."""
+    world = World()
+    world.old_open = 1
+    world.run(DURATION_S + OVERTIME_S - 1.0)
+    assert world.store.state is RolloutState.RUNNING
+    world.run(4.0)
+    assert world.store.state is RolloutState.COMPLETED
+
+
 def test_no_grants_without_a_recent_renewal() -> None:
     """A decider that is cut from the store decides on beside its successor."""
     world = World()
