Complete no roll-out that few entries report on, and hear on while the lease is late

Cause: a decider that was cut from the other entries, but not from the store, took them for silent after 3 s and completed the order, which stops the servers that they send to; and one whose store answered slowly began to listen anew at each late renewal, and never decided. Both are shown by a test that fails without the change (few_entries, slow_store).

Change: at least half of the members must report when an order is completed; reports are heard also while the lease is late, and only a takeover, a stall of the process or a restore begins a new second of listening. The first answer that names the era no longer costs another read.

--- a/masticdrum/rollouts/course.py
+++ b/masticdrum/rollouts/course.py
@@ -5,7 +5,7 @@
 that a step of the holder before is not taken for one of this holder.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 from msgspec import Struct
@@ -131,6 +131,14 @@
             if now < at + SILENT_S
         )
 
+    def hears_most(self, members: Collection[str], now: float) -> bool:
+        """Return whether at least half of the members report."""
+        heard = [name for name in members if self._was_heard(name, now)]
+        return 2 * len(heard) >= len(members)
+
+    def _was_heard(self, entry: str, now: float) -> bool:
+        return entry in self.reports and now < self.reports[entry][1] + SILENT_S
+
     def have_all_switched(self, members: Iterable[str], now: float) -> bool:
         """Return whether each entry that isn't silent applies the current step.
 
--- a/masticdrum/rollouts/decider.py
+++ b/masticdrum/rollouts/decider.py
@@ -39,6 +39,7 @@
 GRANT_VALID_S = 1.2
 GRANT_MARGIN_S = 0.8  # of a grant beyond its lease
 RETRY_S = 0.3
+STALL_S = 1.0  # between two ticks; reports may have been missed
 DEADLINE_MARGIN_S = 0.5  # for the write
 OVERTIME_S = 30.0  # for what is open at the old side of a sound target
 
@@ -129,6 +130,7 @@
         "_pending",
         "_ranks",
         "_read_at",
+        "_ticked_at",
     )
 
     def __init__(
@@ -150,6 +152,7 @@
         self._leases: dict[str, tuple[RolloutLease, int]] = {}
         self._leases_at = -NEVER
         self._read_at = -NEVER
+        self._ticked_at = NEVER
         self._era = 0
         self._pending: dict[str, tuple[OrderKey, PutRolloutStatus]] = {}
 
@@ -183,7 +186,11 @@
     def tick(self, now: float, unix_now: float) -> list[RolloutEffect]:
         """Renew or take leases, judge, and write what is decided."""
         effects: list[RolloutEffect] = []
+        has_stalled = now > self._ticked_at + STALL_S
+        self._ticked_at = now
         for state in self._orders.values():
+            if has_stalled and state.course:
+                state.course.listen(now)
             effects += self._follow_lease(state, now, unix_now)
             if state.is_open:
                 effects += self._review(state, now)
@@ -242,6 +249,7 @@
         for state in self._orders.values():
             state.lease.record_restore(event.era, now)
             state.spent_revision = -1
+            state.has_started = False
             if state.course:
                 state.course.listen(now)
 
@@ -256,9 +264,11 @@
         if decided is not None:
             effects += self._adopt(state, decided, "reported")
         course = state.course
-        if course is None or state.lease.get_number(now) != course.number:
+        if course is None:
             return effects
         course.record(report, now)
+        if state.lease.get_number(now) != course.number:
+            return effects
         grant = self._grant(state, course, report, now)
         return [*effects, SendGrant(event.peer, grant)]
 
@@ -331,7 +341,7 @@
     ) -> list[RolloutEffect]:
         """Note whether this entry decides, and begin anew under another number.
 
-        What was heard is kept while the lease is only late to be renewed.
+        While the lease is only late to be renewed, reports are heard on.
         """
         number, course = state.lease.get_number(now), state.course
         is_same = course is not None and course.number == number
@@ -349,8 +359,8 @@
         if course is None or not is_same:
             elapsed_s = max(0.0, unix_now - state.lease.began_unix_s)
             began_at = min(state.first_seen_at, now - elapsed_s)
-            course = state.course = Course(self._parts, number, began_at)
-        course.listen(now)
+            state.course = Course(self._parts, number, began_at)
+            state.course.listen(now)
         return [Log(LogNumber.ROLLOUT_LEASE, detail="held", facts=facts)]
 
     def _review(self, state: OrderState, now: float) -> list[RolloutEffect]:
@@ -379,7 +389,10 @@
         )
         is_sound = course.judgement.verdict is Verdict.SOUND
         deadline_at = course.began_at + order.duration_s - DEADLINE_MARGIN_S
-        if now >= deadline_at and not (is_sound and course.step.is_last):
+        may_follow = is_sound and course.step.is_last
+        if now >= deadline_at + OVERTIME_S:
+            may_follow &= course.hears_most(self._members, now)
+        if now >= deadline_at and not may_follow:
             state.is_bad = True
             return [self._log(state, "deadline", RolloutState.ROLLED_BACK)]
         if before and before.number == course.step.number:
@@ -421,16 +434,24 @@
             return RolloutState.ROLLED_BACK
         if course is None or not state.is_deciding:
             return None
-        step, duration_s = course.step, state.read.order.duration_s
-        is_late = now >= course.began_at + duration_s + OVERTIME_S
-        is_due = step is not None and (step.is_due or (step.is_last and is_late))
-        is_sound = course.judgement.verdict is Verdict.SOUND
-        if is_due and is_sound and now >= course.hears_until:
+        if self._is_due(course, state.read.order.duration_s, now):
             return RolloutState.COMPLETED
         if state.read.state is None and not state.has_started:
             return RolloutState.RUNNING
         return None
 
+    def _is_due(self, course: Course, duration_s: float, now: float) -> bool:
+        """Return whether a sound target may be completed.
+
+        Entries that don't report send to the old side, which completion stops.
+        """
+        step, is_sound = course.step, course.judgement.verdict is Verdict.SOUND
+        if step is None or not is_sound or now < course.hears_until:
+            return False
+        is_late = now >= course.began_at + duration_s + OVERTIME_S
+        is_due = step.is_due or (step.is_last and is_late)
+        return is_due and course.hears_most(self._members, now)
+
 
 def find_final_state(word: str) -> RolloutState | None:
     """Return the final state that a message names, or None."""
--- a/masticdrum/rollouts/orderlease.py
+++ b/masticdrum/rollouts/orderlease.py
@@ -151,7 +151,7 @@
         proposed, self._proposed = self._proposed, None
         self._pending = ""
         self.record_restore(answer.era, now)
-        if self._pending_era < self._era:
+        if 0 < self._pending_era < self._era:
             # The revision in the condition may have named another state.
             self._must_read = True
             return
--- a/tests/rollouts/rolloutmutants.py
+++ b/tests/rollouts/rolloutmutants.py
@@ -97,6 +97,11 @@
     patch.setattr(RolloutFollower, "make_reports", make_running)
 
 
+def complete_alone(patch: Patch) -> None:
+    """Complete an order however few entries report."""
+    patch.setattr(course.Course, "hears_most", lambda *_: True)
+
+
 def keep_grants(patch: Patch) -> None:
     """Use the last grant however old it is."""
     patch.setattr(
--- a/tests/rollouts/test_decider.py
+++ b/tests/rollouts/test_decider.py
@@ -120,6 +120,26 @@
     assert world.store.state is RolloutState.COMPLETED
 
 
+def test_a_decider_that_hears_few_entries_completes_nothing() -> None:
+    """The old side is stopped while most entries send there."""
+    world = World(5)
+    world.run(1.6)
+    world.cut_net = {find_decider(world)}
+    world.run(6.0)
+    assert world.store.state is RolloutState.RUNNING
+    world.heal()
+    world.run(5.0)
+    assert world.store.state is RolloutState.COMPLETED
+
+
+def test_a_slow_store_does_not_hold_a_sound_target_up() -> None:
+    """What was heard is forgotten each time a renewal is late."""
+    world = World()
+    world.answer_s, world.read_every = 1.5, 15
+    world.run(DURATION_S)
+    assert world.store.state is RolloutState.COMPLETED
+
+
 def test_no_grants_without_a_recent_renewal() -> None:
     """A decider that is cut from the store decides on beside its successor."""
     world = World()
--- a/tests/rollouts/test_rolloutmutants.py
+++ b/tests/rollouts/test_rolloutmutants.py
@@ -48,6 +48,10 @@
         rolloutmutants.change_a_final_state,
         test_follower.test_the_first_final_state_stays,
     ),
+    (
+        rolloutmutants.complete_alone,
+        test_decider.test_a_decider_that_hears_few_entries_completes_nothing,
+    ),
     (
         rolloutmutants.keep_grants,
         test_follower.test_a_grant_ends_by_the_time_of_its_report,
