Read no more of requests sent ahead than is taken off

What was seen: test_requests_sent_ahead_at_paths_that_no_route_has took 64.3 MiB of 64 once, beside other work, and 55 to 60 alone.

Cause: at each request the connection looked whether its caller had left, and kept the up to 64 KiB that it read by that. A request that was sent ahead takes off some 100 bytes, so what was read grew to 573 KiB a connection (by tracemalloc, in h11's buffer) before the process's account shed it.

Change: nothing is read while 16 KiB are left unread, and 16 KiB at once outside bodies. The new test failed before.

--- a/masticdrum/shell/callerconnection.py
+++ b/masticdrum/shell/callerconnection.py
@@ -19,7 +19,10 @@
 from masticdrum.shell.tcpconnection import TcpConnection
 
 MAX_HEAD_BYTES = 96 * 1024  # heads up to this size get an answer that says why
-MAX_PIPELINED_BYTES = 64 * 1024  # that are read while a request is open
+MAX_PIPELINED_BYTES = 16 * 1024  # that are read while a request is open
+# Read at once of a body, and of all else, which most callers send little of.
+BODY_RECEIVE_BYTES = 64 * 1024
+RECEIVE_BYTES = 16 * 1024
 PIECE_BYTES = 64 * 1024  # of a large answer, so that no second copy of it is made
 # Unsent bytes from which a caller holds its stream up at the upstream.
 MAX_UNSENT_BYTES = 64 * 1024
@@ -201,7 +204,7 @@
             self._waiting.deadline = self._compute_deadline()
             return
         try:
-            received = self._tcp.receive_nowait()
+            received = self._tcp.receive_nowait(RECEIVE_BYTES)
         except OSError:
             received = b""
         if received:
@@ -223,7 +226,9 @@
             self._waiting.deadline = self._compute_deadline()
             if self._phase is Phase.OPEN and self._has_read_ahead():
                 await trio.sleep_forever()
-            received = await self._tcp.receive()
+            is_body = self._phase is Phase.BODY
+            most = BODY_RECEIVE_BYTES if is_body else RECEIVE_BYTES
+            received = await self._tcp.receive(most)
         if received is None:
             return self._handle_wake()
         if not received:
@@ -330,18 +335,20 @@
             await trio.sleep(STALL_DISCONNECT_S)
             if self._phase is not Phase.BODY:
                 return
-        received = self._tcp.receive_nowait()
-        if received == b"":
-            raise ConnectionResetError("the caller disconnected")
-        if received:
-            self._http.receive_data(received)
+        self._unread = len(self._http.trailing_data[0])
+        if not self._has_read_ahead():
+            received = self._tcp.receive_nowait(RECEIVE_BYTES)
+            if received == b"":
+                raise ConnectionResetError("the caller disconnected")
+            if received:
+                self._http.receive_data(received)
+                self._unread += len(received)
         request = self._request
         if request is None:
             raise LookupError("a request ended that had not begun")
         if len(self._body) <= PIECE_BYTES:
             self._body = bytes(self._body)
         request.body = self._body
-        self._unread = len(self._http.trailing_data[0])
         self._begin_phase(Phase.OPEN)
         self._record_held()
         if self._is_shed:
--- a/masticdrum/shell/tcpconnection.py
+++ b/masticdrum/shell/tcpconnection.py
@@ -44,8 +44,8 @@
         """How many bytes wait until the peer accepts more data."""
         return len(self._unsent)
 
-    async def receive(self) -> bytes:
-        """Wait for bytes; return none at the end of the stream.
+    async def receive(self, most: int = RECEIVE_BYTES) -> bytes:
+        """Wait for ``most`` bytes at most; return none at the end of the stream.
 
         Raises ``OSError`` if the connection breaks, ``trio.ClosedResourceError`` if it
         is closed meanwhile.
@@ -54,18 +54,18 @@
             if self._is_closed:
                 raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(self._socket)
-            received = self.receive_nowait()
+            received = self.receive_nowait(most)
             if received is not None:
                 return received
 
-    def receive_nowait(self) -> bytes | None:
+    def receive_nowait(self, most: int = RECEIVE_BYTES) -> bytes | None:
         """Return bytes that have arrived, None if there are none yet.
 
         Returns no bytes at the end of the stream; raises ``OSError`` if the connection
         is broken.
         """
         try:
-            return self._socket.recv(RECEIVE_BYTES)
+            return self._socket.recv(most)
         except (BlockingIOError, InterruptedError):
             return None
 
--- a/tests/shell/test_connectionlimits.py
+++ b/tests/shell/test_connectionlimits.py
@@ -117,6 +117,25 @@
     run_server(handler, script)
 
 
+def test_little_is_read_of_requests_sent_ahead() -> None:
+    """Guards against more being read with each request than it takes off."""
+    handler = FakeHandler()
+    handler.answer = answer_ok
+    requests = 5000
+
+    async def script(open_caller: Open, server: CallerServer) -> None:
+        caller = await open_caller()
+        held: list[int] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(caller.send, SMALL * requests)
+            while len(handler.requests) < requests:
+                held.append(server.limits.held_bytes)
+                await caller.receive_until(b"ok")
+        assert max(held) < 2 * CONNECTION_BYTES + 32 * KIB
+
+    run_server(handler, script)
+
+
 def test_connections_that_wait_longest_make_room() -> None:
     handler = FakeHandler(CallerLimits(idle_s=60.0))
     handler.answer = answer_ok
