Let entries follow, count and decide roll-outs

The parts are joined in core/entryrollouts.py; entries whose settings name no rollout section have none of it. Restores of the store reach the decision, which ticks each 0.2 s. The stand-in fleet reads the entry's name from the lease's holder, which names the incarnation too.

--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -55,7 +55,7 @@
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
 STOP = "stop"
-ROLLOUT_TICK_S = 0.5
+ROLLOUT_TICK_S = 0.2
 ForwardEvent = (
     ForwardRequested
     | ForwardDisconnected
@@ -189,6 +189,8 @@
     _forget_removed_upstreams(state, now)
     state.pauses.forget_ended(now)
     effects: list[ExchangeEffect] = [*logs]
+    if isinstance(event, StoreRestored):
+        effects += _handle_rollout_event(state, event, now)
     if isinstance(event, UpstreamsListed | UpstreamChanged | UpstreamGone):
         effects += review_versions(state, now)
     return effects
--- a/masticdrum/core/rolloutcontrol.py
+++ b/masticdrum/core/rolloutcontrol.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.exchange import Ticked
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
 from masticdrum.model.rollouts import (
@@ -39,7 +40,7 @@
     | RolloutStatusAnswered
     | RolloutObjectAnswered
 )
-RolloutEvent = RolloutInput | Ticked
+RolloutEvent = RolloutInput | StoreRestored | Ticked
 RolloutEffect = (
     SendGrant | SendReport | PutRolloutStatus | ObjectGet | ObjectPut | Log | Count
 )
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -14,6 +14,7 @@
 
 from masticdrum.core.clusterstate import ClusterBounds
 from masticdrum.core.coldstartpacing import ColdStartBounds
+from masticdrum.core.entryrollouts import make_entry_rollouts
 from masticdrum.core.exchangestate import ExchangeState, ForwardBounds
 from masticdrum.core.forwarder import ForwardEvent, reduce_forwarder
 from masticdrum.core.retrywindow import RetryBounds
@@ -66,6 +67,7 @@
 from masticdrum.shell.telemetry import carry_out_telemetry
 
 ROLE = "entry"
+INCARNATION_BYTES = 6
 SWEEP_INTERVAL_S = 1.0  # between two checks of idle connections
 SUSPENSION_THRESHOLD_S = 0.3  # a tick later than this: a suspension or a stall
 STALL_RECOVERY_S = 0.2  # by then the data buffered in the kernel has been read
@@ -166,7 +168,7 @@
         self.state.clock_offset = time.time() - read_clock()
         self.rollout_sender: trio.MemorySendChannel[RolloutCall] | None = None
         self.rollout_calls: trio.MemoryReceiveChannel[RolloutCall] | None = None
-        rollouts = make_rollouts(settings)
+        rollouts = make_rollouts(settings, self.state)
         if rollouts is not None:
             self.state.use_rollouts(rollouts)
             self.rollout_sender, self.rollout_calls = trio.open_memory_channel[
@@ -317,9 +319,24 @@
         }
 
 
-def make_rollouts(settings: ForwardSettings) -> RolloutParts | None:
+def make_rollouts(
+    settings: ForwardSettings, state: ExchangeState
+) -> RolloutParts | None:
     """Make the parts of roll-outs, None where the settings name none."""
-    return None
+    if settings.rollout is None or settings.datagrams is None:
+        return None
+
+    def list_upstreams(service: str, software: str) -> list[str]:
+        known = state.cluster_state.by_service.get(service, {})
+        return [name for name, k in known.items() if k.upstream.software == software]
+
+    return make_entry_rollouts(
+        settings.name,
+        secrets.token_hex(INCARNATION_BYTES),
+        settings.datagrams,
+        settings.rollout,
+        list_upstreams,
+    )
 
 
 def make_bounds(settings: ForwardSettings) -> ForwardBounds:
--- a/tests/platform/rolloutfleet.py
+++ b/tests/platform/rolloutfleet.py
@@ -121,7 +121,10 @@
 
     def find_decider(self) -> str | None:
         stored = self.read("masticdrum-rollouts", "desk")
-        return None if stored is None else stored["spec"]["holder"]
+        if stored is None:
+            return None
+        entry, _, _ = stored["spec"]["holder"].partition("/")
+        return str(entry)
 
     def count_all_runs(self, servers: tuple[str, ...]) -> int:
         return sum(sum(self.control(name)["runs"].values()) for name in servers)
