Count calls to the platform by kind and reason

The metric platform_calls told GET, POST and PUT apart, so operators couldn't see which watch is dear. Each call of the store's client is now counted by method, kind and what it was for: list, read, write, and watches by whether they were answered with changes, without, or not at all. Kinds and reasons are constants; a process has some thirty series.

--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -94,6 +94,7 @@
         if after:
             query["after"] = after
         sent_at = read_clock()
+        self._count("GET", kind, "list")
         status, body = await self._call("GET", kind, query)
         if status != 200:
             raise StoreFailed(f"list of {kind}: status {status}")
@@ -109,6 +110,17 @@
 
         Raises ``HistoryGone``, ``StoreFailed`` or ``WatchInterrupted``.
         """
+        reason = "failed watch"
+        try:
+            changes = await self._read_changes(kind, since, wait_s, stale)
+            reason = "changed watch" if changes.events else "unchanged watch"
+        finally:
+            self._count("GET", kind, reason)
+        return changes
+
+    async def _read_changes(
+        self, kind: str, since: int, wait_s: float, stale: bool
+    ) -> Changes:
         query = {"watch": str(since), "waitMs": str(int(wait_s * MS_PER_S))}
         query |= STALE_QUERY if stale else {}
         sent_at = read_clock()
@@ -142,6 +154,7 @@
         path = f"{KIND_PREFIX}{kind}"
         try:
             if isinstance(call, ObjectGet):
+                self._count("GET", path, "read")
                 status, body = await self._call("GET", f"{path}/{quote(name)}")
             else:
                 status, body = await self._put(path, name, call)
@@ -162,6 +175,7 @@
     async def delete(self, kind: str, name: str, revision: int) -> None:
         """Delete one of our own objects if it has not changed."""
         query = {"revision": str(revision)}
+        self._count("DELETE", f"{KIND_PREFIX}{kind}", "write")
         await self._call("DELETE", f"{KIND_PREFIX}{kind}/{quote(name)}", query)
 
     async def _put(self, path: str, name: str, call: ObjectPut) -> tuple[int, bytes]:
@@ -170,7 +184,9 @@
             metadata["revision"] = call.expected
         body = msgspec.json.encode({"metadata": metadata, "spec": Raw(call.body)})
         if call.expected > 0:
+            self._count("PUT", path, "write")
             return await self._call("PUT", f"{path}/{quote(name)}", body=body)
+        self._count("POST", path, "write")
         return await self._call("POST", path, body=body)
 
     async def _call(
@@ -184,7 +200,6 @@
     ) -> tuple[int, bytes]:
         url = self._base + path + (f"?{urlencode(query)}" if query else "")
         headers = [("Content-Type", "application/json")] if body else []
-        self._count_call(method)
         try:
             with trio.fail_after(CALL_TIMEOUT_S + wait_s):
                 response = await self._pool.request(
@@ -208,6 +223,13 @@
         self._record_era(era)
         return response.status, response.content
 
+    def _count(self, method: str, kind: str, reason: str) -> None:
+        """Count a call by its method, its kind and what it was for.
+
+        Kinds and reasons are constants, so that the metric has few series.
+        """
+        self._count_call(f"{method} {kind} {reason}")
+
     def _record_era(self, era: int) -> None:
         before, self.era = self.era, max(self.era, era)
         if before < self.era:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,9 +8,14 @@
 from trio.testing import MockClock
 
 from masticdrum.model.cluster_events import StoreRestored
-from masticdrum.model.platform import ObjectGet, ObjectStatus
+from masticdrum.model.platform import ObjectGet, ObjectPut, ObjectStatus
 from masticdrum.platform import store as store_module
-from masticdrum.platform.store import Store, StoreFailed, WatchInterrupted
+from masticdrum.platform.store import (
+    HistoryGone,
+    Store,
+    StoreFailed,
+    WatchInterrupted,
+)
 from tests.platform.oddobjects import (
     NESTED,
     ODD_SPECS,
@@ -156,3 +161,65 @@
         store = ScriptedStore([make_object("", b"{}", metadata)], [])
         answer = trio.run(store.execute, ObjectGet("read", "permits/weights"))
         assert answer.status is ObjectStatus.LOST
+
+
+CHANGES = (
+    b'{"events": [{"object": {"metadata": {"name": "n", "revision": 8}, "spec": {}}}],'
+    b' "asOf": 8}'
+)
+
+
+class AnsweringPool:
+    """Answers each call with the next status and body, or an error."""
+
+    def __init__(self, *answers: tuple[int, bytes] | Exception) -> None:
+        self.answers = list(answers)
+
+    async def request(self, *call: Any, **more: Any) -> httpcore.Response:
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        response = httpcore.Response(answer[0], content=answer[1])
+        await response.aread()
+        return response
+
+
+def test_calls_are_counted_by_method_kind_and_reason() -> None:
+    counted: list[str] = []
+    object_body = b'{"metadata": {"name": "n", "revision": 8}, "spec": {}}'
+    pool: Any = AnsweringPool(
+        (200, EMPTY_PAGE),
+        (200, b'{"events": [], "asOf": 7}'),
+        (200, CHANGES),
+        (410, b""),
+        httpcore.ReadError("reset"),
+        (200, object_body),
+        (200, object_body),
+        (200, object_body),
+    )
+
+    async def run() -> None:
+        store = Store("127.0.0.1:1", counted.append)
+        store._pool = pool
+        await store.list_page("servers", "")
+        await store.watch("servers", 7, 1.0)
+        await store.watch("servers", 7, 1.0)
+        with pytest.raises(HistoryGone):
+            await store.watch("servers", 7, 1.0)
+        with pytest.raises(StoreFailed):
+            await store.watch("servers", 7, 1.0)
+        await store.execute(ObjectGet("c", "members/n"))
+        await store.execute(ObjectPut("c", "members/n", b"{}", 0))
+        await store.execute(ObjectPut("c", "members/n", b"{}", 8))
+
+    trio.run(run)
+    assert counted == [
+        "GET servers list",
+        "GET servers unchanged watch",
+        "GET servers changed watch",
+        "GET servers failed watch",
+        "GET servers failed watch",
+        "GET masticdrum-members read",
+        "POST masticdrum-members write",
+        "PUT masticdrum-members write",
+    ]
