--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -80,15 +80,14 @@
 class Member(Struct, frozen=True):
     """A process of the system; ``address`` is empty if it accepts no links.
 
-    ``beat`` is its heartbeat counter, ``directory`` the version of the configuration
-    that was in force there when it announced itself.
+    ``directory`` is the version of the configuration that was in force there when it
+    announced itself.
     """
 
     name: str
     role: str
     data_centre: str
     address: str = ""
-    beat: int = 0
     directory: int = 0
 
 
