Show that a forgotten watch is sent again, and why waits stay

What stays: a test that a watch of 30 s which a silent store has forgotten is sent again within 3.1 s of its return, as the configuration's watch notices the silence, a test of the drain bound beside the pause between watches, and the reasons for the waits. The first fails without the end of other watches after a timeout.

--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -71,8 +71,12 @@
     stale: bool = False
 
 
-# Each answered watch of the configuration renews the lease on keys, so this watch is
-# short. TCP keepalive detects the loss of the others, so they may wait longer.
+# Each answered watch of the configuration renews the lease on keys. It also tells of a
+# store that was silent: the first answer after a timeout ends all other watches, which
+# may have been forgotten. So its wait and a call's timeout are at most the three
+# seconds after which an entry must be up to date again. The other watches end by
+# themselves in case a shorter silence lost their answer; keepalive detects connections
+# that are lost.
 DIRECTORY = WatchedKind(Source.DIRECTORY, "config", 1.5)
 # The gap is a tenth of the time that a draining upstream may still be sent to.
 UPSTREAMS = WatchedKind(Source.UPSTREAMS, "servers", 5.0, gap_s=0.2)
@@ -80,7 +84,8 @@
 AGENT_UPSTREAMS = WatchedKind(Source.UPSTREAMS, "servers", 5.0, gap_s=0.5, stale=True)
 DATA_CENTRES = WatchedKind(Source.DATA_CENTRES, "evacuations", 8.0)
 WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 8.0)
-# Processes that start together all announce themselves within a second.
+# Processes that start together all announce themselves within a second. A wait of 30 s
+# may end with its history gone, and a list.
 MEMBERS = WatchedKind(Source.MEMBERS, f"{KIND_PREFIX}members", 10.0, gap_s=0.5)
 # The entries that lost requests at a crash report it within a few tenths of a second.
 CRASHES = WatchedKind(Source.CRASHES, f"{KIND_PREFIX}crashes", 10.0, gap_s=0.4)
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import Any
 
+import httpcore
 import msgspec
 import pytest
 import trio
@@ -17,13 +18,20 @@
     UpstreamChanged,
     WeightsNamed,
 )
+from masticdrum.platform import store as store_module
 from masticdrum.platform import watchers
 from masticdrum.platform.pages import Change, Changes, Page
-from masticdrum.platform.store import StoreFailed, WatchInterrupted
+from masticdrum.platform.store import (
+    CALL_TIMEOUT_S,
+    Store,
+    StoreFailed,
+    WatchInterrupted,
+)
 from masticdrum.platform.watchers import (
     AGENT_UPSTREAMS,
     DATA_CENTRES,
     DIRECTORY,
+    MEMBERS,
     UPSTREAMS,
     WEIGHTS,
     KindWatcher,
@@ -36,8 +44,8 @@
     return Raw(msgspec.json.encode(body))
 
 
-def make_server(name: str) -> Raw:
-    spec = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
+def make_server(name: str, state: str = "ready") -> Raw:
+    spec = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": state}
     return make_object(name, spec)
 
 
@@ -102,6 +110,32 @@
     assert len(calls) <= 6
 
 
+# Guards against a pause between watches in which a draining upstream is sent to for
+# longer than it may: two seconds at least, of which a request may take 0.6 s and a slow
+# store 0.25 s (DRAIN).
+@pytest.mark.parametrize("left_ms", range(1000, 1500, 70))
+def test_a_leaving_server_is_known_in_time_among_other_changes(left_ms: int) -> None:
+    left_s = left_ms / 1000
+    later = [(0.5 + n / 20, make_server(f"i-{n}")) for n in range(40)]
+    later.append((left_s, make_server("leaving", state="draining")))
+    known_at: list[float] = []
+
+    def submit(event: ClusterEvent) -> None:
+        if isinstance(event, UpstreamChanged) and event.upstream.leaving:
+            known_at.append(trio.current_time())
+
+    async def run() -> float:
+        began = trio.current_time()
+        store: Any = KindOfStore([], sorted(later, key=lambda change: change[0]))
+        with trio.move_on_after(4.0):
+            await KindWatcher(UPSTREAMS, store, submit, Random(1)).run()
+        return began
+
+    began = trio.run(run, clock=MockClock(autojump_threshold=0))
+    (at,) = known_at
+    assert at - began - left_s <= 2.0 - 0.6 - 0.25
+
+
 @pytest.mark.parametrize("watched", [UPSTREAMS, AGENT_UPSTREAMS])
 def test_only_agents_read_stale_servers(watched: WatchedKind) -> None:
     _, calls = watch_kind(watched, [], [])
@@ -353,3 +387,61 @@
         return changes
 
     return watch
+
+
+class ForgettingPool:
+    """Answers no call that begins or whose wait ends in an outage.
+
+    Nor does it ever answer a longer watch that was open then.
+    """
+
+    def __init__(self, began_s: float, ended_s: float) -> None:
+        self.outage = (began_s, ended_s)
+        self.sent: list[tuple[float, str]] = []
+
+    async def request(self, method: str, url: str, **more: Any) -> httpcore.Response:
+        at = trio.current_time()
+        kind = url.rpartition("/")[2]
+        self.sent.append((at, kind.partition("?")[0]))
+        wait_s = float(url.rpartition("waitMs=")[2]) / 1000 if "waitMs=" in url else 0.0
+        began_s, ended_s = self.outage
+        is_forgotten = wait_s > DIRECTORY.wait_s and at < began_s
+        if began_s <= at < ended_s or began_s <= at + wait_s < ended_s or is_forgotten:
+            await trio.sleep_forever()
+        await trio.sleep(wait_s)
+        item = bytes(make_object("main", {"version": 2})).decode()
+        items = f"[{item}]" if kind.startswith("config") else "[]"
+        body = f'{{"items": {items}, "events": [], "asOf": 7}}'
+        response = httpcore.Response(200, content=body.encode())
+        await response.aread()
+        return response
+
+
+# Guards against entries that hear nothing of a kind for the thirty seconds of its watch
+# since the store, silent for a moment, forgot that they were watching.
+@pytest.mark.parametrize("began_s", [1.5, 2.0, 2.5, 2.9])
+@pytest.mark.parametrize("lasted_s", [1.6, 4.0])
+def test_a_forgotten_watch_is_sent_again_though_its_wait_is_long(
+    monkeypatch: pytest.MonkeyPatch, began_s: float, lasted_s: float
+) -> None:
+    slow = msgspec.structs.replace(MEMBERS, wait_s=30.0)
+    pool: Any = ForgettingPool(0.0, 0.0)
+
+    async def run() -> float:
+        began = trio.current_time()
+        pool.outage = (began + began_s, began + began_s + lasted_s)
+        for module in (watchers, store_module):
+            monkeypatch.setattr(module, "read_clock", trio.current_time)
+        store = Store("127.0.0.1:1", lambda how: None)
+        store._pool = pool
+        with trio.move_on_after(20.0):
+            async with trio.open_nursery() as nursery:
+                for watched in (DIRECTORY, slow):
+                    watcher = KindWatcher(watched, store, lambda event: None, Random(1))
+                    nursery.start_soon(watcher.run)
+        return pool.outage[1]
+
+    ended_at = trio.run(run, clock=MockClock(autojump_threshold=0))
+    members = [at for at, kind in pool.sent if kind == MEMBERS.kind]
+    assert any(ended_at <= at <= ended_at + 3.1 for at in members)
+    assert DIRECTORY.wait_s + CALL_TIMEOUT_S <= 3.0
