--- a/masticdrum/core/permits.py
+++ b/masticdrum/core/permits.py
@@ -42,7 +42,6 @@
 RENEW_EVERY_S = 3.0
 MIN_POLL_S = 0.5
 MAX_POLL_S = 10.0
-CONFLICT_SPREAD_S = 0.15  # some ten writes one after another
 FIRST_ERA = 1  # in it nothing has been lost yet
 FENCES_PER_ERA = 2**32
 Number = Annotated[int, Meta(ge=0, le=2**62)]  # leaves room to count on in 64 bits
@@ -269,21 +268,10 @@
                 self._install(0, PermitTable(), now)
             case ObjectStatus.CONFLICT:
                 self._version = -1
-                self._spread_grants(now)
             case _:
                 self._version = -1
                 self._back_off(now)
 
-    def _spread_grants(self, now: float) -> None:
-        """Wait a moment after a conflict, unless a lease is to be kept or released.
-
-        Agents that learn of new weights together want permits together. If each tried
-        again at once, all would write at once again, and one of them would succeed.
-        """
-        if self._token in self._table.leases or now < self._expires_at:
-            return
-        self._next_call_at = now + self._random.uniform(0.0, CONFLICT_SPREAD_S)
-
     def _install_read(self, answer: ObjectAnswer, now: float) -> None:
         """Use a table that was read, or none if it can't be decoded.
 
