Publish where a roll-out stands, for the operators' command

The decider writes its progress once a second: share, answers of both sides, verdict and the next step with its earliest time. A failed write is not repeated, and nothing is decided by it.

Seen by real processes: test_the_status_is_running_at_first reads the object.

--- a/masticdrum/core/entryrollouts.py
+++ b/masticdrum/core/entryrollouts.py
@@ -9,21 +9,26 @@
     RolloutParts,
     RolloutView,
 )
+from masticdrum.core.rolloutprogress import ProgressPacer, encode_progress
 from masticdrum.model.cluster_events import StoreRestored
+from masticdrum.model.rolloutprogress import PublishRolloutProgress, RolloutProgress
 from masticdrum.model.rollouts import (
     RolloutGrant,
     RolloutLeasesRead,
+    RolloutOrder,
     RolloutReported,
     RolloutsRead,
     RolloutStatusAnswered,
 )
+from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.rollouts.course import Course
 from masticdrum.rollouts.course import RolloutParts as DeciderParts
 from masticdrum.rollouts.decider import RolloutDecider
 from masticdrum.rollouts.evidence import EntryTallies, PooledEvidence
 from masticdrum.rollouts.follower import RolloutFollower
 from masticdrum.rollouts.interfaces import RolloutBounds
 from masticdrum.rollouts.judgement import Judge
-from masticdrum.rollouts.schedule import Schedule, choose_upstreams
+from masticdrum.rollouts.schedule import MAX_LAST_S, Schedule, choose_upstreams
 
 ListUpstreams = Callable[[str, str], Iterable[str]]
 OrderKey = tuple[str, str, int]
@@ -36,7 +41,7 @@
     names the upstreams of a service at a version.
     """
 
-    __slots__ = ("_decider", "_follower", "_orders", "_tallies")
+    __slots__ = ("_decider", "_follower", "_orders", "_pacers", "_tallies")
 
     def __init__(
         self,
@@ -57,6 +62,7 @@
         self._follower = RolloutFollower(name, incarnation)
         self._orders: dict[str, OrderKey] = {}
         self._tallies: dict[str, EntryTallies] = {}
+        self._pacers: dict[str, ProgressPacer] = {}
 
     def find_share(
         self, service: str, now: float
@@ -123,9 +129,48 @@
             for service, target, _ in self._orders.values()
         }
         effects += self._follower.make_reports(now, tallies, old_open)
+        return effects + self._publish(now, view.read_unix_time())
+
+    def _publish(self, now: float, unix_now: float) -> list[RolloutEffect]:
+        """Tell operators where the orders stand that this entry decides."""
+        effects: list[RolloutEffect] = []
+        for order, course in self._decider.list_courses():
+            pacer = self._pacers.setdefault(order.service, ProgressPacer())
+            if not pacer.is_due(now):
+                continue
+            progress = describe_progress(order, course, now, unix_now)
+            try:
+                body = encode_progress(progress)
+            except ValueError as error:
+                effects.append(Log(LogNumber.ROLLOUT_STEP, detail=str(error)))
+                continue
+            effects.append(PublishRolloutProgress(order.service, body))
         return effects
 
 
+def describe_progress(
+    order: RolloutOrder, course: Course, now: float, unix_now: float
+) -> RolloutProgress:
+    """Describe where an order stands; the next step is that of all requests."""
+    evidence, step = course.pool.pool(), course.step
+    last_s = min(MAX_LAST_S, order.duration_s / 2)
+    until_last_s = course.began_at + order.duration_s - last_s - now
+    has_next = step is None or not step.is_last
+    return RolloutProgress(
+        *order.key,
+        number=course.number,
+        at_unix_s=unix_now,
+        step=course.find_step_number(step),
+        share=0.0 if step is None else step.share,
+        new_sent=evidence.new_sent,
+        old_sent=evidence.old_sent,
+        verdict=course.judgement.verdict.name.lower(),
+        next_share=1.0 if has_next else None,
+        next_at_unix_s=unix_now + max(0.0, until_last_s) if has_next else None,
+        facts={"": course.judgement.facts},
+    )
+
+
 def make_entry_rollouts(
     name: str,
     incarnation: str,
--- a/masticdrum/core/rolloutcontrol.py
+++ b/masticdrum/core/rolloutcontrol.py
@@ -7,6 +7,7 @@
 from masticdrum.model.cluster_events import StoreRestored
 from masticdrum.model.exchange import Ticked
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
+from masticdrum.model.rolloutprogress import PublishRolloutProgress
 from masticdrum.model.rollouts import (
     PutRolloutStatus,
     RolloutGrant,
@@ -42,7 +43,14 @@
 )
 RolloutEvent = RolloutInput | StoreRestored | Ticked
 RolloutEffect = (
-    SendGrant | SendReport | PutRolloutStatus | ObjectGet | ObjectPut | Log | Count
+    SendGrant
+    | SendReport
+    | PutRolloutStatus
+    | PublishRolloutProgress
+    | ObjectGet
+    | ObjectPut
+    | Log
+    | Count
 )
 
 
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -13,6 +13,7 @@
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.origins import SendToAgents
 from masticdrum.model.platform import ObjectGet, ObjectPut
+from masticdrum.model.rolloutprogress import PublishRolloutProgress
 from masticdrum.model.rollouts import PutRolloutStatus, SendGrant, SendReport
 from masticdrum.model.telemetry import Count, Log, Observe
 
@@ -246,6 +247,7 @@
     | SendGrant
     | SendReport
     | PutRolloutStatus
+    | PublishRolloutProgress
     | ExitProcess
     | Log
     | Count
--- a/masticdrum/model/rolloutprogress.py
+++ b/masticdrum/model/rolloutprogress.py
@@ -32,3 +32,10 @@
     next_at_unix_s: float | None = None
     facts: dict[str, Facts] = field(default_factory=dict)
     omitted: int = 0
+
+
+class PublishRolloutProgress(Struct, frozen=True):
+    """Writes an order's progress for operators; a failed write is not repeated."""
+
+    service: str
+    body: bytes
--- a/masticdrum/platform/rollouts.py
+++ b/masticdrum/platform/rollouts.py
@@ -8,16 +8,18 @@
 
 from masticdrum.core.rolloutcontrol import RolloutObjectAnswered
 from masticdrum.model.cluster_events import ClusterEvent
-from masticdrum.model.platform import ObjectGet, ObjectPut
+from masticdrum.model.platform import ObjectGet, ObjectPut, ObjectStatus
+from masticdrum.model.rolloutprogress import PublishRolloutProgress
 from masticdrum.model.rollouts import (
     PutRolloutStatus,
     RolloutsRead,
     RolloutStatusAnswered,
 )
+from masticdrum.platform.rolloutorders import PROGRESS_KIND
 from masticdrum.platform.store import Store
 from masticdrum.platform.watchers import ROLLOUT_LEASES, ROLLOUTS, KindWatcher
 
-RolloutCall = ObjectGet | ObjectPut | PutRolloutStatus
+RolloutCall = ObjectGet | ObjectPut | PutRolloutStatus | PublishRolloutProgress
 Submit = Callable[[ClusterEvent | RolloutObjectAnswered | RolloutStatusAnswered], None]
 
 
@@ -58,20 +60,40 @@
             await self._changed.wait()
 
 
-async def execute_rollout_calls(
-    store: Store, calls: trio.MemoryReceiveChannel[RolloutCall], submit: Submit
-) -> None:
-    """Execute calls side by side, so that none waits for another; runs for ever."""
-    async with trio.open_nursery() as nursery:
-        async for call in calls:
-            nursery.start_soon(_execute, store, call, submit)
-
+class RolloutCalls:
+    """Executes calls on orders, their leases and their progress."""
 
-async def _execute(store: Store, call: RolloutCall, submit: Submit) -> None:
-    if isinstance(call, PutRolloutStatus):
-        submit(await store.put_rollout_status(call))
-    else:
-        submit(RolloutObjectAnswered(await store.execute(call)))
+    def __init__(self, store: Store, submit: Submit) -> None:
+        self._store = store
+        self._submit = submit
+        self._revisions: dict[str, int] = {}  # of progress objects, by service
+
+    async def run(self, calls: trio.MemoryReceiveChannel[RolloutCall]) -> None:
+        """Execute calls side by side, so that none waits for another; runs for ever."""
+        async with trio.open_nursery() as nursery:
+            async for call in calls:
+                nursery.start_soon(self._execute, call)
+
+    async def _execute(self, call: RolloutCall) -> None:
+        match call:
+            case PutRolloutStatus():
+                self._submit(await self._store.put_rollout_status(call))
+            case PublishRolloutProgress():
+                await self._publish(call)
+            case _:
+                self._submit(RolloutObjectAnswered(await self._store.execute(call)))
+
+    async def _publish(self, call: PublishRolloutProgress) -> None:
+        """Create or replace a progress object; another decider's is read first."""
+        path = f"{PROGRESS_KIND}/{call.service}"
+        known = self._revisions.pop(call.service, 0)
+        answer = await self._store.execute(
+            ObjectPut("progress", path, call.body, known)
+        )
+        if answer.status is ObjectStatus.CONFLICT:
+            answer = await self._store.execute(ObjectGet("progress", path))
+        if answer.status is ObjectStatus.OK:
+            self._revisions[call.service] = answer.version
 
 
 def list_rollout_tasks(
@@ -82,5 +104,5 @@
     return [
         follower.follow_orders,
         follower.follow_leases,
-        partial(execute_rollout_calls, store, calls, submit),
+        partial(RolloutCalls(store, submit).run, calls),
     ]
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -42,6 +42,7 @@
 from masticdrum.model.origins import OriginReply, SendToAgents
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
 from masticdrum.model.resources import ProcessLimits
+from masticdrum.model.rolloutprogress import PublishRolloutProgress
 from masticdrum.model.rollouts import (
     PutRolloutStatus,
     RolloutGrant,
@@ -88,7 +89,7 @@
     ],
     None,
 ]
-RolloutCall = ObjectGet | ObjectPut | PutRolloutStatus
+RolloutCall = ObjectGet | ObjectPut | PutRolloutStatus | PublishRolloutProgress
 ROLLOUT_PATH = "rollouts/"  # of the system's own objects
 MAX_ROLLOUT_CALLS = 64  # that wait; each is made again if it is still needed
 ChoosePolls = Callable[[], list[StorePolls]]
@@ -246,7 +247,12 @@
                 carry_out_telemetry(self.meters, effect)
             case PublishCrashReport():
                 self.crash_report.set(effect.report)
-            case ObjectGet() | ObjectPut() | PutRolloutStatus():
+            case (
+                ObjectGet()
+                | ObjectPut()
+                | PutRolloutStatus()
+                | PublishRolloutProgress()
+            ):
                 self._call_store(effect)
             case SendReport() | SendGrant():
                 self._send_rollout_message(effect)
--- a/masticdrum/rollouts/decider.py
+++ b/masticdrum/rollouts/decider.py
@@ -201,6 +201,14 @@
                 effects += [call] if call else []
         return effects
 
+    def list_courses(self) -> list[tuple[RolloutOrder, Course]]:
+        """List the orders that this entry decides, and what it knows of each."""
+        return [
+            (state.read.order, state.course)
+            for state in self._orders.values()
+            if state.course is not None and state.is_deciding and not state.final
+        ]
+
     def _rank(self, service: str) -> int:
         """Return this entry's place in the order in which members take leases."""
 
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -1,5 +1,6 @@
 """Roll-outs with real entries: what is decided, and which version gets requests."""
 
+import json
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -7,6 +8,7 @@
 
 import pytest
 
+from masticdrum.core.rolloutprogress import decode_progress
 from tests.platform.rolloutfleet import (
     ENTRIES,
     NEW,
@@ -92,6 +94,14 @@
             lambda: all("desk" in fleet.read_shares(entry) for entry in ENTRIES),
             "shares at all entries",
         )
+        fleet.wait_until(
+            lambda: fleet.read("masticdrum-rolloutprogress", "desk") is not None,
+            "the progress for operators",
+        )
+        stored = fleet.read("masticdrum-rolloutprogress", "desk")
+        assert stored is not None
+        progress = decode_progress(json.dumps(stored["spec"]).encode())
+        assert (progress.target, progress.next_share) == (NEW, 1.0)
 
 
 BAD = {
