Part what answers a caller's requests from its connection

Moves alone: the types that a connection and its handler share get a module of their own, and the product's own interface uses the same Refusal instead of a second one.

--- a/masticdrum/shell/callerapplication.py
+++ b/masticdrum/shell/callerapplication.py
@@ -38,8 +38,9 @@
     send_whole,
 )
 from masticdrum.shell.callerchannel import CallerChannel
+from masticdrum.shell.callerrequests import Refusal
 from masticdrum.shell.metrics import Metrics
-from masticdrum.shell.requestbody import Refusal, parse_completion, read_body
+from masticdrum.shell.requestbody import parse_completion, read_body
 
 EVENT_STREAM: Headers = [
     (b"content-type", b"text/event-stream"),
--- a/masticdrum/shell/callerserver.py
+++ b/masticdrum/shell/callerserver.py
@@ -12,7 +12,8 @@
 
 from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.telemetry import Log, LogNumber
-from masticdrum.shell.callerconnection import CallerConnection, RequestHandler
+from masticdrum.shell.callerconnection import CallerConnection
+from masticdrum.shell.callerrequests import RequestHandler
 from masticdrum.shell.connectionlimits import ConnectionGroup, ConnectionLimits
 from masticdrum.shell.jsonlogging import write_event
 from masticdrum.shell.metrics import Metrics
--- a/masticdrum/shell/forwardapplication.py
+++ b/masticdrum/shell/forwardapplication.py
@@ -26,11 +26,8 @@
 from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.telemetry import Count, Counter, Log, LogNumber
 from masticdrum.shell.asgi import JSON, Headers
-from masticdrum.shell.callerconnection import (
-    CallerConnection,
-    IncomingRequest,
-    Refusal,
-)
+from masticdrum.shell.callerconnection import CallerConnection
+from masticdrum.shell.callerrequests import IncomingRequest, Refusal
 from masticdrum.shell.headercodec import CallerHeaders, HeaderCodec, drop_hop_headers
 from masticdrum.shell.jsonlogging import write_event
 from masticdrum.shell.metrics import Metrics
--- a/masticdrum/shell/probes.py
+++ b/masticdrum/shell/probes.py
@@ -8,11 +8,8 @@
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ANSWERS
 from masticdrum.shell.asgi import JSON, Scope, Send, send_whole
-from masticdrum.shell.callerconnection import (
-    CallerConnection,
-    IncomingRequest,
-    Refusal,
-)
+from masticdrum.shell.callerconnection import CallerConnection
+from masticdrum.shell.callerrequests import IncomingRequest, Refusal
 from masticdrum.shell.metrics import Metrics
 
 MAX_BODY_BYTES = 4096  # probes have none
--- a/masticdrum/shell/requestbody.py
+++ b/masticdrum/shell/requestbody.py
@@ -8,13 +8,7 @@
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.settings import EntryLimits
 from masticdrum.shell.asgi import Receive
-
-
-class Refusal(Struct, frozen=True):
-    """Why a request is refused, with a sentence that names the fault."""
-
-    kind: ErrorKind
-    detail: str = ""
+from masticdrum.shell.callerrequests import Refusal
 
 
 class CompletionBody(Struct, frozen=True):
--- a/tests/shell/callers.py
+++ b/tests/shell/callers.py
@@ -9,12 +9,8 @@
 from masticdrum.model.directory import CallerLimits
 from masticdrum.model.errors import ANSWERS
 from masticdrum.model.resources import Resources
-from masticdrum.shell.callerconnection import (
-    CallerConnection,
-    IncomingRequest,
-    Refusal,
-    RequestHandler,
-)
+from masticdrum.shell.callerconnection import CallerConnection
+from masticdrum.shell.callerrequests import IncomingRequest, Refusal, RequestHandler
 from masticdrum.shell.tcpconnection import TcpConnection
 
 REQUEST = b"POST /a/1?x=%2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n"
--- a/tests/shell/test_forwarding.py
+++ b/tests/shell/test_forwarding.py
@@ -12,7 +12,8 @@
     Refuse,
 )
 from masticdrum.platform.headers import PlatformHeaderCodec
-from masticdrum.shell.callerconnection import CallerConnection, IncomingRequest
+from masticdrum.shell.callerconnection import CallerConnection
+from masticdrum.shell.callerrequests import IncomingRequest
 from masticdrum.shell.forwardapplication import (
     ForwardApplication,
     compute_fingerprint,
