Take ports of tests from below those that connections get

What was seen: test_a_good_version_is_completed failed once since the port of an entry's probes was in use. A free port was taken by binding to any, which is one of those that the system gives to connections, and any process's connection could take it before the entry listened there. Ports are drawn from 10,000 to 31,999 now.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -1,6 +1,8 @@
 """Real processes on loopback: stand-ins, entries and an agent of a service pool."""
 
+import errno
 import json
+import secrets
 import signal
 import socket
 import subprocess
@@ -19,6 +21,7 @@
 from masticdrum.model.tables import DataCentre, Pool, PoolKind, Route, Tables, Upstream
 
 READY_S = 20.0
+PORTS = range(10_000, 32_000)  # connections get ports from 32,768 on
 WORKSPACES = ["radkranz", "gebeya"]
 
 
@@ -40,16 +43,30 @@
     """Return a free port for each name.
 
     All sockets stay open until the last port is known, so that no port is given twice.
+    The ports are none that the system gives to connections, which would take them
+    before a process listens there.
     """
     with ExitStack() as stack:
         ports: dict[str, int] = {}
         for name in names:
             sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            ports[name] = sock.getsockname()[1]
+            ports[name] = bind_free_port(sock)
         return ports
 
 
+def bind_free_port(sock: socket.socket) -> int:
+    """Bind a socket to a free port below those of connections, and return it."""
+    while True:
+        port = secrets.choice(PORTS)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            continue
+        return port
+
+
 def request(
     method: str, url: str, headers: dict[str, str] | None = None, body: bytes = b""
 ) -> httpcore.Response:
