--- a/masticdrum/shell/sockets.py
+++ b/masticdrum/shell/sockets.py
@@ -8,6 +8,9 @@
 LINGER_MS = 1000
 MAX_FRAMES = 10_000  # frames that are queued for one peer before sends fail
 MAX_SOCKETS = 65_000
+BACKLOG = 64  # connections that the kernel completes before they are accepted
+# Peers that say nothing would keep their descriptors for 30 s otherwise.
+HANDSHAKE_MS = 2000
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024  # a peer that sends a longer one is disconnected
 
 
@@ -36,6 +39,8 @@
         self._socket.setsockopt(zmq.SNDHWM, MAX_FRAMES)
         self._socket.setsockopt(zmq.RCVHWM, MAX_FRAMES)
         self._socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._socket.setsockopt(zmq.BACKLOG, BACKLOG)
+        self._socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
         if kind == zmq.ROUTER:
             self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
             self._socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
