Let no garbage collection wait for the sockets of a context

Cause, by the stack of one of them: garbage collection ended a ZeroMQ context of an earlier test before its sockets, and zmq_ctx_term waits for these without an end.

Change: a context lives as long as its process. The new test stood still for its 30 s before the change and passes after it.

--- a/masticdrum/shell/sockets.py
+++ b/masticdrum/shell/sockets.py
@@ -14,9 +14,20 @@
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024  # a peer that sends a longer one is disconnected
 
 
+class ProcessContext(zmq.Context[zmq.Socket[bytes]]):
+    """A context that lives as long as its process."""
+
+    def __del__(self) -> None:
+        """Leave the context to the end of the process.
+
+        Garbage collection would terminate it, and wait for ever for its sockets if
+        these are collected after it.
+        """
+
+
 def make_context() -> zmq.Context[zmq.Socket[bytes]]:
     """Return a context that allows a socket for each upstream of a large pool."""
-    context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+    context = ProcessContext()
     context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
     return context
 
--- a/tests/shell/test_sockets.py
+++ b/tests/shell/test_sockets.py
@@ -1,5 +1,8 @@
 """Closing a ZeroMQ socket while its task starts or handles a frame raises no error."""
 
+import subprocess
+import sys
+
 import trio
 import zmq
 
@@ -38,3 +41,21 @@
             server.close()
 
     trio.run(run)
+
+
+COLLECT = """
+import gc, zmq
+from masticdrum.shell.sockets import make_context
+
+for _ in range(50):
+    context = make_context()
+    kept = [context, context.socket(zmq.ROUTER)]
+    kept.append(kept)
+    del context, kept
+    gc.collect()
+"""
+
+
+# Guards against a process that waits for ever as garbage collection ends a context.
+def test_a_context_that_is_collected_with_its_sockets_holds_nothing_up() -> None:
+    subprocess.run([sys.executable, "-c", COLLECT], check=True, timeout=30)
