--- a/masticdrum/core/attemptlog.py
+++ b/masticdrum/core/attemptlog.py
@@ -1,5 +1,6 @@
 """Logs how an attempt at an upstream started, and how it ended."""
 
+from masticdrum.core.clusterstate import MAX_LOGGED_S
 from masticdrum.core.exchangestate import Attempt, Exchange, ExchangeState
 from masticdrum.model.directory import Upstream
 from masticdrum.model.exchange import (
@@ -17,12 +18,13 @@
     upstream: Upstream,
     load: int,
     candidates: int,
+    scope: str,
     now: float,
 ) -> Log:
     """Return the log of an attempt's start.
 
     ``load`` is the work that was open at the upstream before, ``candidates`` how many
-    upstreams could have got it.
+    upstreams could have got it, and ``scope`` where a prompt shares KV cache.
     """
     return Log(
         LogNumber.EXCHANGE_SENT,
@@ -39,6 +41,7 @@
             "left_s": round(exchange.deadline - now, 3),
             "version": state.cluster_state.version,
             "lease_s": round(state.cluster_state.lease.until - now, 3),
+            **_describe_scope(state, exchange, scope, now),
             **_describe_weights(state, exchange, upstream, now),
         },
     )
@@ -73,6 +76,21 @@
     return [counted, log]
 
 
+def _describe_scope(
+    state: ExchangeState, exchange: Exchange, scope: str, now: float
+) -> Facts:
+    """Describe where a prompt shares KV cache, and how old that decision's basis is."""
+    if exchange.prompt is None:
+        return {}
+    workspace = exchange.workspace
+    confirmed_at = state.cluster_state.lease.confirmed_at
+    return {
+        "scope": scope,
+        "workspace": "" if workspace is None else workspace.name,
+        "confirmed_s": round(min(now - confirmed_at, MAX_LOGGED_S), 3),
+    }
+
+
 def _describe_weights(
     state: ExchangeState, exchange: Exchange, upstream: Upstream, now: float
 ) -> Facts:
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -293,6 +293,8 @@
         return []
     facts = _describe_versions(cluster_state, directory)
     cluster_state.index = DirectoryIndex(directory)
+    facts |= {"wall": cluster_state.index.wall}
+    facts |= {"confirmed_s": round(now - confirmed_at, 3)}
     return [Log(LogNumber.DIRECTORY_INSTALLED, facts=facts)]
 
 
--- a/masticdrum/core/directorylease.py
+++ b/masticdrum/core/directorylease.py
@@ -18,15 +18,17 @@
 class DirectoryLease:
     """Ends at ``until``, in seconds.
 
-    ``read_version`` is the version that the store's last answer held, and
+    ``confirmed_at`` is the latest time at which the configuration is known to have been
+    the newest. ``read_version`` is the version that the store's last answer held, and
     ``newest_version`` the newest that was ever in force here or at another process.
     ``began_at`` is when the first configuration was read.
     """
 
-    __slots__ = ("began_at", "newest_version", "read_version", "until")
+    __slots__ = ("began_at", "confirmed_at", "newest_version", "read_version", "until")
 
     def __init__(self) -> None:
         self.until = 0.0
+        self.confirmed_at = float("-inf")
         self.read_version = 0
         self.newest_version = 0
         self.began_at: float | None = None
@@ -53,6 +55,7 @@
     def extend(self, confirmed_at: float, revoke_s: float) -> None:
         """Extend the lease; a revoked key must stop working within ``revoke_s``."""
         if not self.is_store_behind:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
             until = confirmed_at + revoke_s - LEASE_MARGIN_S
             self.until = max(self.until, until)
 
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -273,8 +273,9 @@
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
-    log = log_start(state, exchange, upstream, load, len(candidates), now)
     start = describe_attempt(state, exchange, choice, now)
+    scope = start.cache_scope
+    log = log_start(state, exchange, upstream, load, len(candidates), scope, now)
     side = record_start(state, exchange, known, now)
     if not side:
         return [start, log]
