Share no KV cache by a configuration that may have been replaced

Cause: an entry shared KV cache by the configuration that it had for as long as the lease on keys lasted, 4.4 s where a configuration must be in force within 2 s.

Change: beyond apply_s after its configuration was known to be the newest, an entry gives each workspace a scope of its own, and saves nothing in stores. The watch after a change is shorter, so that a sound entry is never in doubt: its test failed before too. The mutant that shares by model alone now breaks choose_cache_scope, which has replaced _name_cache_scope. get_scope of the tests abandons its request, so that many of them don't saturate the engines.

Why it works: prompts only meet in the shared scope if both entries knew within apply_s that the same workspaces were isolated.

--- a/masticdrum/core/attemptstart.py
+++ b/masticdrum/core/attemptstart.py
@@ -1,11 +1,7 @@
 """Describes an attempt: what is sent to its upstream, and how long to wait for it."""
 
-from masticdrum.core.cachescopes import (
-    name_private_scope,
-    name_shared_scope,
-    name_single_use_scope,
-)
 from masticdrum.core.exchangestate import Exchange, ExchangeState
+from masticdrum.core.scopechoice import CacheScope
 from masticdrum.core.upstreamchoice import Choice
 from masticdrum.model.directory import RouteKind
 from masticdrum.model.exchange import Prompt, StartAttempt
@@ -18,18 +14,24 @@
 
 
 def describe_attempt(
-    state: ExchangeState, exchange: Exchange, choice: Choice, now: float
+    state: ExchangeState,
+    exchange: Exchange,
+    choice: Choice,
+    scope: CacheScope,
+    now: float,
 ) -> StartAttempt:
     """Describe an exchange's new attempt at the chosen upstream."""
     upstream = choice.known.upstream
     left_s = exchange.deadline - now
-    weights, scope = 0, ""
+    weights = 0
     sources: tuple[str, ...] = ()
     targets: tuple[str, ...] = ()
     if exchange.prompt is not None:
         weights = upstream.weights.get(exchange.prompt.model, 0)
-        scope = _name_cache_scope(state, exchange.prompt, exchange, weights)
-        sources, targets = _plan_prefixes(state, exchange.prompt, scope, choice, now)
+        if scope.is_lasting:
+            sources, targets = _plan_prefixes(
+                state, exchange.prompt, scope.name, choice, now
+            )
     workspace = exchange.workspace
     return StartAttempt(
         handle=exchange.handle,
@@ -40,7 +42,7 @@
         left_s=left_s,
         first_wait_s=_compute_first_wait(exchange, left_s),
         expect_weights=weights,
-        cache_scope=scope,
+        cache_scope=scope.name,
         cache_sources=sources,
         cache_targets=targets,
         urgency=min(LOWEST_URGENCY, exchange.urgency)
@@ -70,23 +72,6 @@
     return (choice.cache_holder.upstream.address,), plan.targets
 
 
-def _name_cache_scope(
-    state: ExchangeState, prompt: Prompt, exchange: Exchange, weights: int
-) -> str:
-    """Name who may share the KV cache of an attempt.
-
-    The configuration that is in force now decides, not that under which the request
-    arrived: a workspace may have become isolated since its first attempt.
-    """
-    index = state.cluster_state.index
-    if not weights or index is None:
-        return name_single_use_scope(prompt.model, exchange.request)
-    workspace = exchange.workspace
-    if workspace is not None and workspace.name not in index.sharing:
-        return name_private_scope(prompt.model, weights, workspace.name)
-    return name_shared_scope(prompt.model, weights, index.wall)
-
-
 def _compute_first_wait(exchange: Exchange, left_s: float) -> float:
     route = exchange.route
     if route.kind is not RouteKind.IDEMPOTENT or exchange.sends + 1 >= (
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -48,13 +48,15 @@
 class ClusterBounds(Struct, frozen=True):
     """How long the cluster state may be acted on, in seconds.
 
-    ``revoke_s`` is how soon a revoked key must stop working everywhere; ``drain_s`` is
+    ``apply_s`` is how soon a configuration must be in force everywhere, ``revoke_s``
+    how soon a revoked key must stop working everywhere; ``drain_s`` is
     how long an upstream whose registration is gone may still be sent to. A registration
     that isn't renewed is removed by the store within ``unregister_s``.
     """
 
     revoke_s: float
     drain_s: float
+    apply_s: float = 2.0
     unregister_s: float = 6.0
 
 
@@ -131,6 +133,10 @@
         """Return whether requests with keys may be sent now."""
         return self.lease.is_held(now)
 
+    def is_up_to_date(self, now: float) -> bool:
+        """Return whether no configuration can be in force that isn't installed."""
+        return now - self.lease.confirmed_at <= self.bounds.apply_s
+
     def list_usable_upstreams(self, service: str, now: float) -> list[KnownUpstream]:
         """List the upstreams of a service that may get new work.
 
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -38,6 +38,7 @@
     record_stop,
 )
 from masticdrum.core.rolloutsplit import record_start
+from masticdrum.core.scopechoice import choose_cache_scope
 from masticdrum.core.upstreamchoice import choose_upstream, estimate_work
 from masticdrum.core.upstreamnotices import (
     record_notices,
@@ -273,9 +274,9 @@
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
-    start = describe_attempt(state, exchange, choice, now)
-    scope = start.cache_scope
-    log = log_start(state, exchange, upstream, load, len(candidates), scope, now)
+    scope = choose_cache_scope(state, exchange, upstream, now)
+    start = describe_attempt(state, exchange, choice, scope, now)
+    log = log_start(state, exchange, upstream, load, len(candidates), scope.name, now)
     side = record_start(state, exchange, known, now)
     if not side:
         return [start, log]
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -130,8 +130,9 @@
 
     ``http``, ``probes`` and ``metrics`` are the ``IP:PORT`` for callers, readiness and
     metrics; ``store`` is that of the platform's store. ``drain_s`` is how long requests
-    may still be sent to an upstream that is shutting down, ``revoke_s`` how soon a
-    revoked key must stop working, ``weights_s`` how long requests may start on older
+    may still be sent to an upstream that is shutting down, ``apply_s`` how soon a
+    configuration must be in force, ``revoke_s`` how soon a revoked key must stop
+    working, ``weights_s`` how long requests may start on older
     weights after newer ones were named. Over all entries together, retries to a service
     are bounded by ``retry_ratio`` of its requests in ``retry_window_s`` and
     ``retry_extra``, requests to a cold upstream by its own rate times ``cold_factor``
@@ -149,6 +150,7 @@
     metrics: str
     store: str
     drain_s: float = 2.0
+    apply_s: float = 2.0
     revoke_s: float = 5.0
     weights_s: float = 12.0
     retry_ratio: float = 0.2
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -61,6 +61,7 @@
 MIN_PAUSE_S = 0.1  # after a failed read
 MAX_PAUSE_S = 0.8  # so that a store that returns is noticed within a second
 CONFIRM_MARGIN_S = 0.05  # for clock drift over one wait
+MIN_WAIT_S = 0.1
 MAX_NAME_CHARS = 100  # of an object's name in a log line
 MAX_RESTORE_S = 5.0  # a longer silence may be a cut of this machine
 DIRECTORY_NAME = "main"  # the one object that is used of its kind
@@ -115,6 +116,8 @@
     ) -> None:
         self._watched = watched
         self._wait_s = watched.wait_s
+        # How long ago the last change of the configuration was known to be the newest.
+        self._unconfirmed_s = 0.0
         self._store = store
         self._submit = submit
         self._random = random
@@ -197,13 +200,15 @@
         requested_at = read_clock()
         self._check_era()
         self._watched_at, self._failed_at = requested_at, float("inf")
-        wait_s = min(self._wait_s, self._list_again_at - requested_at)
+        wait_s = max(MIN_WAIT_S, self._wait_s - self._unconfirmed_s)
+        wait_s = min(wait_s, self._list_again_at - requested_at)
         changes = await self._store.watch(
             self._watched.kind, self._since, wait_s, stale=self._watched.stale
         )
         self._check_era()
         self._since = max(self._since, changes.asOf)
         self._record_read()
+        self._unconfirmed_s = 0.0
         if not changes.events:
             self._record_request(requested_at)
             self._confirm(requested_at, wait_s)
@@ -214,6 +219,8 @@
                 self._apply_change(stored, change.deleted)
         self._report_changes(requested_at)
         self._record_request(requested_at)
+        if self._watched.source is Source.DIRECTORY:
+            self._unconfirmed_s = read_clock() - requested_at
         await trio.sleep(self._watched.gap_s)
 
     def _record_request(self, requested_at: float) -> None:
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -349,7 +349,12 @@
     """Convert settings to the reducer's bounds."""
     unregister_s = UNREGISTER_HEARTBEATS * settings.heartbeat_s
     return ForwardBounds(
-        cluster_state=ClusterBounds(settings.revoke_s, settings.drain_s, unregister_s),
+        cluster_state=ClusterBounds(
+            revoke_s=settings.revoke_s,
+            drain_s=settings.drain_s,
+            apply_s=settings.apply_s,
+            unregister_s=unregister_s,
+        ),
         retries=RetryBounds(
             settings.retry_ratio, settings.retry_window_s, settings.retry_extra
         ),
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -6,7 +6,6 @@
 from msgspec import structs
 
 from masticdrum.core import (
-    attemptstart,
     clusterstate,
     crashsuspicion,
     exchanges,
@@ -24,12 +23,14 @@
 from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryWindow
 from masticdrum.core.saturation import Queue, Saturation
+from masticdrum.core.scopechoice import CacheScope
 from masticdrum.core.softwarerecords import SoftwareRecords
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.supersededweights import SupersededWeights
 from masticdrum.core.upstreampauses import UpstreamPauses
 from masticdrum.model.crashes import CrashClaim
 from masticdrum.model.exchange import Execution
+from tests.forwarding import MODEL
 
 Patch = pytest.MonkeyPatch
 
@@ -93,9 +94,9 @@
 def share_despite_isolation(patch: Patch) -> None:
     """Share KV cache by model alone, despite weight versions and isolation."""
     patch.setattr(
-        attemptstart,
-        "_name_cache_scope",
-        lambda state, prompt, exchange, weights: prompt.model,
+        exchanges,
+        "choose_cache_scope",
+        lambda state, exchange, upstream, now: CacheScope(MODEL),
     )
 
 
--- a/tests/core/test_cachescopes.py
+++ b/tests/core/test_cachescopes.py
@@ -3,13 +3,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from masticdrum.model.cluster_events import DirectoryRead
+from masticdrum.model.cluster_events import DirectoryConfirmed, DirectoryRead
 from masticdrum.model.directory import ForwardWorkspace
 from masticdrum.model.exchange import AttemptEnd
-from tests.forwarding import Entry, get_start, make_directory
+from tests.forwarding import BOUNDS, Entry, get_start, make_directory
 
 NAMES = ("depot", "yard", "quay")
 ISOLATED_SETS = st.frozensets(st.sampled_from(NAMES))
+APPLY_S = BOUNDS.cluster_state.apply_s
+STEP_S = 0.5
+STEPS = 24
 
 
 def install(entry: Entry, version: int, isolated: frozenset[str]) -> None:
@@ -22,7 +25,9 @@
 
 
 def get_scope(entry: Entry, workspace: str) -> str:
-    return get_start(entry.send_request("stream", f"key-{workspace}")).cache_scope
+    start = get_start(entry.send_request("stream", f"key-{workspace}"))
+    entry.disconnect(start.handle)
+    return start.cache_scope
 
 
 def test_what_a_workspace_made_before_its_isolation_is_left_behind() -> None:
@@ -48,6 +53,62 @@
     assert scopes["yard"] == scopes["quay"] != scopes["depot"]
 
 
+def test_an_entry_that_may_have_missed_a_configuration_shares_with_nobody() -> None:
+    """Guards against an entry that is cut off and goes on sharing over a new wall."""
+    entry = Entry()
+    install(entry, 2, frozenset())
+    shared = get_scope(entry, "yard")
+    entry.now += APPLY_S
+    assert get_scope(entry, "yard") == get_scope(entry, "quay") == shared
+    entry.now += 0.1
+    scopes = {get_scope(entry, name) for name in NAMES}
+    assert len(scopes) == len(NAMES) and shared not in scopes
+    entry.confirm()
+    assert get_scope(entry, "yard") == get_scope(entry, "quay") == shared
+
+
+@given(
+    st.lists(st.tuples(st.integers(1, 6), ISOLATED_SETS), max_size=5),
+    st.lists(st.frozensets(st.integers(0, STEPS)), min_size=2, max_size=2),
+)
+def test_nobody_uses_what_was_made_across_a_wall_that_is_in_force(
+    changes: list[tuple[int, frozenset[str]]], heard: list[frozenset[int]]
+) -> None:
+    """Guards against the WALL of the rules: entries hear of each change when they may.
+
+    Each change comes some steps after the one before. Entries reach the store in some
+    steps only, and engines keep whatever any request made, for ever.
+    """
+    history, at = [(0, frozenset[str]())], 0
+    for gap, isolated in changes:
+        at += gap
+        history.append((at, isolated))
+    entries = [Entry() for _ in heard]
+    began = entries[0].now
+    for entry in entries:
+        install(entry, 2, history[0][1])
+    makers: dict[str, set[str]] = {}
+    for step in range(STEPS):
+        newest = max(n for n, (since, _) in enumerate(history) if since <= step)
+        oldest = max(
+            n
+            for n, (since, _) in enumerate(history)
+            if n == 0 or (step - since) * STEP_S > APPLY_S
+        )
+        walled = frozenset.intersection(*(s for _, s in history[oldest : newest + 1]))
+        for entry, steps in zip(entries, heard, strict=True):
+            entry.now = began + step * STEP_S
+            if step in steps:
+                install(entry, 2 + newest, history[newest][1])
+                entry.handle_event(DirectoryConfirmed(entry.now))
+            if not entry.state.cluster_state.is_leased(entry.now):
+                continue
+            for name in NAMES:
+                made = makers.setdefault(get_scope(entry, name), set())
+                assert not any({name, m} & walled for m in made if m != name)
+                made.add(name)
+
+
 def test_a_workspace_that_left_the_configuration_shares_with_nobody() -> None:
     """Guards against a request that outlives its workspace's entry."""
     entry = Entry()
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -15,6 +15,7 @@
     ClusterEvent,
     DataCentresDrained,
     DirectoryConfirmed,
+    DirectoryRead,
     UpstreamChanged,
     WeightsNamed,
 )
@@ -354,6 +355,28 @@
 
 # Guards against keys that work on after they were revoked, since a restored store that
 # has forgotten the configuration still confirms it (CONFIG).
+# Guards against an entry that can't tell whether it has the newest configuration, since
+# the watch before a change and the one after it both waited.
+def test_a_configuration_is_confirmed_soon_after_a_change() -> None:
+    spec = {"version": 1, "routes": [], "services": [], "limits": {}}
+    change = (1.2, make_object("main", spec | {"version": 2}))
+    confirmed: list[tuple[float, float]] = []
+
+    def submit(event: ClusterEvent) -> None:
+        if isinstance(event, DirectoryRead | DirectoryConfirmed):
+            confirmed.append((trio.current_time(), event.last_confirmed_at))
+
+    async def run() -> None:
+        store: Any = KindOfStore([make_object("main", spec)], [change])
+        with trio.move_on_after(8.0):
+            await KindWatcher(DIRECTORY, store, submit, Random(1)).run()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert len(confirmed) >= 5
+    for (_, before), (at, _) in zip(confirmed, confirmed[1:], strict=False):
+        assert at - before <= DIRECTORY.wait_s + 0.2
+
+
 def test_a_store_without_a_configuration_confirms_none() -> None:
     submitted, calls = watch_kind(DIRECTORY, [], [])
     assert ("watch", False) in calls
