Call back prompts that wait at their engine while a wall goes up

Cause: the scope is chosen when a prompt is sent, but its engine looks for KV cache when its turn comes, and nothing called a prompt back.

Change: an attempt knows which workspaces share its scope. Once a configuration isolates one of them, a stream that has not begun is ended before that has to be in force, counted from when the configuration before was known to be the newest. It goes on in the new scope if its route may be repeated, else it ends with an unknown outcome.

Why it works: the configuration can't have been accepted before the one it replaced was confirmed, and a later change doesn't put the end off.

--- a/masticdrum/core/attemptstart.py
+++ b/masticdrum/core/attemptstart.py
@@ -1,7 +1,7 @@
 """Describes an attempt: what is sent to its upstream, and how long to wait for it."""
 
+from masticdrum.core.cachescopes import CacheScope
 from masticdrum.core.exchangestate import Exchange, ExchangeState
-from masticdrum.core.scopechoice import CacheScope
 from masticdrum.core.upstreamchoice import Choice
 from masticdrum.model.directory import RouteKind
 from masticdrum.model.exchange import Prompt, StartAttempt
--- a/masticdrum/core/cachescopes.py
+++ b/masticdrum/core/cachescopes.py
@@ -13,11 +13,24 @@
 
 from collections.abc import Iterable
 
+from msgspec import Struct
 from xxhash import xxh3_128
 
 LENGTH_BYTES = 8
 
 
+class CacheScope(Struct, frozen=True):
+    """A scope of KV cache; an empty ``name`` stands for none.
+
+    ``sharing`` are the workspaces that may share it, empty if it is one's own. Only
+    ``is_lasting`` scopes are worth saving KV cache in.
+    """
+
+    name: str
+    sharing: frozenset[str] = frozenset()
+    is_lasting: bool = True
+
+
 def compute_wall(isolated: Iterable[str]) -> str:
     """Return a digest of the isolated workspaces' names, empty if there are none.
 
--- a/masticdrum/core/directory.py
+++ b/masticdrum/core/directory.py
@@ -17,14 +17,15 @@
 class DirectoryIndex:
     """A directory with the lookups that each request needs.
 
-    ``wall`` is a digest of which workspaces are isolated, ``sharing`` the names of the
-    others.
+    ``isolated`` are the names of the isolated workspaces, ``sharing`` those of the
+    others, ``wall`` is a digest of the former.
     """
 
     __slots__ = (
         "_routes",
         "_workspaces",
         "directory",
+        "isolated",
         "models",
         "services",
         "sharing",
@@ -52,9 +53,9 @@
             for workspace in directory.workspaces
             for key in workspace.keys
         }
-        isolated = {w.name for w in directory.workspaces if w.isolated}
-        self.wall = compute_wall(isolated)
-        self.sharing = {w.name for w in directory.workspaces} - isolated
+        self.isolated = frozenset(w.name for w in directory.workspaces if w.isolated)
+        self.sharing = frozenset(w.name for w in directory.workspaces) - self.isolated
+        self.wall = compute_wall(self.isolated)
         self.models = {
             model: service.name
             for service in directory.services
--- a/masticdrum/core/exchangeclose.py
+++ b/masticdrum/core/exchangeclose.py
@@ -23,6 +23,7 @@
 
 DEADLINE = "deadline"
 ORIGIN = "origin"
+SCOPE = "scope"
 WEIGHTS = "weights"
 RETRY_AFTER_FRACTION = 0.25  # of the time left; callers wait for at most a third of it
 MIN_RETRY_AFTER_S = 0.05
@@ -126,6 +127,7 @@
     state.timers.clear((DEADLINE, exchange.handle))
     state.timers.clear((ORIGIN, exchange.handle))
     state.timers.clear((WEIGHTS, exchange.handle))
+    state.timers.clear((SCOPE, exchange.handle))
     state.awaiting_record.discard(exchange.handle)
 
 
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -16,6 +16,7 @@
 from masticdrum.core.exchangeclose import (
     DEADLINE,
     MIN_RETRY_AFTER_S,
+    SCOPE,
     WEIGHTS,
     close_exchange,
     deliver_answer,
@@ -38,7 +39,7 @@
     record_stop,
 )
 from masticdrum.core.rolloutsplit import record_start
-from masticdrum.core.scopechoice import choose_cache_scope
+from masticdrum.core.scopechoice import choose_cache_scope, is_divided
 from masticdrum.core.upstreamchoice import choose_upstream, estimate_work
 from masticdrum.core.upstreamnotices import (
     record_notices,
@@ -259,6 +260,7 @@
         state.pacer.record_send(upstream.name, service.cold_per_s, place, now)
     if not state.limits.is_empty:
         state.limits.record_send(upstream.name, state.find_place(now), now)
+    scope = choose_cache_scope(state, exchange, upstream, now)
     state.attempts += 1
     exchange.attempt = Attempt(
         state.attempts,
@@ -269,12 +271,12 @@
         0
         if exchange.prompt is None
         else upstream.weights.get(exchange.prompt.model, 0),
+        scope,
     )
     set_timer(state, exchange, now)
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
-    scope = choose_cache_scope(state, exchange, upstream, now)
     start = describe_attempt(state, exchange, choice, scope, now)
     log = log_start(state, exchange, upstream, load, len(candidates), scope.name, now)
     side = record_start(state, exchange, known, now)
@@ -292,7 +294,7 @@
         return []
     attempt = exchange.attempt
     attempt.begun_at = now
-    state.timers.clear((WEIGHTS, exchange.handle))
+    _clear_start_timers(state, exchange)
     state.heard_at[attempt.upstream] = now
     logs = state.limits.record_answer(
         attempt.upstream, attempt.born, event.limit_per_s, exchange.request
@@ -377,7 +379,7 @@
     if attempt is None:
         raise LookupError(f"exchange {exchange.handle} has no attempt")
     exchange.attempt = None
-    state.timers.clear((WEIGHTS, exchange.handle))
+    _clear_start_timers(state, exchange)
     left = state.open.get(attempt.upstream, 0) - exchange.work
     require(left >= 0, "an upstream's open work is never negative")
     if left > 0:
@@ -387,6 +389,11 @@
     return attempt
 
 
+def _clear_start_timers(state: ExchangeState, exchange: Exchange) -> None:
+    state.timers.clear((WEIGHTS, exchange.handle))
+    state.timers.clear((SCOPE, exchange.handle))
+
+
 def _may_retry(
     state: ExchangeState, exchange: Exchange, ran: Execution, now: float
 ) -> bool:
@@ -420,20 +427,37 @@
 def end_late_start(
     state: ExchangeState, handle: int, now: float
 ) -> list[ExchangeEffect]:
-    """End an attempt before it begins on weights that are superseded for too long.
-
-    It goes on elsewhere if it may be repeated: it may have begun unseen.
-    """
+    """End an attempt before it begins on weights that are superseded for too long."""
     exchange = state.exchanges.get(handle)
     if exchange is None or exchange.attempt is None:
         return []
     if may_begin(state, exchange, now):
         set_timer(state, exchange, now)
         return []
-    number = exchange.attempt.number
-    withdrawn = AttemptEnded(
-        handle, number, AttemptEnd.WITHDRAWN, detail="weights superseded for too long"
-    )
+    return _withdraw(state, exchange, "weights superseded for too long", now)
+
+
+def end_divided_start(
+    state: ExchangeState, handle: int, now: float
+) -> list[ExchangeEffect]:
+    """End an attempt before it uses KV cache of a workspace that is isolated now."""
+    exchange = state.exchanges.get(handle)
+    if exchange is None or not is_divided(exchange, state.cluster_state.index):
+        return []
+    return _withdraw(state, exchange, "a workspace of its scope is isolated", now)
+
+
+def _withdraw(
+    state: ExchangeState, exchange: Exchange, reason: str, now: float
+) -> list[ExchangeEffect]:
+    """End an exchange's attempt before it begins.
+
+    It goes on elsewhere if it may be repeated: it may have begun unseen.
+    """
+    if exchange.attempt is None:
+        return []
+    handle, number = exchange.handle, exchange.attempt.number
+    withdrawn = AttemptEnded(handle, number, AttemptEnd.WITHDRAWN, detail=reason)
     return [StopAttempt(handle, number), *end_attempt(state, withdrawn, now)]
 
 
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from masticdrum.core.cachescopes import CacheScope
 from masticdrum.core.clusterstate import ClusterBounds, ClusterState
 from masticdrum.core.coldstartpacing import ColdStartBounds, ColdStartPacer, Place
 from masticdrum.core.crashsuspicion import CrashSuspicion
@@ -56,9 +57,10 @@
 
     ``born`` is the upstream's incarnation, ``software`` the version of its software.
     ``weights`` is the version of its model's weights that the upstream had, zero if it
-    isn't known. ``begun_at`` is when it began a stream as its answer, or None, and
-    ``has_events`` whether an event of it has come. A ``warming`` upstream was cold or
-    had just registered when the attempt started.
+    isn't known, ``scope`` where its prompt shares KV cache. ``begun_at`` is when it
+    began a stream as its answer, or None, and ``has_events`` whether an event of it has
+    come. A ``warming`` upstream was cold or had just registered when the attempt
+    started.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "born",
         "has_events",
         "number",
+        "scope",
         "software",
         "started_at",
         "upstream",
@@ -81,6 +84,7 @@
         started_at: float,
         software: str,
         weights: int,
+        scope: CacheScope,
     ) -> None:
         self.number = number
         self.upstream = upstream
@@ -88,6 +92,7 @@
         self.started_at = started_at
         self.software = software
         self.weights = weights
+        self.scope = scope
         self.begun_at: float | None = None
         self.has_events = False
         self.warming = False
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -2,11 +2,12 @@
 
 from masticdrum.core.clusterstate import apply_cluster_event
 from masticdrum.core.crashes import apply_crash_event, review_crashes
-from masticdrum.core.exchangeclose import DEADLINE, ORIGIN, WEIGHTS
+from masticdrum.core.exchangeclose import DEADLINE, ORIGIN, SCOPE, WEIGHTS
 from masticdrum.core.exchanges import (
     abandon_exchange,
     begin_stream,
     end_attempt,
+    end_divided_start,
     end_exchange,
     end_late_start,
     end_origin_search,
@@ -20,6 +21,7 @@
 from masticdrum.core.resumption import review_versions, send_records
 from masticdrum.core.rolloutcontrol import ROLLOUT, RolloutEvent, RolloutInput
 from masticdrum.core.rolloutsplit import EntryView
+from masticdrum.core.scopechoice import set_scope_timers
 from masticdrum.core.softwarereview import (
     handle_record_answer,
     record_cluster_event,
@@ -96,6 +98,8 @@
             effects += end_origin_search(state, handle, now)
         if name == WEIGHTS:
             effects += end_late_start(state, handle, now)
+        if name == SCOPE:
+            effects += end_divided_start(state, handle, now)
         if name == ROLLOUT:
             state.timers.set((ROLLOUT, 0), now + ROLLOUT_TICK_S)
             effects += _handle_rollout_event(state, Ticked(), now)
@@ -180,7 +184,11 @@
 def _handle_cluster_event(
     state: ExchangeState, event: ClusterEvent, now: float
 ) -> list[ExchangeEffect]:
-    logs = apply_cluster_event(state.cluster_state, event, now)
+    cluster_state = state.cluster_state
+    index, confirmed_at = cluster_state.index, cluster_state.lease.confirmed_at
+    logs = apply_cluster_event(cluster_state, event, now)
+    if cluster_state.index is not index:
+        set_scope_timers(state, index, confirmed_at, now)
     if isinstance(event, StoreRestored):
         state.suspicion.republish(now)
     if isinstance(event, WeightsNamed):
--- a/masticdrum/core/scopechoice.py
+++ b/masticdrum/core/scopechoice.py
@@ -1,30 +1,27 @@
-"""Chooses the scope within which an attempt shares KV cache.
+"""Chooses the scope within which an attempt shares KV cache, and for how long it may.
 
 The configuration that is in force now decides, not that under which the request
 arrived: a workspace may have become isolated since its first attempt. Where a newer
 configuration may be in force that this process hasn't read, each workspace has a scope
 of its own, since any of them may be isolated by now.
-"""
 
-from msgspec import Struct
+An engine looks for KV cache when a prompt's turn comes. A prompt that still waits when
+one of those that share its scope has become isolated is ended in time. Only streams
+show when they begin.
+"""
 
 from masticdrum.core.cachescopes import (
+    CacheScope,
     name_private_scope,
     name_shared_scope,
     name_single_use_scope,
 )
+from masticdrum.core.directory import DirectoryIndex
+from masticdrum.core.exchangeclose import SCOPE
 from masticdrum.core.exchangestate import Exchange, ExchangeState
-from masticdrum.model.directory import Upstream
-
-
-class CacheScope(Struct, frozen=True):
-    """A scope of KV cache; an empty ``name`` stands for none.
-
-    Only ``is_lasting`` scopes are worth saving KV cache in.
-    """
+from masticdrum.model.directory import RouteKind, Upstream
 
-    name: str
-    is_lasting: bool = True
+END_S = 0.5  # until an engine has dropped a prompt whose connection was closed
 
 
 def choose_cache_scope(
@@ -44,4 +41,36 @@
         return CacheScope(private)
     if not state.cluster_state.is_up_to_date(now):
         return CacheScope(private, is_lasting=False)
-    return CacheScope(name_shared_scope(prompt.model, weights, index.wall))
+    shared = name_shared_scope(prompt.model, weights, index.wall)
+    return CacheScope(shared, index.sharing)
+
+
+def set_scope_timers(
+    state: ExchangeState,
+    before: DirectoryIndex | None,
+    confirmed_at: float,
+    now: float,
+) -> None:
+    """Set when waiting prompts end whose scope the installed configuration divides.
+
+    It can't have been accepted before ``confirmed_at``, when the one ``before`` was
+    known to be the newest. A scope that was divided already has its timer.
+    """
+    index = state.cluster_state.index
+    due_at = confirmed_at + state.bounds.cluster_state.apply_s - END_S
+    for exchange in state.exchanges.values():
+        attempt = exchange.attempt
+        if attempt is None or attempt.begun_at is not None:
+            continue
+        if exchange.route.kind is not RouteKind.STREAM:
+            continue
+        if is_divided(exchange, index) and not is_divided(exchange, before):
+            state.timers.set((SCOPE, exchange.handle), max(due_at, now))
+
+
+def is_divided(exchange: Exchange, index: DirectoryIndex | None) -> bool:
+    """Return whether one of those that share an attempt's scope is isolated."""
+    attempt = exchange.attempt
+    if attempt is None or index is None:
+        return False
+    return not attempt.scope.sharing.isdisjoint(index.isolated)
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -15,6 +15,7 @@
     storeoutages,
 )
 from masticdrum.core.attemptends import END_RULES
+from masticdrum.core.cachescopes import CacheScope
 from masticdrum.core.clusterstate import ClusterState
 from masticdrum.core.coldstartpacing import ColdStartPacer, Place
 from masticdrum.core.crashsuspicion import CrashSuspicion
@@ -23,7 +24,6 @@
 from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryWindow
 from masticdrum.core.saturation import Queue, Saturation
-from masticdrum.core.scopechoice import CacheScope
 from masticdrum.core.softwarerecords import SoftwareRecords
 from masticdrum.core.storedprefixes import StoredPrefixes
 from masticdrum.core.supersededweights import SupersededWeights
--- a/tests/core/test_cachescopes.py
+++ b/tests/core/test_cachescopes.py
@@ -5,8 +5,15 @@
 
 from masticdrum.model.cluster_events import DirectoryConfirmed, DirectoryRead
 from masticdrum.model.directory import ForwardWorkspace
-from masticdrum.model.exchange import AttemptEnd
-from tests.forwarding import BOUNDS, Entry, get_start, make_directory
+from masticdrum.model.errors import ErrorKind
+from masticdrum.model.exchange import (
+    AttemptEnd,
+    Refuse,
+    StartAttempt,
+    StopAttempt,
+    Ticked,
+)
+from tests.forwarding import BOUNDS, Entry, get_start, make_directory, pick
 
 NAMES = ("depot", "yard", "quay")
 ISOLATED_SETS = st.frozensets(st.sampled_from(NAMES))
@@ -109,6 +116,97 @@
                 made.add(name)
 
 
+def wait_until_bound(entry: Entry, acknowledged_at: float) -> list:
+    """Let time pass until a configuration must be in force; return the effects."""
+    entry.now = acknowledged_at + APPLY_S
+    return entry.handle_event(Ticked())
+
+
+def test_a_waiting_prompt_goes_on_elsewhere_before_it_uses_a_walled_part() -> None:
+    """Guards against prompts that wait at their engine while a wall goes up."""
+    entry = Entry()
+    install(entry, 2, frozenset())
+    entry.confirm()
+    start = get_start(entry.send_request("stream", "key-yard"))
+    once = get_start(entry.send_request("once", "key-quay"))
+    acknowledged_at = entry.now
+    entry.now += 1.0
+    install(entry, 3, frozenset({"depot"}))
+    effects = wait_until_bound(entry, acknowledged_at)
+    stops = {stop.handle for stop in pick(effects, StopAttempt)}
+    assert stops == {start.handle, once.handle}
+    again = get_start(effects)
+    assert again.handle == start.handle
+    assert again.cache_scope not in {start.cache_scope, once.cache_scope}
+    (refused,) = pick(effects, Refuse)
+    assert (refused.handle, refused.kind) == (once.handle, ErrorKind.OUTCOME_UNKNOWN)
+
+
+def test_a_new_wall_ends_no_prompt_that_has_begun_or_is_behind_it() -> None:
+    """Guards against prompts that are ended though they share nothing over the wall."""
+    entry = Entry()
+    install(entry, 2, frozenset({"quay"}))
+    entry.confirm()
+    begun = get_start(entry.send_request("stream", "key-yard"))
+    entry.begin(begun)
+    entry.send_request("stream", "key-quay")
+    install(entry, 3, frozenset({"quay", "depot"}))
+    entry.send_request("stream", "key-yard")
+    assert not pick(wait_until_bound(entry, entry.now), StopAttempt)
+    entry.confirm()
+    entry.send_request("stream", "key-yard")
+    install(entry, 4, frozenset({"depot"}))
+    assert not pick(wait_until_bound(entry, entry.now), StopAttempt)
+
+
+@given(
+    st.lists(st.tuples(st.integers(1, 6), ISOLATED_SETS), min_size=1, max_size=4),
+    st.lists(st.integers(0, 8), min_size=STEPS, max_size=STEPS),
+)
+def test_no_prompt_begins_across_a_wall_that_is_in_force(
+    changes: list[tuple[int, frozenset[str]]], waits: list[int]
+) -> None:
+    """Guards against engines that read a prompt long after it was sent to them.
+
+    The entry hears of each change at the next step. Engines keep all that was made.
+    """
+    entry, at, version = Entry(), 0, 2
+    install(entry, version, frozenset())
+    history = [(0, frozenset[str]())]
+    for gap, isolated in changes:
+        at += gap
+        history.append((at, isolated))
+    began, makers = entry.now, dict[str, set[str]]()
+    queued: dict[int, tuple[int, str, StartAttempt]] = {}
+    for step in range(STEPS):
+        entry.now = began + step * STEP_S
+        effects = entry.handle_event(Ticked())
+        for _, isolated in [c for c in history[1:] if c[0] == step - 1]:
+            version += 1
+            install(entry, version, isolated)
+        if step not in {since for since, _ in history}:
+            entry.confirm()
+        effects += entry.handle_event(Ticked())
+        for stop in pick(effects, StopAttempt):
+            queued.pop(stop.handle, None)
+        in_force = max(
+            n
+            for n, (since, _) in enumerate(history)
+            if n == 0 or (step - since) * STEP_S > APPLY_S
+        )
+        possible = [s for since, s in history[in_force:] if since <= step]
+        walled = frozenset.intersection(*possible)
+        due = [queued.pop(h) for h, q in list(queued.items()) if q[0] <= step]
+        for _, name, start in due:
+            made = makers.setdefault(start.cache_scope, set())
+            assert not any({name, m} & walled for m in made if m != name)
+            made.add(name)
+            entry.disconnect(start.handle)
+        name = NAMES[step % len(NAMES)]
+        for start in pick(entry.send_request("once", f"key-{name}"), StartAttempt):
+            queued[start.handle] = (step + waits[step], name, start)
+
+
 def test_a_workspace_that_left_the_configuration_shares_with_nobody() -> None:
     """Guards against a request that outlives its workspace's entry."""
     entry = Entry()
