Give each scope of KV cache a name of its own

Prompts of two workspaces could meet in one scope: workspace 2 on model m1 at weights 1 with all on model m1.1 at weights 2; callers that choose the same id and an unknown model; and all requests to engines that name no model, which were in no scope, so that engines share what they make among everybody.

Cause: names were joined without quoting from texts of operators and callers, and a request without a decoded prompt was taken for one that uses no KV cache.

Evidence: three tests, one a property over odd names, and a run of the real program, which all failed before.

Change: fields are quoted, a scope for one attempt has a random number, and whatever goes to an engine has a scope. Ordinary names stay as they were.

Why it works: no field can hold a separator, and where no field tells workspaces apart the number does.

--- a/masticdrum/core/cachescopes.py
+++ b/masticdrum/core/cachescopes.py
@@ -7,11 +7,16 @@
 is needed: entries agree on names after any restart, and entries that have different
 configurations never meet in one scope unless both isolate the same workspaces.
 
+Fields are quoted, so that no two scopes have one name whatever models and workspaces
+are called.
+
 name_shared_scope("m1", 2, "")  # "m1.2": no workspace is isolated
 name_private_scope("m1", 2, "depot")  # "m1.2.depot"
+name_private_scope("m1.2", 3, "depot")  # "m1%2E2.3.depot"
 """
 
 from collections.abc import Iterable
+from urllib.parse import quote
 
 from msgspec import Struct
 from xxhash import xxh3_128
@@ -52,14 +57,24 @@
 
     ``wall`` is the digest of those that are.
     """
-    return f"{model}.{weights}+{wall}" if wall else f"{model}.{weights}"
+    name = f"{_quote_field(model)}.{weights}"
+    return f"{name}+{wall}" if wall else name
+
+
+def name_private_scope(model: str, weights: int, workspace: str | None) -> str:
+    """Name the scope that only one workspace uses, or those who belong to none."""
+    owner = "+" if workspace is None else _quote_field(workspace)
+    return f"{_quote_field(model)}.{weights}.{owner}"
 
 
-def name_private_scope(model: str, weights: int, workspace: str) -> str:
-    """Name the scope that only one workspace uses."""
-    return f"{model}.{weights}.{workspace}"
+def name_single_use_scope(model: str, number: int) -> str:
+    """Name the scope of one attempt, whose KV cache nobody may share.
+
+    ``number`` is drawn anew for each.
+    """
+    return f"{_quote_field(model)}.once.{number:016x}"
 
 
-def name_single_use_scope(model: str, request: str) -> str:
-    """Name the scope of one request, whose KV cache nobody may share."""
-    return f"{model}.unknown.{request}"
+def _quote_field(text: str) -> str:
+    encoded = text.encode(errors="surrogatepass")
+    return quote(encoded, safe="").replace(".", "%2E")
--- a/masticdrum/core/scopechoice.py
+++ b/masticdrum/core/scopechoice.py
@@ -21,6 +21,7 @@
 from masticdrum.core.exchangestate import Exchange, ExchangeState
 from masticdrum.model.directory import RouteKind, Upstream
 
+SINGLE_USE_BITS = 64
 END_S = 0.5  # until an engine has dropped a prompt whose connection was closed
 
 
@@ -29,19 +30,22 @@
 ) -> CacheScope:
     """Choose the scope of an exchange's attempt at an upstream."""
     prompt, index = exchange.prompt, state.cluster_state.index
-    if prompt is None:
+    service = state.cluster_state.find_service(upstream)
+    if prompt is None and (service is None or service.engine is None):
         return CacheScope("", is_lasting=False)
-    weights = upstream.weights.get(prompt.model, 0)
-    if not weights or index is None:
-        name = name_single_use_scope(prompt.model, exchange.request)
-        return CacheScope(name, is_lasting=False)
-    workspace = "" if exchange.workspace is None else exchange.workspace.name
-    private = name_private_scope(prompt.model, weights, workspace)
-    if workspace and workspace not in index.sharing:
+    model = "" if prompt is None else prompt.model
+    weights = upstream.weights.get(model, 0)
+    if prompt is None or not weights or index is None:
+        # Engines share what is in no scope among all, and callers choose their ids.
+        number = state.random.getrandbits(SINGLE_USE_BITS)
+        return CacheScope(name_single_use_scope(model, number), is_lasting=False)
+    workspace = None if exchange.workspace is None else exchange.workspace.name
+    private = name_private_scope(model, weights, workspace)
+    if workspace is not None and workspace not in index.sharing:
         return CacheScope(private)
     if not state.cluster_state.is_up_to_date(now):
         return CacheScope(private, is_lasting=False)
-    shared = name_shared_scope(prompt.model, weights, index.wall)
+    shared = name_shared_scope(model, weights, index.wall)
     return CacheScope(shared, index.sharing)
 
 
--- a/tests/core/test_cachescopes.py
+++ b/tests/core/test_cachescopes.py
@@ -3,11 +3,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from masticdrum.core.cachescopes import (
+    compute_wall,
+    name_private_scope,
+    name_shared_scope,
+    name_single_use_scope,
+)
 from masticdrum.model.cluster_events import DirectoryConfirmed, DirectoryRead
 from masticdrum.model.directory import ForwardWorkspace
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import (
     AttemptEnd,
+    Prompt,
+    PromptPart,
     Refuse,
     StartAttempt,
     StopAttempt,
@@ -254,6 +262,59 @@
             assert is_same == (first == second)
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.text(alphabet="m1.+%é\n", max_size=4),
+            st.integers(1, 30),
+            st.none() | st.text(alphabet="m1.+%é\n", max_size=4),
+        ),
+        min_size=2,
+        max_size=4,
+        unique=True,
+    ),
+    ISOLATED_SETS,
+)
+def test_different_scopes_never_have_one_name(
+    owners: list[tuple[str, int, str | None]], isolated: frozenset[str]
+) -> None:
+    """Guards against workspace 3 on m1 at 2, and all on m1.2 at 3, in one scope."""
+    names = [name_private_scope(*owner) for owner in owners]
+    shared = {(model, weights) for model, weights, _ in owners}
+    for wall in {"", compute_wall(isolated)}:
+        names += [name_shared_scope(*key, wall) for key in sorted(shared)]
+    names += [name_single_use_scope(model, 7) for model in {m for m, _, _ in owners}]
+    assert len(set(names)) == len(names)
+    assert all(name.isascii() and name.isprintable() for name in names)
+
+
+def test_prompts_with_one_id_and_unknown_weights_share_nothing() -> None:
+    """Guards against callers that choose the id, and the model, of another's prompt."""
+    entry = Entry()
+    install(entry, 2, frozenset({"depot"}))
+    prompt = Prompt("unknown", (PromptPart("shared", 900),))
+    scopes = set()
+    for name in NAMES:
+        asked = entry.send_request("stream", f"key-{name}", request="r", prompt=prompt)
+        start = get_start(asked)
+        entry.disconnect(start.handle)
+        scopes.add(start.cache_scope)
+    assert len(scopes) == len(NAMES)
+
+
+def test_a_prompt_that_names_no_model_has_a_scope_of_its_own() -> None:
+    """Guards against the scope that engines take where none is named, for all."""
+    entry = Entry()
+    install(entry, 2, frozenset({"depot"}))
+    scopes = set()
+    for name in NAMES:
+        start = get_start(entry.send_request("stream", f"key-{name}", prompt=None))
+        entry.disconnect(start.handle)
+        scopes.add(start.cache_scope)
+    assert len(scopes) == len(NAMES) and "" not in scopes
+    assert get_start(entry.send_request("idempotent", "key-yard")).cache_scope == ""
+
+
 def test_names_of_scopes_are_unambiguous() -> None:
     """Guards against a workspace that is named like another's scope."""
     entry = Entry()
--- a/tests/platform/test_walls.py
+++ b/tests/platform/test_walls.py
@@ -54,7 +54,7 @@
 def list_scopes(fleet: Fleet, name: str) -> list[str]:
     """Return the scopes of a request at the engines that began to answer it."""
     seen = [headers for engine in ENGINES for headers in fleet.control(engine)["seen"]]
-    return [h["x-cache-salt"] for h in seen if h["x-request-id"] == name]
+    return [h.get("x-cache-salt", "") for h in seen if h["x-request-id"] == name]
 
 
 # Guards against prompts that share KV cache across a wall of which their entry, cut off
@@ -102,3 +102,13 @@
     (scope,) = list_scopes(fleet, "late")
     assert scope != before
     assert scope == read_scopes(fleet, 1)["yard"]
+
+
+# Guards against prompts that name no model and then share KV cache with everybody.
+def test_prompts_that_name_no_model_share_nothing(fleet: Fleet) -> None:
+    scopes = set()
+    for tenant, key in KEYS.items():
+        answer = fleet.ask("/stream/7", tenant, key, entry="entry-2")
+        assert answer.status == 200
+        scopes.update(list_scopes(fleet, tenant))
+    assert len(scopes) == len(KEYS) and "" not in scopes
