Share no KV cache by a copy of the store that may lack a wall

What callers saw: shown here by one run of the real program, not by the users: a workspace is isolated, all entries are killed, the store comes back from a copy without the change, an entry starts.

Cause: an entry took what a restored store holds for the newest configuration. The versions that other entries announce prevent that only where one of them survives.

Evidence: that run, and two tests that failed before.

Change: a configuration read from a store that was restored since this process last watched it counts as unconfirmed for the 10 s in which all is written again.

Why it works: who watched until the store was lost has missed nothing; any other shares nothing until what was lost must be there again.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -244,6 +244,8 @@
     if isinstance(event, DirectoryConfirmed):
         revoke_s = cluster_state.bounds.revoke_s
         cluster_state.lease.extend(event.last_confirmed_at, revoke_s)
+        if not event.may_be_outdated:
+            cluster_state.lease.confirm(event.last_confirmed_at)
         return []
     if isinstance(event, StoreRestored):
         cluster_state.restores.record_restore(now)
@@ -292,6 +294,8 @@
     revoke_s = cluster_state.bounds.revoke_s
     confirmed_at = event.last_confirmed_at
     cluster_state.lease.record_read(directory.version, confirmed_at, revoke_s, now)
+    if not event.may_be_outdated:
+        cluster_state.lease.confirm(confirmed_at)
     if directory.version < cluster_state.version:
         facts = _describe_versions(cluster_state, directory)
         return [Log(LogNumber.DIRECTORY_IGNORED, facts=facts)]
--- a/masticdrum/core/directorylease.py
+++ b/masticdrum/core/directorylease.py
@@ -55,10 +55,14 @@
     def extend(self, confirmed_at: float, revoke_s: float) -> None:
         """Extend the lease; a revoked key must stop working within ``revoke_s``."""
         if not self.is_store_behind:
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
             until = confirmed_at + revoke_s - LEASE_MARGIN_S
             self.until = max(self.until, until)
 
+    def confirm(self, confirmed_at: float) -> None:
+        """Record that the configuration was the newest at ``confirmed_at``."""
+        if not self.is_store_behind:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
     def compare(self, versions: Iterable[int], now: float) -> None:
         """Compare with the versions that other processes have.
 
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -2,7 +2,9 @@
 
 ``last_confirmed_at`` is the latest time, on the process's clock in seconds, at which
 the state that was read is known to have been current. That is the time when the read
-was sent, or later if a watch reported no change since.
+was sent, or later if a watch reported no change since. What ``may_be_outdated`` was
+read from a store that came back from an older copy, and may not hold again what this
+process missed.
 """
 
 from enum import StrEnum
@@ -33,12 +35,14 @@
 
     directory: Directory
     last_confirmed_at: float
+    may_be_outdated: bool = False
 
 
 class DirectoryConfirmed(Struct, frozen=True):
     """The last configuration was still current at ``last_confirmed_at``."""
 
     last_confirmed_at: float
+    may_be_outdated: bool = False
 
 
 class UpstreamsListed(Struct, frozen=True):
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -234,7 +234,8 @@
         confirmed_at = requested_at + max(0.0, waited_s)
         match self._watched.source:
             case Source.DIRECTORY if DIRECTORY_NAME in self._objects:
-                self._submit(DirectoryConfirmed(confirmed_at))
+                outdated = requested_at < self._rewritten_at
+                self._submit(DirectoryConfirmed(confirmed_at, outdated))
             case Source.ROLLOUTS | Source.ROLLOUT_LEASES:
                 self._report_changes(confirmed_at)
             case _:
@@ -347,7 +348,8 @@
         except Undecodable as error:
             self._log_unreadable(DIRECTORY_NAME, error)
             return
-        self._submit(DirectoryRead(directory, requested_at))
+        outdated = requested_at < self._rewritten_at
+        self._submit(DirectoryRead(directory, requested_at, outdated))
 
     def _report_weights(self, stored: StoredObject, not_before: float) -> None:
         try:
--- a/tests/core/test_cachescopes.py
+++ b/tests/core/test_cachescopes.py
@@ -10,7 +10,7 @@
     name_single_use_scope,
 )
 from masticdrum.model.cluster_events import DirectoryConfirmed, DirectoryRead
-from masticdrum.model.directory import ForwardWorkspace
+from masticdrum.model.directory import Directory, ForwardWorkspace
 from masticdrum.model.errors import ErrorKind
 from masticdrum.model.exchange import (
     AttemptEnd,
@@ -30,12 +30,16 @@
 STEPS = 24
 
 
-def install(entry: Entry, version: int, isolated: frozenset[str]) -> None:
+def make_walled_directory(version: int, isolated: frozenset[str]) -> Directory:
     workspaces = tuple(
         ForwardWorkspace(name, (f"key-{name}",), isolated=name in isolated)
         for name in NAMES
     )
-    directory = make_directory(version, workspaces=workspaces)
+    return make_directory(version, workspaces=workspaces)
+
+
+def install(entry: Entry, version: int, isolated: frozenset[str]) -> None:
+    directory = make_walled_directory(version, isolated)
     entry.handle_event(DirectoryRead(directory, entry.now))
 
 
@@ -82,6 +86,19 @@
     assert get_scope(entry, "yard") == get_scope(entry, "quay") == shared
 
 
+def test_nobody_shares_by_a_copy_that_may_lack_a_wall() -> None:
+    """Guards against an entry that missed a wall which a restored store forgot."""
+    entry = Entry()
+    directory = make_walled_directory(2, frozenset())
+    entry.now += APPLY_S + 0.1
+    read = DirectoryRead(directory, entry.now, may_be_outdated=True)
+    entry.handle_event(read)
+    entry.handle_event(DirectoryConfirmed(entry.now, may_be_outdated=True))
+    assert len({get_scope(entry, name) for name in NAMES}) == len(NAMES)
+    entry.confirm()
+    assert len({get_scope(entry, name) for name in NAMES}) == 1
+
+
 @given(
     st.lists(st.tuples(st.integers(1, 6), ISOLATED_SETS), max_size=5),
     st.lists(st.frozensets(st.integers(0, STEPS)), min_size=2, max_size=2),
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -329,6 +329,35 @@
     assert [e.version for e in submitted if isinstance(e, WeightsNamed)] == [2, 3]
 
 
+# Guards against KV cache that is shared over a wall which a restored store forgot, by
+# an entry that had not read of it before (WALL).
+def test_a_copy_read_by_a_late_process_may_be_outdated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(watchers, "read_clock", trio.current_time)
+    submitted: list[tuple[float, bool]] = []
+
+    async def run() -> None:
+        spec = {"version": 1, "routes": [], "services": [], "limits": {}}
+        store: Any = KindOfStore([make_object("main", spec)], [])
+        store.era = 2
+        began = trio.current_time()
+
+        def submit(event: ClusterEvent) -> None:
+            if isinstance(event, DirectoryRead | DirectoryConfirmed):
+                at = trio.current_time() - began
+                submitted.append((at, event.may_be_outdated))
+
+        with trio.move_on_after(2 * REWRITE_S):
+            await KindWatcher(DIRECTORY, store, submit, Random(1)).run()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert len(submitted) > 8
+    longest_s = REWRITE_S + DIRECTORY.wait_s
+    for at, is_unsure in submitted:
+        assert is_unsure == (at < REWRITE_S) or REWRITE_S <= at <= longest_s
+
+
 # Guards against a data centre that stays drained for ever because its operators put it
 # back while a restored store had forgotten that it was drained.
 def test_a_kind_is_listed_once_more_when_all_should_be_written_again(
