Refuse a configuration with a route that leads nowhere

What callers saw: shown by a test and one run of the real program: where all weights of a route's services are zero, each request on it ends with a closed connection and no answer.

Cause: a draw among weights that add up to zero raises, and so does one among none; weights below zero were taken too.

Change: weights are zero or more, and a route's add up to more than zero; else the configuration is refused whole, with a log line, as one with any other odd number.

Why it works: what is drawn from can't be empty.

--- a/masticdrum/platform/objects.py
+++ b/masticdrum/platform/objects.py
@@ -40,6 +40,7 @@
 Whole = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 Real = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Share = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
 Slots = Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
 ColdMs = Annotated[float, Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)]
 STATES = {"ready": False, "draining": True}
@@ -47,7 +48,7 @@
 
 class WireBackend(Struct):
     service: str
-    weight: Real = 1.0
+    weight: Share = 1.0
 
 
 class WireRoute(Struct):
@@ -174,6 +175,8 @@
     backends = tuple(Backend(b.service, b.weight) for b in wire.backends)
     if wire.service is not None:
         backends = (Backend(wire.service),)
+    if not sum(backend.weight for backend in backends) > 0:
+        raise Undecodable(f"the route {wire.name[:MAX_QUOTED]!r} leads nowhere")
     return ForwardRoute(
         name=wire.name,
         host=wire.hostname.lower(),
