--- a/tests/standins/signedserver.py
+++ b/tests/standins/signedserver.py
@@ -28,7 +28,8 @@
     each event. ``stamped`` events state when they were made, by the monotonic clock.
     A bad version answers every ``fail_every``-th run with a signed 500 and takes
     ``extra_s`` longer for every ``slow_every``-th; only on paths that begin with
-    ``bad_path``, and only with more than ``bad_above`` runs at once.
+    ``bad_path``, and only with more than ``bad_above`` runs at once. Each answer names
+    ``limit`` as the requests a second that the server takes, unless that is empty.
     """
 
     id: str = "i-1"
@@ -44,6 +45,7 @@
     extra_s: float = 0.0
     bad_path: str = ""
     bad_above: int = 0
+    limit: str = ""
 
 
 class SignedServer(StandIn):
@@ -83,6 +85,8 @@
         if self.faults.lose:
             raise AbortConnection
         headers["x-response-signature"] = f"signed-by-{self.faults.id}"
+        if self.faults.limit:
+            headers["server-limit"] = self.faults.limit
         if "stream" in request.path:
             headers["content-type"] = "text/event-stream"
             first = int(request.headers.get("last-event-id", "0")) + 1
