Part what withdraws waiting prompts from what forwards them

core/exchanges.py had grown past one job; end_late_start and end_divided_start move to core/withdrawal.py unchanged. Two mutants break what is new: sharing by a configuration that may have been replaced, and prompts that wait while a wall goes up.

--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -39,14 +39,14 @@
     record_stop,
 )
 from masticdrum.core.rolloutsplit import record_start
-from masticdrum.core.scopechoice import choose_cache_scope, is_divided
+from masticdrum.core.scopechoice import choose_cache_scope
 from masticdrum.core.upstreamchoice import choose_upstream, estimate_work
 from masticdrum.core.upstreamnotices import (
     record_notices,
     record_outcome,
     update_weights,
 )
-from masticdrum.core.weightsbound import may_begin, set_timer
+from masticdrum.core.weightsbound import set_timer
 from masticdrum.model.directory import ForwardRoute, ForwardWorkspace
 from masticdrum.model.errors import ANSWERS, ErrorKind
 from masticdrum.model.exchange import (
@@ -424,43 +424,6 @@
     return [*stop, *fail_exchange(state, exchange, kind, now)]
 
 
-def end_late_start(
-    state: ExchangeState, handle: int, now: float
-) -> list[ExchangeEffect]:
-    """End an attempt before it begins on weights that are superseded for too long."""
-    exchange = state.exchanges.get(handle)
-    if exchange is None or exchange.attempt is None:
-        return []
-    if may_begin(state, exchange, now):
-        set_timer(state, exchange, now)
-        return []
-    return _withdraw(state, exchange, "weights superseded for too long", now)
-
-
-def end_divided_start(
-    state: ExchangeState, handle: int, now: float
-) -> list[ExchangeEffect]:
-    """End an attempt before it uses KV cache of a workspace that is isolated now."""
-    exchange = state.exchanges.get(handle)
-    if exchange is None or not is_divided(exchange, state.cluster_state.index):
-        return []
-    return _withdraw(state, exchange, "a workspace of its scope is isolated", now)
-
-
-def _withdraw(
-    state: ExchangeState, exchange: Exchange, reason: str, now: float
-) -> list[ExchangeEffect]:
-    """End an exchange's attempt before it begins.
-
-    It goes on elsewhere if it may be repeated: it may have begun unseen.
-    """
-    if exchange.attempt is None:
-        return []
-    handle, number = exchange.handle, exchange.attempt.number
-    withdrawn = AttemptEnded(handle, number, AttemptEnd.WITHDRAWN, detail=reason)
-    return [StopAttempt(handle, number), *end_attempt(state, withdrawn, now)]
-
-
 def abandon_exchange(
     state: ExchangeState, event: ForwardDisconnected, now: float
 ) -> list[ExchangeEffect]:
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -7,9 +7,7 @@
     abandon_exchange,
     begin_stream,
     end_attempt,
-    end_divided_start,
     end_exchange,
-    end_late_start,
     end_origin_search,
     forward_events,
     start_exchange,
@@ -30,6 +28,7 @@
 )
 from masticdrum.core.storedprefixes import PrefixesReported, PrefixStoreLost
 from masticdrum.core.weightsbound import set_timers
+from masticdrum.core.withdrawal import end_divided_start, end_late_start
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     StoreRestored,
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -13,6 +13,7 @@
     resumption,
     storedprefixes,
     storeoutages,
+    withdrawal,
 )
 from masticdrum.core.attemptends import END_RULES
 from masticdrum.core.cachescopes import CacheScope
@@ -121,7 +122,17 @@
 
 def begin_on_any_weights(patch: Patch) -> None:
     """Let prompts wait at their engines past the bound on superseded weights."""
-    patch.setattr(exchanges, "may_begin", lambda *given: True)
+    patch.setattr(withdrawal, "may_begin", lambda *given: True)
+
+
+def share_by_any_configuration(patch: Patch) -> None:
+    """Share KV cache however long the configuration hasn't been the newest."""
+    patch.setattr(ClusterState, "is_up_to_date", lambda self, now: True)
+
+
+def let_prompts_wait_behind_walls(patch: Patch) -> None:
+    """Let prompts wait at their engines while a workspace becomes isolated."""
+    patch.setattr(withdrawal, "is_divided", lambda *given: False)
 
 
 def take_any_silence_for_an_outage(patch: Patch) -> None:
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -7,6 +7,7 @@
 
 from tests.core import (
     forwardmutants,
+    test_cachescopes,
     test_coldstartpacing,
     test_crashsuspicion,
     test_exchanges,
@@ -79,6 +80,14 @@
         forwardmutants.begin_on_any_weights,
         test_weightsbound.test_no_prompt_begins_on_weights_superseded_for_too_long,
     ),
+    (
+        forwardmutants.share_by_any_configuration,
+        test_cachescopes.test_an_entry_that_may_have_missed_a_configuration_shares_with_nobody,
+    ),
+    (
+        forwardmutants.let_prompts_wait_behind_walls,
+        test_cachescopes.test_a_waiting_prompt_goes_on_elsewhere_before_it_uses_a_walled_part,
+    ),
     (
         forwardmutants.take_any_silence_for_an_outage,
         test_replacedweights.test_a_slow_answer_is_no_outage,
