Tell in the soak of stops a starved caller from a lost request

Each loss now names how late the callers' own process ran while it was open, in how many lines of its entry's log it occurs, and that entry's stops and stalls; each kill those of its entry. The checks are unchanged.

--- a/tests/platform/stops.py
+++ b/tests/platform/stops.py
@@ -37,6 +37,7 @@
 EVENT_GAP_S = 0.1
 MAX_EVENTS = 60
 READY_AGAIN_S = 30.0
+PULSE_S = 0.02  # between two looks at how late this process itself runs
 HTTP_PORT, PROBES_PORT, METRICS_PORT = 8000, 8002, 7701
 
 
@@ -173,6 +174,8 @@
         self.events = self.random.randint(10, MAX_EVENTS)  # of each stream
         self.folder = folder
         self.outcomes: list[Outcome] = []
+        self.pulses: list[tuple[float, float]] = []  # when, and how late
+        self.logs: dict[str, list[str]] = {}  # of entries
         self.is_ending = False
         self.others: dict[str, subprocess.Popen[bytes]] = {}
         servers = [f"engine-{n}" for n in range(ENGINES)]
@@ -313,6 +316,33 @@
                     nursery.start_soon(entry.restart)
                 await trio.sleep(gap_s)
 
+    async def measure_lateness(self) -> None:
+        """Record how late this process's own tasks run, until cancelled."""
+        while True:
+            due_at = time.monotonic() + PULSE_S
+            await trio.sleep(PULSE_S)
+            now = time.monotonic()
+            self.pulses.append((now, now - due_at))
+
+    def find_lateness(self, outcome: Outcome) -> float:
+        """Return how late this process ran at most while a request was open."""
+        late_s = [
+            late
+            for at, late in self.pulses
+            if outcome.sent_at <= at and at - late <= outcome.ended_at
+        ]
+        return max(late_s, default=0.0)
+
+    def describe_trace(self, outcome: Outcome) -> str:
+        """Say what tells a starved caller from an entry that lost a request."""
+        lines = self.logs[outcome.entry]
+        named = [line for line in lines if f'"{outcome.name}"' in line]
+        return (
+            f"callers {self.find_lateness(outcome):.3f} s late, named in"
+            f" {len(named)} lines of its entry, stops and stalls of that:"
+            f" {[line for line in lines if is_of_stop(line)]}"
+        )
+
     async def wait_until_ready(self) -> None:
         """Wait until every entry is in service."""
         with trio.fail_after(READY_AGAIN_S):
@@ -324,6 +354,7 @@
         """Let callers call while all entries are restarted."""
         await self.wait_until_ready()
         async with trio.open_nursery() as probes:
+            probes.start_soon(self.measure_lateness)
             for entry in self.entries:
                 probes.start_soon(self.probe, entry)
             async with trio.open_nursery() as nursery:
@@ -343,11 +374,13 @@
             runs |= set(json.loads(request("GET", url).content)["runs"])
         for outcome in self.outcomes:
             outcome.passed_on = outcome.name in runs
+        for entry in self.entries:
+            self.logs[entry.name] = entry.log.read_text().splitlines()
 
     def list_lost(self) -> list[str]:
         """Describe the requests that were lost around a stop."""
         return [
-            f"{outcome} {stopped}"
+            f"{outcome} {stopped} {self.describe_trace(outcome)}"
             for outcome in self.outcomes
             for stopped in self._find_stops(outcome)
             if self._is_lost(outcome, stopped)
@@ -384,6 +417,12 @@
             process.wait()
 
 
+def is_of_stop(line: str) -> bool:
+    """Return whether a line tells of an entry's stop, or of how late it ran."""
+    names = ("shutdown_begun", "shutdown_done", "clock_jumped")
+    return any(f'"{name}"' in line for name in names)
+
+
 def play_stops(
     seed: int, entries: int, callers: int, at_once: int, gap_s: float, busy: int
 ) -> StopWorld:
@@ -418,6 +457,9 @@
         click.echo(f"lost: {line}")
     whole = [o for o in world.outcomes if o.is_whole]
     served = [o for o in whole if o.status == 200]
+    for name in world.list_kills():
+        stop_lines = [line for line in world.logs[name] if is_of_stop(line)]
+        click.echo(f"killed: {name} {stop_lines}")
     click.echo(
         f"{len(world.outcomes)} requests, {len(served)} served,"
         f" {len(whole) - len(served)} refused, {len(world.list_lost())} lost,"
