--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 HERE = Path(__file__).resolve().parent
-sys.path[:0] = [str(HERE.parent), str(HERE)]
+sys.path.insert(0, str(HERE.parent))
 
-from engines import Engine, FullStore  # noqa: E402
+from engines2 import Engine, FullStore  # noqa: E402
 from standins2 import (  # noqa: E402
     HOST,
     LOOPBACK,
--- a/review/6/engines.py
+++ b/review/engines2.py
@@ -3,7 +3,7 @@
 A server runs prompts, keeps their parts under ``X-Cache-Salt``, fetches parts from the
 server that ``X-Kv-Source`` names, preempts the newest of the least urgent runs when its
 memory runs out, and takes new weights with ``hot_swap``. Of each part it notes under
-which version of the weights it was made.
+which version of the weights and for which tenant it was made.
 """
 
 import asyncio
@@ -36,11 +36,12 @@
 
 
 class Part:
-    """A part of a prompt in memory, and the version of the weights that made it."""
+    """A part of a prompt in memory, the version that made it, and whose request."""
 
-    def __init__(self, tokens: int, version: int) -> None:
+    def __init__(self, tokens: int, version: int, maker: str) -> None:
         self.tokens = tokens
         self.version = version
+        self.maker = maker
         self.users = 0
 
 
@@ -52,6 +53,7 @@
         self.number = number
         self.name = headers["x-request-id"]
         self.salt = headers.get("x-cache-salt", "")
+        self.tenant = headers.get("x-tenant", "")
         pairs = (text.split(":") for text in headers["x-prefix-hash"].split(","))
         self.parts = [(part, int(tokens)) for part, tokens in pairs]
         self.out = int(headers["x-token-usage"].split(",")[1])
@@ -86,6 +88,7 @@
         self.parts: OrderedDict[Key, Part] = OrderedDict()
         self.runs: list[Run] = []
         self.stale: list[str] = []
+        self.shared: list[tuple[float, str, str, str]] = []
         self._numbers = itertools.count(1)
 
     @property
@@ -123,7 +126,7 @@
             writer.write(self._take_order(request))
         elif request.path == "/kv":  # the servers' own way to fetch from one another
             part = self.parts.get((request.query["salt"], request.query["part"]))
-            found = None if part is None else [part.tokens, part.version]
+            found = None if part is None else [part.version, part.maker]
             writer.write(make_json(found))
         else:
             await self._take_prompt(request, writer)
@@ -248,25 +251,25 @@
         for key, (name, tokens) in zip(run.keys, run.parts, strict=True):
             part = self.parts.get(key)
             if part is None:
-                part = self.parts[key] = Part(tokens, self.version)
+                part = self.parts[key] = Part(tokens, self.version, run.tenant)
                 part.users += 1
                 fetched = await self._fetch(run, name)
                 if fetched is None:
                     await asyncio.sleep(tokens / TOKENS_PER_MS / 1000)
                     part.version = self.version
                 else:
-                    part.version = fetched
+                    part.version, part.maker = fetched
                     self.record.say(
                         f"{self.name} fetches part {name} under {run.salt} from "
-                        f"{run.source}; it was made under version {fetched}"
+                        f"{run.source}; it was made under version {part.version}"
                     )
             else:
                 part.users += 1
             self.parts.move_to_end(key)
             run.held.append(part)
 
-    async def _fetch(self, run: Run, name: str) -> int | None:
-        """Return the version of a part that the source keeps, None if it has none."""
+    async def _fetch(self, run: Run, name: str) -> tuple[int, str] | None:
+        """Return who made a part that the source keeps, None if it has none."""
         if not run.source or "," in run.source or run.is_preempted:
             return None
         port = int(run.source.rpartition(":")[2])
@@ -275,11 +278,18 @@
             found = json.loads((await call(port, "GET", target, {})).body)
         except OSError:
             return None
-        return None if found is None else int(found[1])
+        return None if found is None else (int(found[0]), str(found[1]))
 
     def _check_parts(self, run: Run) -> None:
-        """Note a run that begins on KV cache of another version."""
+        """Note a run that begins on KV cache of another version or another tenant."""
         for (name, _), part in zip(run.parts, run.held, strict=True):
+            if part.maker != run.tenant:
+                now = self.record.now()
+                self.shared.append((now, run.name, run.tenant, part.maker))
+                self.record.say(
+                    f"{run.name} of {run.tenant} begins at {self.name}, on part {name} "
+                    f"that a request of {part.maker} made"
+                )
             if part.version != self.version:
                 self.stale.append(run.name)
                 self.record.say(
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "desk.example"
 PAGE_SIZE = 500
+BROKEN = 11
 BOUNDS = {
     "drain_s": 2.0,
     "apply_s": 2.0,
@@ -463,7 +464,10 @@
     play: Callable[[Deployment, bool], Awaitable[bool]],
     limit_s: float = 110.0,
 ) -> None:
-    """Play a case and exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
+    """Play a case and exit: BROKEN, 0 if the rule held, or 2 if it could not run.
+
+    ``run.sh`` turns BROKEN into 1, which Python itself uses for errors.
+    """
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"begins, with TROUBLE={int(trouble)}")
@@ -477,7 +481,7 @@
     status = 2
     try:
         status = int(asyncio.run(bounded()))
-    except (Unable, TimeoutError, OSError) as error:
+    except Exception as error:
         record.say(f"could not run: {error!r}")
     finally:
         for program in deployment.programs:
@@ -487,7 +491,8 @@
                 record.lines += [f"{program.name}: {x}" for x in program.read_log()]
         verdict = ("the rule held", "the rule was broken", "could not run")[status]
         record.say(verdict)
-        record.save()
         shutil.rmtree(scratch, ignore_errors=True)
+    record.save()
     print(verdict, flush=True)
-    os._exit(status)  # connections that are still open are of no interest
+    # Connections that are still open are of no interest.
+    os._exit(BROKEN if status == 1 else status)
