--- a/review/6/case.py
+++ b/review/6/case.py
@@ -186,6 +186,7 @@
         send = case.send(CUT, "report", "depot", parts, LONG_OUT)
         tasks.append(asyncio.create_task(send))
     await asyncio.sleep(0.4)
+    await store.wait_for_answer(CUT, "config")
     if trouble:
         store.cut(CUT)
         record.say(f"{CUT} is partitioned from the store")
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -183,6 +183,14 @@
         """Partition a machine from the store."""
         self._open[machine].clear()
 
+    async def wait_for_answer(self, machine: str, kind: str) -> None:
+        """Wait until a machine's watch of a kind has just been answered."""
+        end = time.monotonic() + 10
+        while time.monotonic() - self.answered.get((machine, kind), 0.0) > 0.1:
+            if time.monotonic() > end:
+                raise Unable(f"{machine} doesn't watch {kind}")
+            await asyncio.sleep(0.01)
+
     def heal(self, machine: str) -> None:
         """End the partition."""
         self._open[machine].set()
