--- a/review/standins2.py
+++ b/review/standins2.py
@@ -361,7 +361,9 @@
         self.http: dict[str, int] = {}
         self._probes: dict[str, int] = {}
 
-    async def start_entry(self, name: str, zone: str) -> Program:
+    async def start_entry(
+        self, name: str, zone: str, resources: dict[str, int] | None = None
+    ) -> Program:
         """Start an entry and wait until it is ready."""
         http, probes, metrics, datagrams, store = find_ports(5)
         await self.store.serve(name, store)
@@ -372,7 +374,7 @@
             "probes": f"{LOOPBACK}:{probes}",
             "metrics": f"{LOOPBACK}:{metrics}",
             "datagrams": f"{LOOPBACK}:{datagrams}",
-            "resources": {"memory_mb": 222, "descriptors": 1535},
+            "resources": resources or {"memory_mb": 222, "descriptors": 1535},
             "store": f"{LOOPBACK}:{store}",
         }
         program = Program(self.folder, name, "masticdrum.platform.entry", settings)
