Fetch only KV cache that was stored before newer weights can have been loaded

Callers got whole answers that were computed in part by other weights than their engine had: an entry that was partitioned from the store while weights were replaced named as a source an engine whose runs had gone on under the newer weights and computed their part again.

Cause: an entry took no news for no newer weights. Parts lie under the scope that a run's request named, whatever weights made them, so neither the scope nor the check of the expected version shows it. The same held for stores of KV cache, after a lost answer to the watch of versions and after a thaw.

Change: a time is kept until which all named versions have been read. Only what a store reported before that time and the second that a load takes at least is fetched; another engine is never a source; entries watch versions for 2 s in place of 8.

Why it works: what a store holds never changes, so a part that was stored before any engine had newer weights was made by those of its scope. That needs no bound on the age of the news.

test_weights_of_a_watch_were_not_named_before_the_watch_began picks the event that it checks, since confirmations are submitted beside it.

--- a/masticdrum/core/attemptlog.py
+++ b/masticdrum/core/attemptlog.py
@@ -100,7 +100,9 @@
     model = exchange.prompt.model
     weights = upstream.weights.get(model, 0)
     newest = state.cluster_state.weights.get(model, 0)
+    read_s = now - state.cluster_state.superseded.confirmed_at
     facts: Facts = {"weights": weights, "newest": newest}
+    facts["weights_read_s"] = round(min(read_s, MAX_LOGGED_S), 3)
     superseded_at = state.cluster_state.find_superseded_at(model, weights)
     if superseded_at is None:
         return facts
--- a/masticdrum/core/attemptstart.py
+++ b/masticdrum/core/attemptstart.py
@@ -2,8 +2,8 @@
 
 from masticdrum.core.cachescopes import CacheScope
 from masticdrum.core.exchangestate import Exchange, ExchangeState
-from masticdrum.core.upstreamchoice import Choice
-from masticdrum.model.directory import RouteKind
+from masticdrum.core.storedprefixes import PrefixPlan
+from masticdrum.model.directory import RouteKind, Upstream
 from masticdrum.model.exchange import Prompt, StartAttempt
 
 FIRST_WAIT_TARGETS = 4.0  # targets; an idempotent attempt silent for longer ends
@@ -16,22 +16,18 @@
 def describe_attempt(
     state: ExchangeState,
     exchange: Exchange,
-    choice: Choice,
+    upstream: Upstream,
     scope: CacheScope,
     now: float,
 ) -> StartAttempt:
     """Describe an exchange's new attempt at the chosen upstream."""
-    upstream = choice.known.upstream
     left_s = exchange.deadline - now
     weights = 0
-    sources: tuple[str, ...] = ()
-    targets: tuple[str, ...] = ()
+    plan = PrefixPlan()
     if exchange.prompt is not None:
         weights = upstream.weights.get(exchange.prompt.model, 0)
-        if scope.is_lasting:
-            sources, targets = _plan_prefixes(
-                state, exchange.prompt, scope.name, choice, now
-            )
+        if scope.is_lasting and weights:
+            plan = _plan_prefixes(state, exchange.prompt, scope.name, weights, now)
     workspace = exchange.workspace
     return StartAttempt(
         handle=exchange.handle,
@@ -43,8 +39,8 @@
         first_wait_s=_compute_first_wait(exchange, left_s),
         expect_weights=weights,
         cache_scope=scope.name,
-        cache_sources=sources,
-        cache_targets=targets,
+        cache_sources=plan.sources,
+        cache_targets=plan.targets,
         urgency=min(LOWEST_URGENCY, exchange.urgency)
         if exchange.prompt
         else DEFAULT_URGENCY,
@@ -53,23 +49,26 @@
 
 
 def _plan_prefixes(
-    state: ExchangeState, prompt: Prompt, scope: str, choice: Choice, now: float
-) -> tuple[tuple[str, ...], tuple[str, ...]]:
-    """Select where a prompt's prefixes are fetched from and saved to.
+    state: ExchangeState, prompt: Prompt, scope: str, weights: int, now: float
+) -> PrefixPlan:
+    """Select the stores that a prompt's prefixes are fetched from and saved to.
 
-    Stores are preferred to the engine that affinity prefers, since what they hold
-    outlasts an engine's memory.
+    Another engine is never a source. Its runs go on when its weights change, and what
+    they compute again afterwards replaces what it held under the same scope. Neither
+    its events nor the fetch itself tell which weights made a prefix.
     """
-    weights = choice.known.upstream.weights.get(prompt.model)
-    if not weights:
-        return (), ()
-    index = state.cluster_state.index
-    stores = [] if index is None else index.stores
-    superseded = state.cluster_state.find_superseded_at(prompt.model, weights)
-    plan = state.prefixes.plan(stores, prompt, scope, now, superseded)
-    if any(plan.sources) or choice.cache_holder is None or superseded is not None:
-        return plan.sources, plan.targets
-    return (choice.cache_holder.upstream.address,), plan.targets
+    cluster_state = state.cluster_state
+    index = cluster_state.index
+    return state.prefixes.plan(
+        [] if index is None else index.stores,
+        prompt,
+        scope,
+        now,
+        unloaded_until=cluster_state.superseded.find_unloaded_until(
+            prompt.model, weights
+        ),
+        may_save=cluster_state.find_superseded_at(prompt.model, weights) is None,
+    )
 
 
 def _compute_first_wait(exchange: Exchange, left_s: float) -> float:
--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -32,6 +32,7 @@
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
+    WeightsConfirmed,
     WeightsNamed,
 )
 from masticdrum.model.crashes import CrashReportChanged, CrashReportsListed
@@ -247,6 +248,9 @@
         if not event.may_be_outdated:
             cluster_state.lease.confirm(event.last_confirmed_at)
         return []
+    if isinstance(event, WeightsConfirmed):
+        cluster_state.superseded.confirm(event.last_confirmed_at)
+        return []
     if isinstance(event, StoreRestored):
         cluster_state.restores.record_restore(now)
         cluster_state.reregister_until = now + REREGISTER_S
@@ -278,6 +282,7 @@
             return _apply_reachability(cluster_state, event, now)
         case (
             DirectoryConfirmed()
+            | WeightsConfirmed()
             | StoreRestored()
             | CrashReportsListed()
             | CrashReportChanged()
--- a/masticdrum/core/exchanges.py
+++ b/masticdrum/core/exchanges.py
@@ -242,17 +242,16 @@
     if exchange.workspace is not None and not state.cluster_state.is_leased(now):
         return fail_exchange(state, exchange, ErrorKind.TABLES_STALE, now)
     candidates = list_candidates(state, exchange, now)
-    choice = choose_upstream(
+    known = choose_upstream(
         candidates,
         exchange.prompt,
         lambda name: state.open.get(name, 0),
         state.random,
         lambda key: state.cluster_state.rank_upstreams(exchange.service, key),
     )
-    if choice is None:
+    if known is None:
         return fail_exchange(state, exchange, ErrorKind.NO_UPSTREAM, now)
     exchange.spare_only = False
-    known = choice.known
     upstream = known.upstream
     service = state.cluster_state.find_service(upstream)
     if is_cold(known, now) and service is not None and service.cold_per_s > 0:
@@ -277,7 +276,7 @@
     exchange.tried.add(upstream.name)
     load = state.open.get(upstream.name, 0)
     state.open[upstream.name] = load + exchange.work
-    start = describe_attempt(state, exchange, choice, scope, now)
+    start = describe_attempt(state, exchange, upstream, scope, now)
     log = log_start(state, exchange, upstream, load, len(candidates), scope.name, now)
     side = record_start(state, exchange, known, now)
     if not side:
--- a/masticdrum/core/storedprefixes.py
+++ b/masticdrum/core/storedprefixes.py
@@ -11,9 +11,10 @@
 accepts no more.
 
 Runs continue while their engine changes its weights, and what such a run computes again
-is made by the newer weights but saved under the older version. So prefixes of
-superseded weights are no longer saved, and they are fetched only if they were stored
-before.
+is made by the newer weights but saved under the older version. Stored prefixes never
+change. So one that was stored before any engine can have loaded newer weights was made
+by those that its scope names, and only such prefixes are fetched, however old the news
+of this process is. Prefixes of superseded weights are no longer saved.
 """
 
 from collections.abc import Iterable
@@ -108,16 +109,16 @@
         prompt: Prompt,
         scope: str,
         now: float,
-        superseded: float | None = None,
+        *,
+        unloaded_until: float,
+        may_save: bool,
     ) -> PrefixPlan:
         """Select where the shared parts of a prompt are fetched from and saved to.
 
         A part is only of use behind all parts before it, so fetching ends at the first
-        part that no store holds. ``superseded`` is a time before which the weights in
-        ``scope`` were the newest, None while they still are.
+        part that no store holds. Before ``unloaded_until`` no engine had weights newer
+        than those in ``scope``.
         """
-        current = superseded is None
-        before = now if superseded is None else superseded
         candidates = [store for store in stores if store.store is not None]
         sources: list[str] = []
         targets: list[str] = []
@@ -127,16 +128,15 @@
             home = select_store(candidates, prefix)
             contents = None if home is None else self._find_fresh(home.name, now)
             if home is None or home.store is None or contents is None:
-                address, is_stored = "", False
+                address, is_stored, is_proved = "", False, False
             else:
                 address = home.store.address
-                is_stored = (
-                    prefix in contents.stored and contents.stored[prefix] <= before
-                )
-            contiguous = contiguous and is_stored
+                is_stored = prefix in contents.stored
+                is_proved = is_stored and contents.stored[prefix] <= unloaded_until
+            contiguous = contiguous and is_proved
             sources.append(address if contiguous else "")
             worth_saving = (
-                current and shared.tokens >= MIN_TOKENS and address and not is_stored
+                may_save and shared.tokens >= MIN_TOKENS and address and not is_stored
             )
             save = (
                 worth_saving
--- a/masticdrum/core/supersededweights.py
+++ b/masticdrum/core/supersededweights.py
@@ -3,10 +3,15 @@
 A version is superseded from when the first newer one was named. What is kept is a time
 before which that had certainly not happened, whenever this process learned of it; minus
 infinity if no such time is known.
+
+That no newer version has been heard of proves nothing about the present. It is proved
+up to the last time at which all named versions were read.
 """
 
 from msgspec import Struct
 
+# Loading new weights takes an engine over a second, as operators report.
+MIN_LOAD_S = 1.0
 MAX_NAMED = 8  # versions of a model whose times are kept apart
 
 
@@ -28,10 +33,11 @@
         assert superseded.find_superseded_at("m1", 3) is None
     """
 
-    __slots__ = ("_named", "newest")
+    __slots__ = ("_named", "confirmed_at", "newest")
 
     def __init__(self) -> None:
         self.newest: dict[str, int] = {}
+        self.confirmed_at = float("-inf")
         self._named: dict[str, tuple[NamedVersion, ...]] = {}
 
     def record(self, model: str, version: int, not_before: float) -> bool:
@@ -47,6 +53,19 @@
         self._named[model] = named
         return True
 
+    def confirm(self, confirmed_at: float) -> None:
+        """Record that all versions that were named before a time are recorded."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def find_unloaded_until(self, model: str, version: int) -> float:
+        """Return until when no engine can have loaded weights newer than ``version``.
+
+        That is minus infinity if it isn't known.
+        """
+        superseded_at = self.find_superseded_at(model, version)
+        named_at = self.confirmed_at if superseded_at is None else superseded_at
+        return named_at + MIN_LOAD_S
+
     def find_superseded_at(self, model: str, version: int) -> float | None:
         """Return a time before which no version newer than ``version`` was named.
 
--- a/masticdrum/core/upstreamchoice.py
+++ b/masticdrum/core/upstreamchoice.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterable, Iterator
 from random import Random
 
-from msgspec import Struct
 from xxhash import xxh3_64_intdigest
 
 from masticdrum.core.clusterstate import KnownUpstream
@@ -25,23 +24,13 @@
 Rank = Callable[[int], Iterator[str]]
 
 
-class Choice(Struct, frozen=True):
-    """A chosen upstream, and the engine that likely has the prompt's prefix cached.
-
-    ``cache_holder`` is None where that is the chosen upstream itself, or none is known.
-    """
-
-    known: KnownUpstream
-    cache_holder: KnownUpstream | None = None
-
-
 def choose_upstream(
     candidates: list[KnownUpstream],
     prompt: Prompt | None,
     load: Load,
     random: Random,
     rank: Rank,
-) -> Choice | None:
+) -> KnownUpstream | None:
     """Return the upstream for a request, or None without candidates.
 
     ``rank`` yields the names of all upstreams of the service in the order of a key.
@@ -49,7 +38,7 @@
     if not candidates:
         return None
     if prompt is None or not prompt.parts:
-        return Choice(_choose_least_loaded(candidates, load, random))
+        return _choose_least_loaded(candidates, load, random)
     return _choose_by_affinity(candidates, prompt, load, rank)
 
 
@@ -83,25 +72,15 @@
 
 def _choose_by_affinity(
     candidates: list[KnownUpstream], prompt: Prompt, load: Load, rank: Rank
-) -> Choice:
+) -> KnownUpstream:
     bound = _compute_load_bound(candidates, load, estimate_work(prompt))
     key = xxh3_64_intdigest(compute_affinity_key(prompt).encode())
     by_name = {known.upstream.name: known for known in candidates}
-    preferred: KnownUpstream | None = None
     for name in rank(key):
         known = by_name.get(name)
-        if known is None:
-            continue
-        preferred = preferred or known
-        if load(name) < bound:
-            return _describe_choice(known, preferred)
-    least_loaded = min(candidates, key=lambda known: load(known.upstream.name))
-    return _describe_choice(least_loaded, preferred or least_loaded)
-
-
-def _describe_choice(known: KnownUpstream, preferred: KnownUpstream) -> Choice:
-    """Add the preferred engine as cache holder if another engine was chosen."""
-    return Choice(known, None if known is preferred else preferred)
+        if known is not None and load(name) < bound:
+            return known
+    return min(candidates, key=lambda known: load(known.upstream.name))
 
 
 def _compute_load_bound(
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -84,6 +84,12 @@
     not_before: float = float("-inf")
 
 
+class WeightsConfirmed(Struct, frozen=True):
+    """All versions of weights named up to ``last_confirmed_at`` have been reported."""
+
+    last_confirmed_at: float
+
+
 class Member(Struct, frozen=True):
     """A process of the system; ``address`` is empty if it accepts no links.
 
@@ -136,6 +142,7 @@
     | UpstreamGone
     | DataCentresDrained
     | WeightsNamed
+    | WeightsConfirmed
     | MembersListed
     | SourceLost
     | SourceRegained
--- a/masticdrum/platform/agent.py
+++ b/masticdrum/platform/agent.py
@@ -21,7 +21,7 @@
 from masticdrum.platform.engine import Engine
 from masticdrum.platform.settings import platform_settings
 from masticdrum.platform.store import Store
-from masticdrum.platform.watchers import AGENT_UPSTREAMS, WEIGHTS, KindWatcher
+from masticdrum.platform.watchers import AGENT_UPSTREAMS, AGENT_WEIGHTS, KindWatcher
 from masticdrum.programs.commands import (
     check_option,
     unwrap_or_exit,
@@ -56,7 +56,7 @@
         """Return the functions that keep the agent's view of the platform current."""
         return [
             KindWatcher(watched, self._store, submit, Random()).run
-            for watched in (AGENT_UPSTREAMS, WEIGHTS)
+            for watched in (AGENT_UPSTREAMS, AGENT_WEIGHTS)
         ]
 
     def _report_restored(self, event: StoreRestored) -> None:
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -20,6 +20,7 @@
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
+    WeightsConfirmed,
     WeightsNamed,
 )
 from masticdrum.model.crashes import (
@@ -100,7 +101,9 @@
     Source.ROLLOUT_LEASES, f"{KIND_PREFIX}rollouts", RUNNING_ROLLOUT_WAIT_S
 )
 DATA_CENTRES = WatchedKind(Source.DATA_CENTRES, "evacuations", 8.0)
-WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 8.0)
+# Each answer proves that the KV cache that was stored until then may be fetched.
+WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 2.0)
+AGENT_WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 8.0)
 # Processes that start together all announce themselves within a second. A wait of 30 s
 # may end with its history gone, and a list.
 MEMBERS = WatchedKind(Source.MEMBERS, f"{KIND_PREFIX}members", 10.0, gap_s=0.5)
@@ -225,8 +228,11 @@
 
     def _record_request(self, requested_at: float) -> None:
         """Record that all that was written before an answered request is known."""
-        if requested_at >= self._rewritten_at:
-            self._known_at = requested_at
+        if requested_at < self._rewritten_at:
+            return
+        self._known_at = requested_at
+        if self._watched.source is Source.WEIGHTS:
+            self._submit(WeightsConfirmed(requested_at))
 
     def _confirm(self, requested_at: float, wait_s: float) -> None:
         """Report until when nothing has changed, where that matters."""
@@ -236,6 +242,8 @@
             case Source.DIRECTORY if DIRECTORY_NAME in self._objects:
                 outdated = requested_at < self._rewritten_at
                 self._submit(DirectoryConfirmed(confirmed_at, outdated))
+            case Source.WEIGHTS if requested_at >= self._rewritten_at:
+                self._submit(WeightsConfirmed(confirmed_at))
             case Source.ROLLOUTS | Source.ROLLOUT_LEASES:
                 self._report_changes(confirmed_at)
             case _:
--- a/tests/core/forwardmutants.py
+++ b/tests/core/forwardmutants.py
@@ -103,7 +103,7 @@
 
 def fetch_for_superseded_weights(patch: Patch) -> None:
     """Treat all weights as the newest when looking up KV cache."""
-    patch.setattr(ClusterState, "find_superseded_at", lambda *given: None)
+    patch.setattr(SupersededWeights, "find_unloaded_until", lambda *given: float("inf"))
 
 
 def start_the_bound_at_each_version(patch: Patch) -> None:
--- a/tests/core/test_forwardmutants.py
+++ b/tests/core/test_forwardmutants.py
@@ -21,6 +21,7 @@
     test_saturation,
     test_softwarerecords,
     test_storeoutages,
+    test_unprovedcache,
     test_upstreamlists,
     test_upstreampauses,
     test_weightsbound,
@@ -70,7 +71,7 @@
     ),
     (
         forwardmutants.fetch_for_superseded_weights,
-        test_exchanges.test_no_cache_is_fetched_from_an_engine_for_superseded_weights,
+        test_unprovedcache.test_no_prompt_runs_on_cache_that_newer_weights_have_made,
     ),
     (
         forwardmutants.start_the_bound_at_each_version,
--- a/tests/core/test_keptparts.py
+++ b/tests/core/test_keptparts.py
@@ -8,6 +8,7 @@
     REPORT_VALID_S,
     SAVE_TIMEOUT_S,
     PrefixesReported,
+    PrefixPlan,
     PrefixStoreLost,
     StoredPrefixes,
     select_store,
@@ -29,6 +30,20 @@
 )
 
 
+def make_plan(
+    prefixes: StoredPrefixes,
+    now: float,
+    scope: str = SCOPE,
+    unloaded_until: float | None = None,
+    may_save: bool = True,
+) -> PrefixPlan:
+    """Plan for weights that are the newest now, or were until some time."""
+    until = now if unloaded_until is None else unloaded_until
+    return prefixes.plan(
+        STORES, PROMPT, scope, now, unloaded_until=until, may_save=may_save
+    )
+
+
 def report_all(
     prefixes: StoredPrefixes, now: float, *names: str, boot: int = 1
 ) -> None:
@@ -40,14 +55,14 @@
 def test_a_session_is_saved_once_and_then_fetched() -> None:
     prefixes = StoredPrefixes()
     report_all(prefixes, 0.0)
-    first = prefixes.plan(STORES, PROMPT, SCOPE, 0.1)
+    first = make_plan(prefixes, 0.1)
     assert not any(first.sources)
     assert all(first.targets[:2])
     assert first.targets[2] == ""
-    again = prefixes.plan(STORES, PROMPT, SCOPE, 0.2)
+    again = make_plan(prefixes, 0.2)
     assert not any(again.targets), "saved twice"
     report_all(prefixes, 1.0, "all", "mine")
-    later = prefixes.plan(STORES, PROMPT, SCOPE, 1.1)
+    later = make_plan(prefixes, 1.1)
     assert later.sources == first.targets
     assert not any(later.targets)
 
@@ -57,10 +72,10 @@
     prefixes = StoredPrefixes()
     report_all(prefixes, 1.0, "all")
     report_all(prefixes, 3.0, "mine")
-    plan = prefixes.plan(STORES, PROMPT, SCOPE, 3.1, superseded=2.0)
+    plan = make_plan(prefixes, 3.1, unloaded_until=2.0, may_save=False)
     assert [bool(source) for source in plan.sources] == [True, False, False]
     assert not any(plan.targets)
-    early = prefixes.plan(STORES, PROMPT, SCOPE, 3.1, superseded=float("-inf"))
+    early = make_plan(prefixes, 3.1, unloaded_until=float("-inf"), may_save=False)
     assert not any(early.sources) and not any(early.targets)
 
 
@@ -68,20 +83,20 @@
     prefixes = StoredPrefixes()
     report_all(prefixes, 1.0, "all", "mine")
     report_all(prefixes, 3.0, "all", "mine")
-    assert all(prefixes.plan(STORES, PROMPT, SCOPE, 3.1, superseded=2.0).sources[:2])
+    assert all(make_plan(prefixes, 3.1, unloaded_until=2.0, may_save=False).sources[:2])
 
 
 def test_a_prefix_behind_a_missing_one_is_not_fetched() -> None:
     prefixes = StoredPrefixes()
     report_all(prefixes, 0.0, "mine")
-    assert not any(prefixes.plan(STORES, PROMPT, SCOPE, 0.1).sources)
+    assert not any(make_plan(prefixes, 0.1).sources)
 
 
 def test_another_scope_finds_nothing() -> None:
     prefixes = StoredPrefixes()
     report_all(prefixes, 0.0, "all", "mine")
-    assert not any(prefixes.plan(STORES, PROMPT, "m1.2", 0.1).sources)
-    assert not any(prefixes.plan(STORES, PROMPT, "m1.1.walled", 0.1).sources)
+    assert not any(make_plan(prefixes, 0.1, "m1.2").sources)
+    assert not any(make_plan(prefixes, 0.1, "m1.1.walled").sources)
 
 
 @pytest.mark.parametrize(
@@ -100,22 +115,22 @@
     prefixes = StoredPrefixes()
     report_all(prefixes, 0.1, "all", "mine")
     lose_stores(prefixes)
-    assert not any(prefixes.plan(STORES, PROMPT, SCOPE, 0.3).sources)
+    assert not any(make_plan(prefixes, 0.3).sources)
 
 
 def test_a_store_that_is_silent_is_neither_fetched_from_nor_saved_to() -> None:
     prefixes = StoredPrefixes()
     report_all(prefixes, 0.0, "all", "mine")
-    plan = prefixes.plan(STORES, PROMPT, SCOPE, REPORT_VALID_S + 0.1)
+    plan = make_plan(prefixes, REPORT_VALID_S + 0.1)
     assert not any(plan.sources) and not any(plan.targets)
 
 
 def test_a_lost_save_is_requested_again() -> None:
     prefixes = StoredPrefixes()
     report_all(prefixes, 0.0)
-    prefixes.plan(STORES, PROMPT, SCOPE, 0.0)
+    make_plan(prefixes, 0.0)
     report_all(prefixes, SAVE_TIMEOUT_S)
-    assert all(prefixes.plan(STORES, PROMPT, SCOPE, SAVE_TIMEOUT_S + 0.1).targets[:2])
+    assert all(make_plan(prefixes, SAVE_TIMEOUT_S + 0.1).targets[:2])
 
 
 def test_prefixes_are_spread_by_the_capacity_of_the_stores() -> None:
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -152,8 +152,7 @@
 def test_weights_of_a_watch_were_not_named_before_the_watch_began() -> None:
     named = make_object("m1", {"model": "m1", "version": 2})
     submitted, _ = watch_kind(WEIGHTS, [], [(2.0, named)])
-    (event,) = submitted
-    assert isinstance(event, WeightsNamed)
+    (event,) = [event for event in submitted if isinstance(event, WeightsNamed)]
     assert event.not_before > 0
 
 
