Let other entries keep where streams began while several versions serve

Callers took up streams that had broken off with their entry, and were refused though all servers of their version served on: six of eleven processes were killed three seconds after the first server of a new software version came, and 8 of 24 streams went on.

Cause: two agents kept a stream's version, one beside each of two versions. The agent beside the only server of a version so kept the second copy of all streams; with it and the entry gone each stream had one copy, and four more kills took two thirds of those.

Change: two other entries are told of each stream too while several versions serve, and asked when a caller comes back. They are chosen by the request's id among the entries that announce their address for datagrams.

Why it works: any entry may keep any stream, so no process holds a part of all of them, however few servers a version has and whichever agents restart.

--- a/masticdrum/core/enginecontroller.py
+++ b/masticdrum/core/enginecontroller.py
@@ -31,7 +31,6 @@
 from masticdrum.model.origins import (
     OriginQueried,
     OriginRecord,
-    OriginReply,
     SendOriginReply,
 )
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
@@ -170,7 +169,7 @@
         state.origins.record(event.request, event.software, now)
         return []
     if isinstance(event, OriginQueried):
-        return [_answer_origin_query(state, event, now)]
+        return [state.origins.answer(event, now)]
     effects: list[EngineControllerEffect] = []
     match event:
         case EngineReported():
@@ -218,15 +217,6 @@
     return state.weights.get(model, 0) >= version
 
 
-def _answer_origin_query(
-    state: EngineControllerState, event: OriginQueried, now: float
-) -> SendOriginReply:
-    query = event.query
-    software = state.origins.find(query.request, now)
-    reply = OriginReply(query.handle, query.request, software)
-    return SendOriginReply(event.peer, reply)
-
-
 def _plan_orders(
     state: EngineControllerState, now: float
 ) -> list[EngineControllerEffect]:
--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -1,6 +1,7 @@
 """The state of an entry that forwards exchanges."""
 
 from collections import deque
+from collections.abc import Iterator
 from random import Random
 
 from msgspec import Struct
@@ -11,6 +12,7 @@
 from masticdrum.core.crashsuspicion import CrashSuspicion
 from masticdrum.core.gracefulstop import GracefulStop, StreamDurations
 from masticdrum.core.outlierdetection import OutlierDetector
+from masticdrum.core.rendezvous import Ranking
 from masticdrum.core.requestlimits import RequestLimits
 from masticdrum.core.retrywindow import RetryBounds, RetryWindow
 from masticdrum.core.rolloutcontrol import (
@@ -244,6 +246,8 @@
         self.attempts = 0
         self.clock_offset = 0.0
         self._ranked_members: tuple[Member, ...] | None = None
+        self._peers: dict[str, str] = {}
+        self._peer_ranking = Ranking(())
         self._rank = 0
         self._member_count = 1
         self.leased = False
@@ -282,15 +286,31 @@
 
         One that is not listed yet comes last.
         """
-        members = self.cluster_state.members
-        if members is not self._ranked_members:
-            self._ranked_members = members
-            names = {m.name for m in members or () if m.role == self.role}
-            listed = self.name in names
-            self._rank = sum(n < self.name for n in names) if listed else len(names)
-            self._member_count = len(names) if listed else len(names) + 1
+        self._rank_members()
         return Place(self._rank, self._member_count, now + self.clock_offset)
 
+    def rank_peers(self, key: int) -> Iterator[str]:
+        """Yield the addresses of other entries in a key's order, best first."""
+        self._rank_members()
+        return (self._peers[name] for name in self._peer_ranking.rank(key))
+
+    def _rank_members(self) -> None:
+        """Rank the entries that are listed, unless that was done before."""
+        members = self.cluster_state.members
+        if members is self._ranked_members:
+            return
+        self._ranked_members = members
+        entries = [m for m in members or () if m.role == self.role]
+        names = {member.name for member in entries}
+        listed = self.name in names
+        self._rank = sum(n < self.name for n in names) if listed else len(names)
+        self._member_count = len(names) if listed else len(names) + 1
+        peers = [m for m in entries if m.name != self.name and m.address]
+        self._peers = {member.name: member.address for member in peers}
+        self._peer_ranking = Ranking(
+            sorted((m.name, m.data_centre, 1.0) for m in peers)
+        )
+
     def list_software(self, service: str, now: float) -> set[str]:
         """List the versions at which open streams of a service may have begun."""
         life_s = self.cluster_state.stream_life_s
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -50,13 +50,21 @@
     StreamEventsReceived,
     Ticked,
 )
-from masticdrum.model.origins import OriginReply
+from masticdrum.model.origins import OriginQueried, OriginRecord, OriginReply
 from masticdrum.model.platform import ObjectAnswer
 from masticdrum.model.rollouts import RolloutGrant, RolloutsRead
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
 STOP = "stop"
 ROLLOUT_TICK_S = 0.2
+PeerEvent = (
+    CrashReportsListed
+    | CrashReportChanged
+    | OriginReply
+    | OriginRecord
+    | OriginQueried
+    | ObjectAnswer
+)
 ForwardEvent = (
     ForwardRequested
     | ForwardDisconnected
@@ -68,6 +76,8 @@
     | PrefixesReported
     | PrefixStoreLost
     | OriginReply
+    | OriginRecord
+    | OriginQueried
     | ObjectAnswer
     | RolloutInput
     | ClusterEvent
@@ -126,7 +136,12 @@
             record_tick(state, now)
             return [*review_crashes(state, now), *send_records(state, now)]
         case (
-            CrashReportsListed() | CrashReportChanged() | OriginReply() | ObjectAnswer()
+            CrashReportsListed()
+            | CrashReportChanged()
+            | OriginReply()
+            | OriginRecord()
+            | OriginQueried()
+            | ObjectAnswer()
         ):
             return _handle_peer_event(state, event, now)
         case PrefixesReported() | PrefixStoreLost():
@@ -136,17 +151,22 @@
 
 
 def _handle_peer_event(
-    state: ExchangeState,
-    event: CrashReportsListed | CrashReportChanged | OriginReply | ObjectAnswer,
-    now: float,
+    state: ExchangeState, event: PeerEvent, now: float
 ) -> list[ExchangeEffect]:
-    """Handle what other processes of this system know."""
-    if isinstance(event, OriginReply):
-        return use_origin_reply(state, event, now)
-    if isinstance(event, ObjectAnswer):
-        effects = handle_record_answer(state, event, now)
-        return effects + use_software_record(state, now)
-    return [*apply_crash_event(state, event, now)]
+    """Handle what other processes of this system know, or want to know."""
+    match event:
+        case OriginReply():
+            return use_origin_reply(state, event, now)
+        case OriginRecord():
+            state.origins.record(event.request, event.software, now)
+            return []
+        case OriginQueried():
+            return [state.origins.answer(event, now)]
+        case ObjectAnswer():
+            effects = handle_record_answer(state, event, now)
+            return effects + use_software_record(state, now)
+        case _:
+            return [*apply_crash_event(state, event, now)]
 
 
 def _handle_rollout_event(
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -1,11 +1,11 @@
 """Decides at which software version a stream that a caller takes up may go on.
 
 The caller names the request that brought the stream's first event. The entry that began
-it knows the version, and so do the agents that it told. If nobody knows it, the stream
-goes on only if one version alone can have begun it. Streams begin only at versions that
-the record in the platform holds, so a read of it tells which these are. It has to be
-asked after the caller has come back: what this entry has read or seen before may be out
-of date without any sign of it.
+it knows the version, and so do the agents and the other entries that it told. If nobody
+knows it, the stream goes on only if one version alone can have begun it. Streams begin
+only at versions that the record in the platform holds, so a read of it tells which
+these are. It has to be asked after the caller has come back: what this entry has read
+or seen before may be out of date without any sign of it.
 """
 
 from collections.abc import Iterator
@@ -22,6 +22,7 @@
     OriginRecord,
     OriginReply,
     SendToAgents,
+    SendToPeers,
 )
 from masticdrum.model.telemetry import Facts, Log, LogNumber
 
@@ -32,6 +33,10 @@
 FIRST_WAIT_S = 1.0  # for the record of a service's first version
 COPIES = 2  # agents that keep a stream's origin while several versions serve
 COPIES_OF_ONLY_VERSION = 1  # enough for a caller whose entry is lost
+# Other entries that keep it too while several versions serve. All agents beside one
+# version may be few, and lost at once with others.
+PEER_COPIES = 2
+QUERIED_PEERS = 4  # entries that have come since move the others down in rank
 # Upstreams that registered since a stream began move its agents down in rank.
 QUERIED_PER_VERSION = 6
 RECORDS_AT_ONCE = 100  # so that they delay no request
@@ -175,13 +180,13 @@
 def _query_agents(
     state: ExchangeState, exchange: Exchange, search: OriginSearch, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
-    addresses = _list_queried(state, exchange)
-    search.unanswered = len(addresses)
-    if not addresses:
+    query = OriginQuery(exchange.handle, exchange.resumes)
+    sent = _send(state, _list_queried(state, exchange), query, QUERIED_PEERS)
+    search.unanswered = sum(len(effect.addresses) for effect in sent)
+    if not sent:
         return continue_search(state, exchange, now)
     state.timers.set((ORIGIN, exchange.handle), now + SEARCH_S)
-    query = OriginQuery(exchange.handle, exchange.resumes)
-    return Resumption.SEARCHING, [SendToAgents(addresses, query)]
+    return Resumption.SEARCHING, [*sent]
 
 
 def record_origin(
@@ -190,7 +195,8 @@
     """Record the version whose upstream has sent a stream's first event.
 
     An agent is told at once, since this entry may be gone before another version
-    appears, and with it all that it alone knows.
+    appears, and with it all that it alone knows. While several versions serve, more
+    agents and other entries are told, as any of them may be lost with this one.
     """
     if exchange.attempt is None:
         return []
@@ -202,9 +208,10 @@
     service = exchange.service
     state.origins.record(request, exchange.software, now, service)
     is_only_version = service not in state.mixed and state.knows_software(now)
-    copies = COPIES_OF_ONLY_VERSION if is_only_version else COPIES
     record = OriginRecord(request, exchange.software)
-    return _send_record(state, service, record, copies)
+    if is_only_version:
+        return _send_record(state, service, record, COPIES_OF_ONLY_VERSION, 0)
+    return _send_record(state, service, record)
 
 
 def review_versions(state: ExchangeState, now: float) -> list[ExchangeEffect]:
@@ -244,10 +251,31 @@
 
 
 def _send_record(
-    state: ExchangeState, service: str, record: OriginRecord, copies: int = COPIES
+    state: ExchangeState,
+    service: str,
+    record: OriginRecord,
+    copies: int = COPIES,
+    peer_copies: int = PEER_COPIES,
 ) -> list[ExchangeEffect]:
-    addresses = _list_recorders(state, service, record, copies)
-    return [SendToAgents(addresses, record)] if addresses else []
+    agents = _list_recorders(state, service, record, copies)
+    return [*_send(state, agents, record, peer_copies)]
+
+
+def _send(
+    state: ExchangeState,
+    agents: tuple[str, ...],
+    message: OriginRecord | OriginQuery,
+    most_peers: int,
+) -> list[SendToAgents | SendToPeers]:
+    """Send a message to agents, and to the entries that rank first for its request."""
+    sent: list[SendToAgents | SendToPeers] = []
+    if agents:
+        sent.append(SendToAgents(agents, message))
+    if not state.has_agents:
+        return sent
+    key = xxh3_64_intdigest(message.request.encode())
+    peers = tuple(islice(state.rank_peers(key), most_peers))
+    return [*sent, SendToPeers(peers, message)] if peers else sent
 
 
 def _list_recorders(
--- a/masticdrum/core/streamorigins.py
+++ b/masticdrum/core/streamorigins.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from masticdrum.core.servedsoftware import MAX_STREAM_LIFE_S
+from masticdrum.model.origins import OriginQueried, OriginReply, SendOriginReply
 
 MAX_ORIGINS = 20_000
 MAX_NAME_CHARS = 128  # of a request; the streams of longer ones are not recorded
@@ -58,3 +59,10 @@
         if origin is None or now >= origin.at + MAX_STREAM_LIFE_S:
             return None
         return origin.software
+
+    def answer(self, event: OriginQueried, now: float) -> SendOriginReply:
+        """Return the reply to another process's query."""
+        query = event.query
+        software = self.find(query.request, now)
+        reply = OriginReply(query.handle, query.request, software)
+        return SendOriginReply(event.peer, reply)
--- a/masticdrum/model/cluster_events.py
+++ b/masticdrum/model/cluster_events.py
@@ -93,6 +93,8 @@
 class Member(Struct, frozen=True):
     """A process of the system; ``address`` is empty if it accepts no links.
 
+    An entry that forwards requests has its address for datagrams there.
+
     ``directory`` is the version of the configuration that was in force there when it
     announced itself.
     """
--- a/masticdrum/model/exchange.py
+++ b/masticdrum/model/exchange.py
@@ -11,7 +11,7 @@
 
 from masticdrum.model.crashes import PublishCrashReport
 from masticdrum.model.errors import ErrorKind
-from masticdrum.model.origins import SendToAgents
+from masticdrum.model.origins import SendOriginReply, SendToAgents, SendToPeers
 from masticdrum.model.platform import ObjectGet, ObjectPut
 from masticdrum.model.rolloutprogress import PublishRolloutProgress
 from masticdrum.model.rollouts import PutRolloutStatus, SendGrant, SendReport
@@ -242,6 +242,8 @@
     | Refuse
     | PublishCrashReport
     | SendToAgents
+    | SendToPeers
+    | SendOriginReply
     | ObjectGet
     | ObjectPut
     | SendGrant
--- a/masticdrum/model/origins.py
+++ b/masticdrum/model/origins.py
@@ -2,7 +2,8 @@
 
 Agents keep which version of the upstreams' software began a stream, for the entry to
 which its caller comes back. One of them stands beside an upstream of that version, and
-one beside an upstream of another, since all of one version may leave together.
+one beside an upstream of another, since all of one version may leave together. Other
+entries keep it too, since few agents may stand beside one of the versions.
 
 The messages are arrays, so a field keeps its place for as long as an older process may
 read it.
@@ -21,6 +22,8 @@
 class OriginQuery(Struct, frozen=True, array_like=True, tag="query"):
     """Asks which version began a stream; ``handle`` is echoed in the reply.
 
+    Entries ask agents and other entries.
+
     ``service`` and ``life_s`` are there for older agents, which list versions by them.
     """
 
@@ -48,7 +51,7 @@
 
 
 class OriginQueried(Struct, frozen=True):
-    """An entry's query has arrived; ``peer`` is where the reply goes."""
+    """Another entry's query has arrived; ``peer`` is where the reply goes."""
 
     peer: tuple[str, int]
     query: OriginQuery
@@ -66,3 +69,10 @@
 
     addresses: tuple[str, ...]
     message: OriginRecord | OriginQuery
+
+
+class SendToPeers(Struct, frozen=True):
+    """Sends a message to other entries at ``addresses``, the IP:PORT for datagrams."""
+
+    addresses: tuple[str, ...]
+    message: OriginRecord | OriginQuery
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -55,7 +55,8 @@
         ports.meters.count(Count(Counter.PLATFORM_CALLS, how))
 
     store = Store(settings.store, count_call, ports.submit)
-    member = Member(settings.name, ROLE, settings.data_centre)
+    address = settings.datagrams or ""
+    member = Member(settings.name, ROLE, settings.data_centre, address)
 
     async def execute_calls() -> None:
         while True:
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -39,14 +39,16 @@
     StopRequested,
     Ticked,
 )
-from masticdrum.model.origins import OriginReply, SendToAgents
+from masticdrum.model.origins import (
+    SendOriginReply,
+    SendToAgents,
+    SendToPeers,
+)
 from masticdrum.model.platform import ObjectAnswer, ObjectGet, ObjectPut
 from masticdrum.model.resources import ProcessLimits
 from masticdrum.model.rolloutprogress import PublishRolloutProgress
 from masticdrum.model.rollouts import (
     PutRolloutStatus,
-    RolloutGrant,
-    RolloutReported,
     RolloutStatusAnswered,
     SendGrant,
     SendReport,
@@ -256,14 +258,24 @@
                 self._call_store(effect)
             case SendReport() | SendGrant():
                 self._send_rollout_message(effect)
-            case SendToAgents():
-                self._send_to_agents(effect)
+            case SendToAgents() | SendToPeers() | SendOriginReply():
+                self._send_origin_message(effect)
             case ExitProcess():
                 self.ended.set()
 
-    def _send_to_agents(self, effect: SendToAgents) -> None:
-        if self.datagrams is not None:
-            self.datagrams.send_to_hosts(effect.addresses, effect.message)
+    def _send_origin_message(
+        self, effect: SendToAgents | SendToPeers | SendOriginReply
+    ) -> None:
+        if self.datagrams is None:
+            return
+        match effect:
+            case SendToAgents():
+                self.datagrams.send_to_hosts(effect.addresses, effect.message)
+            case SendToPeers():
+                for address in effect.addresses:
+                    self.datagrams.send_to_address(address, effect.message)
+            case SendOriginReply():
+                self.datagrams.send(effect.peer, effect.reply)
 
     def _send_rollout_message(self, effect: SendReport | SendGrant) -> None:
         if self.datagrams is None:
@@ -288,9 +300,8 @@
             write_event(log)
 
     def submit_datagram(self, event: DatagramEvent) -> None:
-        """Submit an agent's reply, or another entry's message about a roll-out."""
-        if isinstance(event, OriginReply | RolloutReported | RolloutGrant):
-            self.loop.submit(event)
+        """Submit a message of an agent or another entry."""
+        self.loop.submit(event)
 
     def _is_ready(self) -> bool:
         return self.state.is_ready(read_clock())
