Bound watches of the platform by how soon their news has to be acted on

Callers got 504 for bookings, and others ran in a data centre that had been evacuated: one answer of the store to one entry's watch of the evacuations was lost, and the entry sent there beyond the 5 s that it may.

Cause: a lost answer shows only when the watch should have ended and its call has timed out, 8 s and 1.5 s. The watch of the servers had the same gap, 5 s and 1.5 s against 3 s until the entry counts as in touch and 2 s for draining. The waits were constants; the bounds that hang on them are settings.

Change: the waits follow from evacuate_s, drain_s and stable_s. For 5 s after a failed call they follow from stable_s alone, since answers are lost in spells and what was acknowledged in one has to be known once the store has worked for that long.

Why it works: wait, timeout and the time to read the news add up to less than the bound, whatever the bounds of a deployment are.

--- a/masticdrum/core/clusterstate.py
+++ b/masticdrum/core/clusterstate.py
@@ -52,13 +52,17 @@
     ``apply_s`` is how soon a configuration must be in force everywhere, ``revoke_s``
     how soon a revoked key must stop working everywhere; ``drain_s`` is
     how long an upstream whose registration is gone may still be sent to. A registration
-    that isn't renewed is removed by the store within ``unregister_s``.
+    that isn't renewed is removed by the store within ``unregister_s``. Nothing may be
+    sent to a data centre ``evacuate_s`` after operators have drained it. Once the store
+    has worked for ``stable_s``, this process counts as connected to it.
     """
 
     revoke_s: float
     drain_s: float
     apply_s: float = 2.0
     unregister_s: float = 6.0
+    evacuate_s: float = 5.0
+    stable_s: float = 3.0
 
 
 class KnownUpstream(Struct):
--- a/masticdrum/model/settings.py
+++ b/masticdrum/model/settings.py
@@ -133,14 +133,16 @@
     may still be sent to an upstream that is shutting down, ``apply_s`` how soon a
     configuration must be in force, ``revoke_s`` how soon a revoked key must stop
     working, ``weights_s`` how long requests may start on older
-    weights after newer ones were named. Over all entries together, retries to a service
-    are bounded by ``retry_ratio`` of its requests in ``retry_window_s`` and
-    ``retry_extra``, requests to a cold upstream by its own rate times ``cold_factor``
-    and ``cold_slack``. ``grace_s`` bounds a shutdown. An upstream renews its
-    registration every ``heartbeat_s``. ``datagrams`` is the ``IP:PORT`` at which the
-    entry exchanges datagrams with agents, whose port is the same; without it no other
-    process knows at which version of the upstreams' software a stream began. Without
-    ``rollout`` no orders to move traffic between versions are read.
+    weights after newer ones were named, ``evacuate_s`` how long requests may still be
+    sent to a data centre that operators have drained. Once the store has worked for
+    ``stable_s``, the entry is held to all of these. Over all entries together, retries
+    to a service are bounded by ``retry_ratio`` of its requests in ``retry_window_s``
+    and ``retry_extra``, requests to a cold upstream by its own rate times
+    ``cold_factor`` and ``cold_slack``. ``grace_s`` bounds a shutdown. An upstream
+    renews its registration every ``heartbeat_s``. ``datagrams`` is the ``IP:PORT`` at
+    which the entry exchanges datagrams with agents, whose port is the same; without it
+    no other process knows at which version of the upstreams' software a stream began.
+    Without ``rollout`` no orders to move traffic between versions are read.
     """
 
     name: str
@@ -153,6 +155,8 @@
     apply_s: float = 2.0
     revoke_s: float = 5.0
     weights_s: float = 12.0
+    evacuate_s: float = 5.0
+    stable_s: float = 3.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_extra: float = 20.0
--- a/masticdrum/platform/entry.py
+++ b/masticdrum/platform/entry.py
@@ -67,7 +67,8 @@
         execute_calls,
     ]
     for watched in WATCHED:
-        runs.append(KindWatcher(watched, store, ports.submit, Random()).run)
+        watcher = KindWatcher(watched, store, ports.submit, Random(), ports.read_bounds)
+        runs.append(watcher.run)
     if ports.rollout_calls is not None:
         runs += list_rollout_tasks(store, ports.rollout_calls, ports.submit)
     reports = ports.crash_reports
--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -87,6 +87,7 @@
         self.restored = trio.Event()  # replaced at each restore
         # When the last answer before the latest restore was read, in seconds.
         self.era_ended_at = float("-inf")
+        self.failed_at = float("-inf")  # when a call last got no answer, in seconds
         self._answered_at = float("-inf")
         self._was_silent = False
         self._revision_times = RevisionTimes()
@@ -268,6 +269,7 @@
             OSError,
             trio.TooSlowError,
         ) as error:
+            self.failed_at = read_clock()
             self._was_silent |= isinstance(error, trio.TooSlowError)
             raise StoreFailed(f"{method} {path}: {error!r}") from error
         era = find_era(response)
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -7,9 +7,11 @@
 import trio
 from msgspec import Raw, Struct
 
+from masticdrum.core.clusterstate import ClusterBounds
 from masticdrum.core.decoding import Undecodable
 from masticdrum.core.permits import FIRST_ERA
 from masticdrum.core.restores import REWRITE_S
+from masticdrum.core.watchwaits import limit_wait
 from masticdrum.model.cluster_events import (
     ClusterEvent,
     DataCentresDrained,
@@ -49,6 +51,7 @@
 )
 from masticdrum.platform.pages import StoredObject, read_object
 from masticdrum.platform.store import (
+    CALL_TIMEOUT_S,
     KIND_PREFIX,
     HistoryGone,
     Store,
@@ -72,6 +75,8 @@
 class WatchedKind(Struct, frozen=True):
     """One kind: its name in the store and how long a watch of it waits, in seconds.
 
+    An entry's watch waits for less where its bounds demand it (``core/watchwaits.py``).
+
     After a change ``gap_s`` passes before the next watch, so that changes that arrive
     together are read by one call. ``stale`` reads may be seconds old, and cost a tenth.
     """
@@ -85,10 +90,8 @@
 
 # Each answered watch of the configuration renews the lease on keys. It also tells of a
 # store that was silent: the first answer after a timeout ends all other watches, which
-# may have been forgotten. So its wait and a call's timeout are at most the three
-# seconds after which an entry must be up to date again. The other watches end by
-# themselves in case a shorter silence lost their answer; keepalive detects connections
-# that are lost.
+# may have been forgotten. The other watches end by themselves in case only their answer
+# was lost; keepalive detects connections that are lost.
 DIRECTORY = WatchedKind(Source.DIRECTORY, "config", 1.5)
 # The gap is a tenth of the time that a draining upstream may still be sent to.
 UPSTREAMS = WatchedKind(Source.UPSTREAMS, "servers", 5.0, gap_s=0.2)
@@ -115,9 +118,15 @@
     """Holds the objects of one kind and submits each change."""
 
     def __init__(
-        self, watched: WatchedKind, store: Store, submit: Submit, random: Random
+        self,
+        watched: WatchedKind,
+        store: Store,
+        submit: Submit,
+        random: Random,
+        read_bounds: Callable[[], ClusterBounds] | None = None,
     ) -> None:
         self._watched = watched
+        self._read_bounds = read_bounds
         self._wait_s = watched.wait_s
         # How long ago the last change of the configuration was known to be the newest.
         self._unconfirmed_s = 0.0
@@ -203,7 +212,7 @@
         requested_at = read_clock()
         self._check_era()
         self._watched_at, self._failed_at = requested_at, float("inf")
-        wait_s = max(MIN_WAIT_S, self._wait_s - self._unconfirmed_s)
+        wait_s = max(MIN_WAIT_S, self._limit_wait(requested_at) - self._unconfirmed_s)
         wait_s = min(wait_s, self._list_again_at - requested_at)
         changes = await self._store.watch(
             self._watched.kind, self._since, wait_s, stale=self._watched.stale
@@ -226,6 +235,15 @@
             self._unconfirmed_s = read_clock() - requested_at
         await trio.sleep(self._watched.gap_s)
 
+    def _limit_wait(self, now: float) -> float:
+        """Return for how long the next watch may wait, in seconds."""
+        if self._read_bounds is None:
+            return self._wait_s
+        calm_s = now - self._store.failed_at
+        source, bounds = self._watched.source, self._read_bounds()
+        limit_s = limit_wait(source, bounds, CALL_TIMEOUT_S, calm_s)
+        return min(self._wait_s, limit_s)
+
     def _record_request(self, requested_at: float) -> None:
         """Record that all that was written before an answered request is known."""
         if requested_at < self._rewritten_at:
--- a/masticdrum/programs/forwarder.py
+++ b/masticdrum/programs/forwarder.py
@@ -101,8 +101,9 @@
     """What an entry's platform tasks take from it and give to it.
 
     ``store_calls`` are calls on the system's own objects, whose answers are submitted;
-    ``read_version`` returns the version of the configuration in force.
-    ``rollout_calls`` are those on orders and their leases, None without roll-outs.
+    ``read_version`` returns the version of the configuration in force, ``read_bounds``
+    how soon what is read has to be acted on. ``rollout_calls`` are those on orders and
+    their leases, None without roll-outs.
     """
 
     submit: Submit
@@ -111,6 +112,7 @@
     crash_reports: Latest[CrashReport]
     store_calls: Latest[ObjectGet | ObjectPut]
     read_version: Callable[[], int]
+    read_bounds: Callable[[], ClusterBounds]
     rollout_calls: trio.MemoryReceiveChannel[RolloutCall] | None = None
 
 
@@ -365,6 +367,8 @@
             drain_s=settings.drain_s,
             apply_s=settings.apply_s,
             unregister_s=unregister_s,
+            evacuate_s=settings.evacuate_s,
+            stable_s=settings.stable_s,
         ),
         retries=RetryBounds(
             settings.retry_ratio, settings.retry_window_s, settings.retry_extra
@@ -408,6 +412,7 @@
             process.crash_report,
             process.store_call,
             lambda: process.state.cluster_state.version,
+            lambda: process.state.cluster_state.bounds,
             process.rollout_calls,
         )
         for run in make_platform_tasks(ports):
