Take no answer for complete whose connection broke while its request was sent

A server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, of a stream the first events and an end.

Cause: a socket reports a reset once. The send that met it took the error, and was passed over since a server may answer before it has read everything. The reads that follow return what had arrived, and then an end as of an orderly close.

Change: after a failed send an end of the connection completes no answer, at upstreams, the store and all of the product's own clients.

Why it works: the failed send is the only sign of the reset, and an answer without a length or chunks ends with nothing else.

--- a/masticdrum/platform/store.py
+++ b/masticdrum/platform/store.py
@@ -28,6 +28,7 @@
     read_own_object,
     read_page,
 )
+from masticdrum.shell.answerguard import make_pool
 from masticdrum.shell.clock import read_clock
 from masticdrum.shell.upstreamstream import UpstreamBackend
 
@@ -79,9 +80,7 @@
     ) -> None:
         self._base = f"http://{address}/v1/objects/"
         self._count_call = count_call
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, network_backend=UpstreamBackend()
-        )
+        self._pool = make_pool(MAX_CONNECTIONS, backend=UpstreamBackend())
         self._report_restored = report_restored
         self.era = 0  # the latest that an answer named
         self.restored = trio.Event()  # replaced at each restore
--- a/masticdrum/shell/blockclient.py
+++ b/masticdrum/shell/blockclient.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import httpcore
 import trio
 from msgspec import Struct
 
@@ -16,6 +15,7 @@
     FetchBlocks,
 )
 from masticdrum.model.settings import AgentSettings
+from masticdrum.shell.answerguard import make_pool
 from masticdrum.shell.blockclients import HttpEngineBlocks, HttpStoreBlocks, call_http
 from masticdrum.shell.blocktransfer import BlockTransfer, TransferFailed
 from masticdrum.shell.settings import load_secret
@@ -53,7 +53,7 @@
         self._url = settings.upstream_url.rstrip("/")
         self._every_s = settings.timeouts.events_every_s
         self._get_boot = get_boot
-        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._pool = make_pool(MAX_CONNECTIONS)
         self._transfer = BlockTransfer(
             HttpEngineBlocks(self._pool, self._url),
             HttpStoreBlocks(self._pool),
--- a/masticdrum/shell/engineclient.py
+++ b/masticdrum/shell/engineclient.py
@@ -22,6 +22,7 @@
 )
 from masticdrum.model.settings import UpstreamTimeouts
 from masticdrum.model.tables import Urgency
+from masticdrum.shell.answerguard import make_pool
 from masticdrum.shell.boundedcall import call_bounded
 from masticdrum.shell.streamlines import LineTooLong, split_lines
 
@@ -72,7 +73,7 @@
         self._submit = submit
         self._url = url.rstrip("/")
         self._timeouts = timeouts
-        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._pool = make_pool(MAX_CONNECTIONS)
         self._scopes: dict[str, trio.CancelScope] = {}
 
     def start(self, effect: StartRun) -> None:
--- a/masticdrum/shell/fleet.py
+++ b/masticdrum/shell/fleet.py
@@ -21,6 +21,7 @@
 )
 from masticdrum.model.platform import Instance
 from masticdrum.model.tables import Tables
+from masticdrum.shell.answerguard import make_pool
 from masticdrum.shell.entrylinks import EntryLinks
 from masticdrum.shell.keys import LinkKeys
 
@@ -65,7 +66,7 @@
         self._tables = tables
         self._body = pack_tables(tables)
         self._links = EntryLinks(nursery, self._handle_frame, keys)
-        self._pool = httpcore.AsyncConnectionPool(max_connections=BATCH_SIZE)
+        self._pool = make_pool(BATCH_SIZE)
         self._reports: dict[str, Report] = {}
 
     async def query(self, instances: Iterable[Instance]) -> list[Report]:
--- a/masticdrum/shell/instanceclient.py
+++ b/masticdrum/shell/instanceclient.py
@@ -8,6 +8,7 @@
 
 from masticdrum.core.decoding import Undecodable, read_json
 from masticdrum.model.platform import Instance, InstancesListed
+from masticdrum.shell.answerguard import make_pool
 
 MAX_ROWS_PER_S = 50  # bounds the average number of rows that one process reads a second
 
@@ -33,7 +34,7 @@
         self._url = f"{url.rstrip('/')}/instances"
         self._every_s = every_s
         self._timeout_s = timeout_s
-        self._pool = httpcore.AsyncConnectionPool(max_connections=1)
+        self._pool = make_pool(1)
 
     async def run(self) -> None:
         """Read at an interval, forever; a failed read changes nothing."""
--- a/masticdrum/shell/objectclient.py
+++ b/masticdrum/shell/objectclient.py
@@ -17,6 +17,7 @@
     ObjectStatus,
 )
 from masticdrum.model.telemetry import Log, LogNumber
+from masticdrum.shell.answerguard import make_pool
 from masticdrum.shell.jsonlogging import write_event
 
 ObjectCall = ObjectGet | ObjectPut | ObjectDelete | ObjectList
@@ -56,7 +57,7 @@
         self._submit = submit
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
-        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._pool = make_pool(MAX_CONNECTIONS)
 
     def start(self, call: ObjectCall) -> None:
         """Begin a call; its answer arrives as an event."""
--- a/masticdrum/shell/serviceclient.py
+++ b/masticdrum/shell/serviceclient.py
@@ -12,6 +12,7 @@
     ServiceFailed,
 )
 from masticdrum.model.settings import UpstreamTimeouts
+from masticdrum.shell.answerguard import make_pool
 from masticdrum.shell.boundedcall import WholeAnswer, call_bounded
 
 ServiceEvent = ServiceAnswered | ServiceFailed | LoadReported
@@ -35,9 +36,7 @@
         self._timeouts = timeouts
         # A reused connection may break after the request was sent, and httpcore would
         # then not report whether the service received it.
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0, retries=0
-        )
+        self._pool = make_pool(MAX_CONNECTIONS, max_keepalive_connections=0)
 
     def call(self, effect: CallService) -> None:
         """Begin a call; its answer arrives as an event."""
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -54,13 +54,22 @@
     requests that the upstream stated on it not to have run.
     """
 
-    __slots__ = ("_http", "_tcp", "has_sent", "idle_until", "is_reused", "refused")
+    __slots__ = (
+        "_http",
+        "_is_send_broken",
+        "_tcp",
+        "has_sent",
+        "idle_until",
+        "is_reused",
+        "refused",
+    )
 
     def __init__(self, tcp: TcpConnection) -> None:
         self._tcp = tcp
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._is_send_broken = False
         self.has_sent = False
         self.is_reused = False
         self.idle_until = 0.0
@@ -71,8 +80,8 @@
     ) -> None:
         """Send a whole request.
 
-        A connection that breaks meanwhile is reported by the read that follows, since
-        the upstream may have answered before it closed.
+        A connection that breaks meanwhile is reported by the reads that follow, since
+        the upstream may have answered before it closed. Its end completes no answer.
         """
         http = self._http
         data = http.send(h11.Request(method=method, target=target, headers=headers))
@@ -87,7 +96,7 @@
                 data = http.send(h11.Data(data=piece))
             await self._write(_join(data, http.send(h11.EndOfMessage())))
         except OSError:
-            return
+            self._is_send_broken = True
 
     async def _write(self, data: bytes | None) -> None:
         self._tcp.write(data or b"")
@@ -121,14 +130,21 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                # The end of a body with a length or chunks is read before a close.
-                _, is_closed = self._http.trailing_data
+                is_closed = self._check_end()
                 return BodyPart(b"".join(parts), is_last=True, is_closed=is_closed)
             elif event is h11.NEED_DATA:
                 return make_part(parts) if parts else None
             else:
                 raise AnswerCutOff("closed within the body")
 
+    def _check_end(self) -> bool:
+        """Return whether the body ended with the connection."""
+        # The end of a body with a length or chunks is read before a close.
+        _, is_closed = self._http.trailing_data
+        if is_closed and self._is_send_broken:
+            raise AnswerCutOff("reset while the request was sent")
+        return is_closed
+
     async def receive_body(self) -> BodyPart:
         """Wait for more of the body, after ``take_body`` had nothing.
 
--- a/masticdrum/shell/upstreamstream.py
+++ b/masticdrum/shell/upstreamstream.py
@@ -34,6 +34,7 @@
         self._received = 0
         self._pending = bytearray()
         self._has_sent = False
+        self._is_send_broken = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send buffered bytes, then receive."""
@@ -43,6 +44,8 @@
             data = bytes(await self._stream.receive_some(max_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise httpcore.ReadError(str(error.__cause__ or error)) from error
+        if not data and self._is_send_broken:
+            raise httpcore.ReadError("the connection broke while a request was sent")
         self._received += len(data)
         if self._received > self._max_answer_bytes:
             raise httpcore.ReadError(
@@ -88,9 +91,9 @@
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The upstream may have answered before it closed; the read that follows
-            # receives the answer or fails.
-            return
+            # The upstream may have answered before it closed; the reads that follow
+            # receive the answer or fail.
+            self._is_send_broken = True
 
 
 async def connect(host: str, port: int, max_answer_bytes: int) -> UpstreamStream:
--- a/tests/shell/gateway.py
+++ b/tests/shell/gateway.py
@@ -17,7 +17,12 @@
     UpstreamsListed,
 )
 from masticdrum.model.crashes import CrashReportsListed
-from masticdrum.model.directory import Directory, ForwardService, RouteKind
+from masticdrum.model.directory import (
+    CallerLimits,
+    Directory,
+    ForwardService,
+    RouteKind,
+)
 from masticdrum.model.settings import ForwardSettings
 from masticdrum.platform.headers import PlatformHeaderCodec
 from masticdrum.programs.forwarder import ForwarderProcess
@@ -30,6 +35,7 @@
 
 RESET = struct.pack("ii", 1, 0)
 UPSTREAM_COUNT = 3  # at one address
+MAX_BODY_BYTES = 8 * 1024 * 1024
 Script = Callable[["UpstreamSide", int], Awaitable[None]]
 
 
@@ -147,7 +153,10 @@
         )
         now = read_clock()
         directory = Directory(
-            version=1, routes=self._routes, services=(ForwardService("desk"),)
+            version=1,
+            routes=self._routes,
+            services=(ForwardService("desk"),),
+            limits=CallerLimits(max_body_bytes=MAX_BODY_BYTES),
         )
         for event in (
             DirectoryRead(directory, now),
@@ -163,7 +172,12 @@
         self._nursery.start_soon(self.process.tick)
 
     async def ask(
-        self, request: str, route: str, script: Script, version: str = "1.1"
+        self,
+        request: str,
+        route: str,
+        script: Script,
+        version: str = "1.1",
+        body: bytes = b"ab",
     ) -> Received:
         """Send a request and return all that its caller receives."""
         self.scripts[request] = script
@@ -176,9 +190,9 @@
         head = (
             f"POST /{route}/{request} HTTP/{version}\r\nHost: {HOST}\r\n"
             f"X-Request-Id: {request}\r\nConnection: close\r\n"
-            "Content-Length: 2\r\n\r\nab"
+            f"Content-Length: {len(body)}\r\n\r\n"
         )
-        await stream.send_all(head.encode())
+        await stream.send_all(head.encode() + body)
         received = Received(b"", False)
         try:
             while data := await stream.receive_some():
