Refuse answers with lines that begin with a blank in their head

A server in trouble sent a field whose name began with a blank, and its caller got the answer, with that line joined to the field before or with a body that was not the server's: "X-B: 1" and " Content-Length: 4" were passed on as a 200 whose length was a part of X-B.

Cause: h11 unfolds lines that begin with a blank or a tab, as older versions of HTTP/1.1 allowed to. A name that was spoilt in its first byte looks the same.

Evidence: tests/shell/test_mixedanswers.py. A status that is none, and a blank or a control byte elsewhere, were refused before already.

Change: each head is looked at before it is parsed, interim ones too, and the fields behind a body in chunks. RFC 9112, section 5.2, lets a gateway answer 502.

Why it works: what such a line does to the fields around it depends on the reader, so none is taken; no sound server sends one.

--- a/masticdrum/shell/answerguard.py
+++ b/masticdrum/shell/answerguard.py
@@ -1,4 +1,4 @@
-"""Refuses answers that only look complete, for all clients of HTTP.
+"""Refuses answers that only look sound or complete, for all clients of HTTP.
 
 An answer with neither a length nor chunks ends with its connection. If the server
 resets the connection while a request is still being sent, the failed send takes the
@@ -6,31 +6,90 @@
 like that of an orderly close. So an end after a failed send completes no answer. One
 that says itself where it ends is read before that, as a server may refuse a long body
 early.
+
+A line that begins with a blank continues the field before it (RFC 9112, section 5.2),
+or is a field whose name was spoilt. What it does to the fields around it depends on the
+reader, so the answer is refused.
 """
 
+import re
 import ssl
 from collections.abc import Iterable
 from typing import Any
 
 import httpcore
 
+MAX_HEAD_BYTES = 128 * 1024  # longer heads are refused by h11
+HEAD_END = re.compile(rb"\n\r?\n")
+FOLDED_LINE = re.compile(rb"\n[ \t]")
+INTERIM_STATUS = re.compile(rb"HTTP/1\.[01] 1\d\d")
+
+
+class FoldedLine(Exception):
+    """A line of an answer's head begins with a blank."""
+
+    def __init__(self) -> None:
+        super().__init__("a line of the head begins with a blank")
+
+
+def has_folded_line(fields: bytes) -> bool:
+    """Return whether a line behind the first one begins with a blank or a tab."""
+    return FOLDED_LINE.search(fields) is not None
+
+
+class HeadScanner:
+    """Looks at the heads of one answer, interim ones too, as their bytes arrive."""
+
+    __slots__ = ("_head", "_is_done")
+
+    def __init__(self) -> None:
+        self._head = bytearray()
+        self._is_done = False
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes before they are parsed; raises ``FoldedLine``."""
+        if self._is_done:
+            return
+        self._head += data
+        while not self._is_done:
+            end = HEAD_END.search(self._head)
+            if end is None:
+                self._is_done = len(self._head) > MAX_HEAD_BYTES
+                return
+            head = bytes(self._head[: end.end()])
+            if has_folded_line(head):
+                raise FoldedLine
+            del self._head[: end.end()]
+            self._is_done = INTERIM_STATUS.match(head) is None
+        self._head.clear()
+
 
 class GuardedStream(httpcore.AsyncNetworkStream):
     """A connection of httpcore's, which goes on reading after a failed send."""
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
+        self._scanner = HeadScanner()
+        self._is_answering = False
         self._is_send_broken = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Receive, or raise ``ReadError`` at an end that completes no answer."""
+        self._is_answering = True
         data = await self._stream.read(max_bytes, timeout)
         if not data and self._is_send_broken:
             raise httpcore.ReadError("the connection broke while a request was sent")
+        try:
+            self._scanner.feed(data)
+        except FoldedLine as error:
+            raise httpcore.ReadError(str(error)) from error
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send, and remember if that fails."""
+        """Send; the first bytes after an answer begin another request."""
+        if self._is_answering:
+            self._scanner = HeadScanner()
+            self._is_answering = False
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError:
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -9,10 +9,12 @@
 import h11
 from msgspec import Struct
 
+from masticdrum.shell.answerguard import FoldedLine, HeadScanner, has_folded_line
 from masticdrum.shell.asgi import Body, Headers
 from masticdrum.shell.tcpconnection import TcpConnection
 
 MAX_HEAD_BYTES = 64 * 1024
+TRANSFER_ENCODING = b"transfer-encoding"
 MAX_INTERIM_ANSWERS = 8  # answers with a status below 200 before the final one
 # A head that broke off within a line runs on into that of an error behind it.
 STATUS_LINE = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\S)")
@@ -56,7 +58,9 @@
 
     __slots__ = (
         "_http",
+        "_is_chunked",
         "_is_send_broken",
+        "_scanner",
         "_tcp",
         "has_sent",
         "idle_until",
@@ -69,6 +73,8 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._scanner = HeadScanner()
+        self._is_chunked = False
         self._is_send_broken = False
         self.has_sent = False
         self.is_reused = False
@@ -115,7 +121,9 @@
                 await self._receive()
                 continue
             if isinstance(event, h11.Response):
-                return make_head(event)
+                head = make_head(event)
+                self._is_chunked = any(n == TRANSFER_ENCODING for n, _ in head.headers)
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerCutOff("closed without an answer")
             interim += 1
@@ -126,23 +134,30 @@
         """Return what has arrived of the body, or None if there is nothing new."""
         parts: list[bytes] = []
         while True:
+            # Only an answer in chunks has fields behind its body.
+            unread = self._http.trailing_data[0] if self._is_chunked else b""
             event = self._next_event()
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                is_closed = self._check_end()
+                is_closed = self._check_end(unread)
                 return BodyPart(b"".join(parts), is_last=True, is_closed=is_closed)
             elif event is h11.NEED_DATA:
                 return make_part(parts) if parts else None
             else:
                 raise AnswerCutOff("closed within the body")
 
-    def _check_end(self) -> bool:
-        """Return whether the body ended with the connection."""
+    def _check_end(self, unread: bytes) -> bool:
+        """Return whether the body ended with the connection.
+
+        ``unread`` is what had arrived behind the last piece of a body in chunks.
+        """
         # The end of a body with a length or chunks is read before a close.
-        _, is_closed = self._http.trailing_data
+        behind, is_closed = self._http.trailing_data
         if is_closed and self._is_send_broken:
             raise AnswerCutOff("reset while the request was sent")
+        if has_folded_line(unread[: len(unread) - len(behind)]):
+            raise AnswerGarbled(str(FoldedLine()))
         return is_closed
 
     async def receive_body(self) -> BodyPart:
@@ -181,6 +196,7 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._scanner = HeadScanner()
         self.has_sent = False
         self.is_reused = True
         return True
@@ -201,6 +217,10 @@
         received = await self._tcp.receive()
         if not received and self._http.their_state is h11.SEND_RESPONSE:
             raise AnswerCutOff("closed without an answer")
+        try:
+            self._scanner.feed(received)
+        except FoldedLine as error:
+            raise AnswerGarbled(str(error)) from error
         self._http.receive_data(received)
 
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
--- a/tests/shell/test_mixedanswers.py
+++ b/tests/shell/test_mixedanswers.py
@@ -11,7 +11,8 @@
 import pytest
 import trio
 
-from masticdrum.model.platform import ObjectPut, ObjectStatus
+from masticdrum.model.platform import ObjectGet, ObjectPut, ObjectStatus
+from masticdrum.platform.store import Store, StoreFailed
 from masticdrum.shell.answerguard import make_pool
 from masticdrum.shell.controlclient import CallFailed, ControlClient
 from masticdrum.shell.objectclient import ObjectClient
@@ -20,6 +21,7 @@
 
 WITHIN_S = 30.0
 LARGE = b"u" * 6_000_000  # more than the buffers of both ends take
+SMALL = b"ab"
 TRIES = 6
 PART = b"a part of the an"
 EVENT = b"id: 1\ndata: e\n\n"
@@ -110,6 +112,59 @@
     run_gateway(play, within_s=WITHIN_S)
 
 
+STATUSES = ["000", "001", "099", "00", "0200", "2OO", "+20", "-20", "60", "1000"]
+LINES = [
+    f"{before}{name}{behind}"
+    for name, behind in [("X-A", ": 1"), ("X A", ": 1"), ("X-A", " : 1")]
+    for before in ("", " ", "\t", "\x01", "\x0b")
+    if (before, name, behind) != ("", "X-A", ": 1")
+] + ["X\x00A: 1", "X\x7fA: 1", "X-A\t: 1", ": 1", "no colon"]
+
+
+def make_spoilt(line: str) -> list[str]:
+    """Return heads and a body with a spoilt line at some places."""
+    chunked = "Transfer-Encoding: chunked\r\n"
+    return [
+        f"HTTP/1.1 200 OK\r\n{SIGNED}{line}\r\nContent-Length: 4\r\n\r\nfull",
+        f"HTTP/1.1 200 OK\r\n{SIGNED}Content-Length: 4\r\n{line}\r\n\r\nfull",
+        f"HTTP/1.1 103 Early\r\nX-B: 1\r\n{line}\r\n\r\n"
+        f"HTTP/1.1 200 OK\r\n{SIGNED}Content-Length: 4\r\n\r\nfull",
+        f"HTTP/1.1 200 OK\r\n{SIGNED}{chunked}\r\n4\r\nfull\r\n0\r\nX-B: 1\r\n"
+        f"{line}\r\n\r\n",
+    ]
+
+
+SPOILT = [
+    *(
+        f"HTTP/1.1 {status} OK\r\n{SIGNED}Content-Length: 4\r\n\r\nfull"
+        for status in STATUSES
+    ),
+    f"HTTP/1.1 200 OK\r\n{SIGNED}X-B: 1\r\n Content-Length: 4\r\n\r\nfull",
+    *(text for line in LINES for text in make_spoilt(line)),
+]
+
+
+# Guards against answers with a status that is none, or with a field whose name was
+# spoilt, that a caller gets as answers, with that line or a body that isn't the
+# server's (MIXED).
+def test_a_spoilt_head_is_never_passed_on() -> None:
+    async def play(gateway: Gateway) -> None:
+        for number, text in enumerate(SPOILT):
+
+            async def script(side: UpstreamSide, number: int, text: str = text) -> None:
+                answer = text.format(side.request).encode("latin-1")
+                middle = len(answer) // 2
+                await side.send(answer[:middle])
+                await trio.sleep(0.001)
+                await side.send(answer[middle:])
+                await side.end()
+
+            received = await gateway.ask(f"r{number}", "non_idempotent", script)
+            assert received.status >= 500, (text, received.data)
+
+    run_gateway(play, within_s=WITHIN_S)
+
+
 Ask = Callable[[str, bytes], Awaitable[Any]]
 
 
@@ -168,6 +223,15 @@
     return None if answer.status is ObjectStatus.LOST else answer
 
 
+async def read_store(address: str, upload: bytes) -> Any:
+    store = Store(address, lambda how: None)
+    try:
+        return await store.list_page("config", "")
+    except StoreFailed:
+        answer = await store.execute(ObjectGet("read", "a/b"))
+        return None if answer.status is ObjectStatus.LOST else answer
+
+
 CLIENTS: dict[str, Ask] = {
     "control": call_control,
     "pool": call_pool,
@@ -187,3 +251,12 @@
         assert serve_once(CLIENTS[client], answer, LARGE, end) is None
     whole = b"HTTP/1.1 200 OK\r\nETag: 7\r\nContent-Length: 2\r\n\r\n{}"
     assert serve_once(CLIENTS[client], whole, LARGE, end) is not None
+
+
+@pytest.mark.parametrize("client", [*CLIENTS, "store"])
+def test_no_client_takes_a_spoilt_head_for_an_answer(client: str) -> None:
+    ask = CLIENTS.get(client, read_store)
+    bodies = [text for text in SPOILT if "chunked" not in text]
+    for text in bodies[:: 1 if client == "pool" else 5] + bodies[10:12]:
+        answer = text.replace("full", "{}  ").encode("latin-1")
+        assert serve_once(ask, answer, SMALL) is None, text
