Name the keepers of origins, and route what peers say in one place

No behaviour changes: the events of other processes have one union, the functions that ask and tell agents and entries say so, and a folded line's error carries its own text. tests/core/test_resumption.py, tests/core/test_lostorigins.py, tests/core/test_exchanges.py, tests/core/test_crashsuspicion.py, tests/shell/test_mixedanswers.py and tests/shell/test_brokenoff.py pass.

--- a/masticdrum/core/exchangestate.py
+++ b/masticdrum/core/exchangestate.py
@@ -208,14 +208,14 @@
 
     ``role`` is the role by which it finds its peer entries. ``open`` is the work that
     this entry has open at each upstream, ``heard_at`` when it last began or ended an
-    answer. ``has_agents`` states whether agents can be told and asked where streams
-    began. ``reviewed_changes`` is up to which change of software versions their record
-    was compared. ``mixed`` are the services of which several versions serve or did
-    lately, ``unsent_origins`` the streams, by service and request, that agents have to
-    be told of since, ``awaiting_record`` the exchanges that wait for a read of that
-    record. ``stream_durations`` is how long streams take, for a stop. ``clock_offset``
-    is what has to be added to its clock for the time
-    of day, in seconds. Without ``rollouts`` requests are not split by version.
+    answer. ``has_agents`` states whether agents and other entries can be told and asked
+    where streams began. ``reviewed_changes`` is up to which change of software versions
+    their record was compared. ``mixed`` are the services of which several versions
+    serve or did lately, ``unsent_origins`` the streams, by service and request, that
+    agents have to be told of since, ``awaiting_record`` the exchanges that wait for a
+    read of that record. ``stream_durations`` is how long streams take, for a stop.
+    ``clock_offset`` is what has to be added to its clock for the time of day, in
+    seconds. Without ``rollouts`` requests are not split by version.
     """
 
     def __init__(self, name: str, role: str, bounds: ForwardBounds, seed: int) -> None:
--- a/masticdrum/core/forwarder.py
+++ b/masticdrum/core/forwarder.py
@@ -75,10 +75,7 @@
     | Ticked
     | PrefixesReported
     | PrefixStoreLost
-    | OriginReply
-    | OriginRecord
-    | OriginQueried
-    | ObjectAnswer
+    | PeerEvent
     | RolloutInput
     | ClusterEvent
 )
@@ -118,6 +115,8 @@
 def _handle_event(
     state: ExchangeState, event: ForwardEvent, now: float
 ) -> list[ExchangeEffect]:
+    if isinstance(event, PeerEvent):
+        return _handle_peer_event(state, event, now)
     match event:
         case StreamEventsReceived():
             return forward_events(state, event, now)
@@ -135,15 +134,6 @@
             state.cluster_state.outages.observe(now)
             record_tick(state, now)
             return [*review_crashes(state, now), *send_records(state, now)]
-        case (
-            CrashReportsListed()
-            | CrashReportChanged()
-            | OriginReply()
-            | OriginRecord()
-            | OriginQueried()
-            | ObjectAnswer()
-        ):
-            return _handle_peer_event(state, event, now)
         case PrefixesReported() | PrefixStoreLost():
             return _handle_prefix_event(state, event, now)
         case _:
--- a/masticdrum/core/resumption.py
+++ b/masticdrum/core/resumption.py
@@ -33,8 +33,8 @@
 FIRST_WAIT_S = 1.0  # for the record of a service's first version
 COPIES = 2  # agents that keep a stream's origin while several versions serve
 COPIES_OF_ONLY_VERSION = 1  # enough for a caller whose entry is lost
-# Other entries that keep it too while several versions serve. All agents beside one
-# version may be few, and lost at once with others.
+# Other entries that keep it too while several versions serve. There may be one agent
+# alone beside the upstreams of a version, which then keeps a copy for all streams.
 PEER_COPIES = 2
 QUERIED_PEERS = 4  # entries that have come since move the others down in rank
 # Upstreams that registered since a stream began move its agents down in rank.
@@ -67,7 +67,7 @@
     exchange.search = search = OriginSearch(now, now + wait_s)
     if len(state.list_software(exchange.service, now)) > 1:
         search.awaits_record = False
-        return _query_agents(state, exchange, search, now)
+        return _query_keepers(state, exchange, search, now)
     state.awaiting_record.add(exchange.handle)
     state.software_records.request_read(now)
     state.timers.set((ORIGIN, exchange.handle), now + READ_PATIENCE_S)
@@ -124,7 +124,7 @@
     state.awaiting_record.discard(exchange.handle)
     search.awaits_record = False
     if search.unanswered is None:
-        return _query_agents(state, exchange, search, now)
+        return _query_keepers(state, exchange, search, now)
     if search.unanswered == 0:
         return _refuse(state, exchange, now)
     return Resumption.SEARCHING, []
@@ -169,7 +169,7 @@
         _end_search(state, exchange)
         return Resumption.ALLOWED, []
     if search.unanswered is None:
-        return _query_agents(state, exchange, search, now)
+        return _query_keepers(state, exchange, search, now)
     search.unanswered = 0
     if search.awaits_record and now < search.until:
         state.timers.set((ORIGIN, exchange.handle), search.until)
@@ -177,11 +177,12 @@
     return _refuse(state, exchange, now)
 
 
-def _query_agents(
+def _query_keepers(
     state: ExchangeState, exchange: Exchange, search: OriginSearch, now: float
 ) -> tuple[Resumption, list[ExchangeEffect]]:
+    """Ask the agents and entries that may know where an exchange's stream began."""
     query = OriginQuery(exchange.handle, exchange.resumes)
-    sent = _send(state, _list_queried(state, exchange), query, QUERIED_PEERS)
+    sent = _send_to_keepers(state, _list_queried(state, exchange), query, QUERIED_PEERS)
     search.unanswered = sum(len(effect.addresses) for effect in sent)
     if not sent:
         return continue_search(state, exchange, now)
@@ -258,10 +259,10 @@
     peer_copies: int = PEER_COPIES,
 ) -> list[ExchangeEffect]:
     agents = _list_recorders(state, service, record, copies)
-    return [*_send(state, agents, record, peer_copies)]
+    return [*_send_to_keepers(state, agents, record, peer_copies)]
 
 
-def _send(
+def _send_to_keepers(
     state: ExchangeState,
     agents: tuple[str, ...],
     message: OriginRecord | OriginQuery,
--- a/masticdrum/shell/answerguard.py
+++ b/masticdrum/shell/answerguard.py
@@ -28,9 +28,6 @@
 class FoldedLine(Exception):
     """A line of an answer's head begins with a blank."""
 
-    def __init__(self) -> None:
-        super().__init__("a line of the head begins with a blank")
-
 
 def has_folded_line(fields: bytes) -> bool:
     """Return whether a line behind the first one begins with a blank or a tab."""
@@ -58,14 +55,14 @@
                 return
             head = bytes(self._head[: end.end()])
             if has_folded_line(head):
-                raise FoldedLine
+                raise FoldedLine("a line of the head begins with a blank")
             del self._head[: end.end()]
             self._is_done = INTERIM_STATUS.match(head) is None
         self._head.clear()
 
 
 class GuardedStream(httpcore.AsyncNetworkStream):
-    """A connection of httpcore's, which goes on reading after a failed send."""
+    """Guards a connection of httpcore's, which reads on after a failed send."""
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
--- a/masticdrum/shell/upstreamconnection.py
+++ b/masticdrum/shell/upstreamconnection.py
@@ -157,7 +157,7 @@
         if is_closed and self._is_send_broken:
             raise AnswerCutOff("reset while the request was sent")
         if has_folded_line(unread[: len(unread) - len(behind)]):
-            raise AnswerGarbled(str(FoldedLine()))
+            raise AnswerGarbled("a line behind the body begins with a blank")
         return is_closed
 
     async def receive_body(self) -> BodyPart:
