Let the watch of the configuration wait for as long as its bounds allow

The watch of the configuration still waited for a constant 1.5 s, which fits deployments where a store counts as stable after 3 s.

Change: its wait follows from stable_s, apply_s and the lease on keys, which has to outlast one lost answer: 1.5 s as before with 3, 2 and 5 s, 2.4 s with 4, 3 and 5 s. Entries watch versions for 3 s in place of 2.

Why it works: of two waits that both hold, the longer one is as safe, and the calls that it saves pay for most of the shorter waits.

Measured so far: a test of the number of calls and of the bounds.

--- a/masticdrum/core/watchwaits.py
+++ b/masticdrum/core/watchwaits.py
@@ -10,12 +10,16 @@
 noticed before the bound that hangs on it: an upstream's leaving counts from an
 acknowledgement of a stable platform, a data centre's end from any.
 
+The configuration's watch also renews what is believed of it: the lease on keys has to
+outlast a lost answer, and prompts share KV cache only while it was confirmed lately.
+
     bounds = ClusterBounds(revoke_s=5, drain_s=2, evacuate_s=5, stable_s=3)
     limit_wait(Source.DATA_CENTRES, bounds, timeout_s=1.5, calm_s=60)  # 3.0
     limit_wait(Source.DATA_CENTRES, bounds, timeout_s=1.5, calm_s=2)  # 1.0
 """
 
 from masticdrum.core.clusterstate import ClusterBounds
+from masticdrum.core.directorylease import LEASE_MARGIN_S
 from masticdrum.model.cluster_events import Source
 
 REACTION_S = 0.5  # until the news is read by another call, and requests under way end
@@ -33,7 +37,11 @@
     match source:
         case Source.DIRECTORY:
             # Its answers also end the other watches after a silence of the platform.
-            return bounds.stable_s - timeout_s
+            return min(
+                bounds.stable_s - timeout_s,
+                bounds.apply_s - REACTION_S,
+                bounds.revoke_s - LEASE_MARGIN_S - REACTION_S - timeout_s,
+            )
         case Source.UPSTREAMS:
             known_s = bounds.stable_s + bounds.drain_s
         case Source.DATA_CENTRES:
--- a/masticdrum/platform/watchers.py
+++ b/masticdrum/platform/watchers.py
@@ -75,7 +75,8 @@
 class WatchedKind(Struct, frozen=True):
     """One kind: its name in the store and how long a watch of it waits, in seconds.
 
-    An entry's watch waits for less where its bounds demand it (``core/watchwaits.py``).
+    An entry's watch waits for less where its bounds demand it (``core/watchwaits.py``),
+    and one of the configuration for as long as they allow.
 
     After a change ``gap_s`` passes before the next watch, so that changes that arrive
     together are read by one call. ``stale`` reads may be seconds old, and cost a tenth.
@@ -105,7 +106,7 @@
 )
 DATA_CENTRES = WatchedKind(Source.DATA_CENTRES, "evacuations", 8.0)
 # Each answer proves that the KV cache that was stored until then may be fetched.
-WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 2.0)
+WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 3.0)
 AGENT_WEIGHTS = WatchedKind(Source.WEIGHTS, "versions", 8.0)
 # Processes that start together all announce themselves within a second. A wait of 30 s
 # may end with its history gone, and a list.
@@ -242,7 +243,7 @@
         calm_s = now - self._store.failed_at
         source, bounds = self._watched.source, self._read_bounds()
         limit_s = limit_wait(source, bounds, CALL_TIMEOUT_S, calm_s)
-        return min(self._wait_s, limit_s)
+        return limit_s if source is Source.DIRECTORY else min(self._wait_s, limit_s)
 
     def _record_request(self, requested_at: float) -> None:
         """Record that all that was written before an answered request is known."""
--- a/tests/platform/test_lostanswers.py
+++ b/tests/platform/test_lostanswers.py
@@ -12,6 +12,7 @@
 from trio.testing import MockClock
 
 from masticdrum.core.clusterstate import ClusterBounds
+from masticdrum.core.directorylease import LEASE_MARGIN_S
 from masticdrum.core.watchwaits import limit_wait
 from masticdrum.model.cluster_events import (
     ClusterEvent,
@@ -188,3 +189,31 @@
         assert limit_wait(source, tight, CALL_TIMEOUT_S, calm_s=60.0) == loose - 1.0
         assert limit_wait(source, BOUNDS, CALL_TIMEOUT_S, calm_s=0.0) <= loose
     assert limit_wait(Source.MEMBERS, BOUNDS, CALL_TIMEOUT_S, 0.0) == float("inf")
+
+
+# Guards against keys that stop working, or prompts that share no KV cache, since the
+# configuration is confirmed too rarely: also if one answer is lost (CONFIG, DENIED).
+@pytest.mark.parametrize("bounds", [BOUNDS, replace(WIDE_BOUNDS, apply_s=3.0)])
+def test_a_lost_answer_ends_neither_the_lease_on_keys_nor_the_sharing_of_cache(
+    monkeypatch: pytest.MonkeyPatch, bounds: ClusterBounds
+) -> None:
+    wait_s = limit_wait(Source.DIRECTORY, bounds, CALL_TIMEOUT_S, calm_s=60.0)
+    assert wait_s + CALL_TIMEOUT_S < bounds.revoke_s - LEASE_MARGIN_S
+    assert wait_s + CALL_TIMEOUT_S <= bounds.stable_s
+    assert wait_s < bounds.apply_s
+    sent: list[float] = []
+
+    async def run() -> None:
+        for module in (watchers, store_module):
+            monkeypatch.setattr(module, "read_clock", trio.current_time)
+        store = Store("127.0.0.1:1", lambda how: None)
+        pool: Any = LossyPool(DATA_CENTRES, float("inf"), lambda now: False)
+        store._pool = pool
+        with trio.move_on_after(20.0):
+            await KindWatcher(
+                DIRECTORY, store, lambda event: None, Random(1), lambda: bounds
+            ).run()
+        sent.append(pool.calls)
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert sent[0] == pytest.approx(20.0 / wait_s, abs=2.0)
