--- a/tests/core/test_lostorigins.py
+++ b/tests/core/test_lostorigins.py
@@ -161,7 +161,7 @@
     assert len(query.addresses) <= QUERIED_PEERS
 
 
-# Guards against an agent whose records are kept for others only while it has an engine.
+# Guards against copies at other entries that nobody can ask for (LOST).
 def test_an_entry_answers_for_streams_that_others_told_it_of() -> None:
     fleet = Fleet((*OLD, *NEW))
     entry = next(iter(fleet.entries.values()))
--- a/tests/core/test_unprovedcache.py
+++ b/tests/core/test_unprovedcache.py
@@ -141,8 +141,8 @@
     }
 
 
-# Guards against a guard that never lets KV cache be fetched: without trouble, and in a
-# cut, what was stored before the last news is still used.
+# Guards against prompts that are read again though what is stored is proved: what was
+# stored before the last news is used in a cut too.
 def test_cache_stored_before_the_last_news_is_used_however_old_that_is() -> None:
     cluster = Cluster(isolated=True)
     for step in ("save", "save", "ask", "hear", "name", "load", "wait", "ask"):
