Show streams that go on at other software after a restored store

Cause: a registration of an earlier incarnation under the same id replaces the newer one that an entry knows.

--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -10,6 +10,7 @@
 import copy
 import json
 import os
+import random
 import shutil
 import socket
 import subprocess
@@ -412,9 +413,9 @@
         """Renew the registration; one of a crashed server lapses after a while."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            if self.is_up:
+            if self.is_up and self.fleet.has_beats:
                 self.beat()
-            elif self._has_lapsed() and not self.fleet.store.is_down:
+            elif not self.is_up and self._has_lapsed() and not self.fleet.store.is_down:
                 self.fleet.store.remove("servers", self.name)
 
     def _has_lapsed(self) -> bool:
@@ -527,6 +528,7 @@
         self.entries: dict[str, str] = {}
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.cold_s = 3.0
+        self.has_beats = True  # whether servers renew their registrations by themselves
         self._probes: dict[str, str] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._datagram_port = find_free_port("127.0.0.1", socket.SOCK_DGRAM)
@@ -682,6 +684,55 @@
             task.cancel()
 
 
+class StreamCallers:
+    """Callers of streams at all entries, and what they got."""
+
+    def __init__(self, fleet: Fleet, per_s: float, end: float) -> None:
+        self._fleet = fleet
+        self._per_s = per_s
+        self._end = end
+        self._chance = random.Random(7)
+        self._answers: list[Answer] = []
+
+    async def run(self) -> None:
+        """Ask for streams until the end, and wait for the last one."""
+        asked: list[asyncio.Task[None]] = []
+        while self._fleet.record.now() < self._end:
+            asked.append(self._fleet.spawn(self._ask(len(asked) + 1)))
+            await self._fleet.wait_until(len(asked) / self._per_s)
+        await asyncio.gather(*asked)
+
+    async def _ask(self, number: int) -> None:
+        session = self._chance.randrange(300)
+        answer = await self._fleet.ask(
+            self._chance.choice(sorted(self._fleet.entries)),
+            "/stream/7",
+            f"r{number}",
+            10.0,
+            X_Model="m1",
+            X_Token_Usage="640,55",
+            X_Prefix_Hash=f"{session:08x}:500,{number + 2**24:08x}:140",
+        )
+        self._answers.append(answer)
+
+    def list_mixed(self) -> list[str]:
+        """Record all streams, and return those with events of two versions."""
+        record, mixed = self._fleet.record, []
+        for answer in sorted(self._answers, key=lambda a: a.sent_at):
+            sent = f"{answer.request} sent at {answer.sent_at - record.began:.3f}"
+            got = f"{answer.status}, {len(answer.events)} events, {answer.is_whole}"
+            parts = list(dict.fromkeys(data for _, data in answer.events))
+            line = f"{sent}: {got}, by {' then '.join(parts) or 'nobody'}"
+            record.write(line)
+            if len({part.partition(" ")[0] for part in parts}) > 1:
+                mixed.append(line)
+        whole = sum(a.is_whole and a.status == 200 for a in self._answers)
+        record.write(f"{whole} of {len(self._answers)} streams were whole")
+        if whole < len(self._answers) / 2:
+            raise RuntimeError("too few streams were served to judge by")
+        return mixed
+
+
 def read_events(answer: Answer) -> None:
     """Find the whole events of a stream."""
     for block in answer.body.decode("latin-1").split("\n\n")[:-1]:
