Show that one engine's body without an end holds up whole entries

Cause: a body is bounded by its bytes, not by its pieces, and some ten thousand chunks are handled before any other task runs.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,7 +2,7 @@
 # Builds the stand-ins of the cases 11 to 15: plain Python, so that it only has to compile.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - fleet3.py 1[1-5]/run.py <<'PYTHON'
+python3 - fleet3.py 1[1-5]/*.py <<'PYTHON'
 import sys
 
 for path in sys.argv[1:]:
--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -610,6 +610,14 @@
                 stderr=log,
             )
 
+    def share_a_core(self, names: list[str]) -> None:
+        """Let processes run on one core together, and all else on the others."""
+        first, *others = sorted(os.sched_getaffinity(0))
+        for name, process in self.running.items():
+            cores = {first} if name in names else set(others or [first])
+            os.sched_setaffinity(process.pid, cores)
+        os.sched_setaffinity(0, set(others or [first]))
+
     async def wait_until_ready(self) -> None:
         """Wait until all entries say that they are ready."""
         end = time.monotonic() + READY_S
@@ -715,6 +723,13 @@
         )
         self._answers.append(answer)
 
+    def describe(self) -> str:
+        """Count the answers by status."""
+        counts: dict[int, int] = {}
+        for answer in self._answers:
+            counts[answer.status] = counts.get(answer.status, 0) + 1
+        return f"{len(self._answers)} prompts, by status: {counts}"
+
     def list_mixed(self) -> list[str]:
         """Record all streams, and return those with events of two versions."""
         record, mixed = self._fleet.record, []
