Show that a key that was taken away works again where no entry survives

Cause: an entry that starts gets its lease on keys from a restored store, although it knows that this may be outdated.

--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -530,6 +530,7 @@
         self.cold_s = 3.0
         self.has_beats = True  # whether servers renew their registrations by themselves
         self._probes: dict[str, str] = {}
+        self._commands: dict[str, list[str]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._datagram_port = find_free_port("127.0.0.1", socket.SOCK_DGRAM)
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
@@ -591,8 +592,17 @@
         await asyncio.sleep(max(0.0, at - self.record.now()))
 
     def _run(self, name: str, role: str, settings: dict[str, Any]) -> None:
+        (self.folder / f"{name}.json").write_text(json.dumps(settings))
+        self._commands[name] = self._roles[role]["run"].split(" ")
+        self._start(name)
+
+    def restart(self, name: str) -> None:
+        """Start a process again that has ended, with the same settings."""
+        self.running[name].wait()
+        self._start(name)
+
+    def _start(self, name: str) -> None:
         path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(settings))
         environment = {
             key: value
             for key, value in os.environ.items()
@@ -603,7 +613,7 @@
         environment["MASTICDRUM_BOOT"] = str(path)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.running[name] = subprocess.Popen(
-                self._roles[role]["run"].split(" "),
+                self._commands[name],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -692,6 +702,65 @@
             task.cancel()
 
 
+class KeyCallers:
+    """Callers of lookups at all entries, with two keys, and what they got.
+
+    ``old`` is the key that is taken away.
+    """
+
+    def __init__(self, fleet: Fleet, old: str, stays: str, end: float) -> None:
+        self._fleet = fleet
+        self._old = old
+        self._keys = (old, stays)
+        self._end = end
+        self._answers: list[tuple[str, str, Answer]] = []
+
+    async def run(self) -> None:
+        """Ask with each key at each entry, five times a second, until the end."""
+        await asyncio.gather(
+            *(
+                self._ask_often(entry, key)
+                for entry in self._fleet.entries
+                for key in self._keys
+            )
+        )
+
+    async def _ask_often(self, entry: str, key: str) -> None:
+        count = 0
+        while self._fleet.record.now() < self._end:
+            count += 1
+            request = f"{entry}-{key}-{count}"
+            bearer = f"Bearer {key}"
+            answer = await self._fleet.ask(
+                entry, "/look/7", request, 1.0, Authorization=bearer
+            )
+            self._answers.append((entry, key, answer))
+            await asyncio.sleep(0.2)
+
+    def list_late(self, acknowledged: float, revoke_s: float) -> list[str]:
+        """Record all requests, and return those with the old key that ran too late.
+
+        ``acknowledged`` is when the configuration without it was.
+        """
+        record = self._fleet.record
+        servers = self._fleet.servers.values()
+        ran = {run.request: run for server in servers for run in server.runs}
+        late, served = [], 0
+        for entry, key, answer in self._answers:
+            run = ran.get(answer.request)
+            at = answer.sent_at - record.began
+            where = "not run" if run is None else f"run by {run.server}"
+            line = f"sent {at:.3f} at {entry} with {key}: {answer.status}, {where}"
+            record.write(line)
+            served += key != self._old and answer.status == 200
+            after_s = answer.sent_at - acknowledged
+            if key == self._old and run is not None and after_s > revoke_s:
+                late.append(f"{line}, {after_s:.3f} s after the acknowledgement")
+        if served < len(self._answers) / 5:
+            raise RuntimeError("too few requests were served to judge by")
+        return late
+
+
 class StreamCallers:
     """Callers of streams at all entries, and what they got."""
 
